Add the design, the wire formats and checked settings

Cause: the repository was empty. The design page fixes the modules, the state and its owners, the messages and the targets before code is written.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup test lint format demo bench slopes clean
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: pyproject.toml requirements.lock
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements.lock
+	$(BIN)/pip install -q --no-deps -e .
+	touch $@
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+test: setup
+	$(BIN)/python -m pytest
+
+demo: setup
+	$(BIN)/python -m testbed.demo
+
+bench: setup
+	$(BIN)/python -m testbed.bench
+
+slopes: setup
+	$(BIN)/python -m testbed.slopes
+
+clean:
+	rm -rf $(VENV) build dist *.egg-info
--- /dev/null
+++ b/ibispitch/settings/loader.py
@@ -0,0 +1,137 @@
+"""Reading and checking of settings files."""
+
+from pathlib import Path
+import re
+from typing import Any
+from typing import TypeVar
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+import pyjson5
+
+T = TypeVar('T')
+
+#: Settings whose values never appear in an error message.
+SECRET_KEYS = ('token', 'shared_keys')
+
+_PATH = re.compile(r' - at `\$\.?(?P<path>[^`]*)`$')
+_UNKNOWN = re.compile(r'unknown field `(?P<name>[^`]*)`')
+_MISSING = re.compile(r'missing required field `(?P<name>[^`]*)`')
+
+
+class SettingsError(msgspec.Struct, frozen=True):
+    """Why a settings file is not accepted.
+
+    :param file: path of the file.
+    :param key: dotted path of the setting, or an empty string.
+    :param value: the value as written, or ``None``.
+    :param remedy: what to change.
+    """
+
+    file: str
+    key: str
+    value: Any
+    remedy: str
+
+    def __str__(self):
+        key = f'{self.key}: ' if self.key else ''
+        value = '' if self.value is None else f'{self.value!r}: '
+        return f'{self.file}: {key}{value}{self.remedy}'
+
+
+class CheckError(ValueError):
+    """An impossible value, raised by ``__post_init__`` of settings types.
+
+    :param key: name of the setting in its structure.
+    :param remedy: what to change.
+    """
+
+    def __init__(self, key: str, remedy: str):
+        super().__init__(f'{key}\0{remedy}')
+
+
+def _value_at(document: Any, path: str) -> Any:
+    value = document
+    for part in re.findall(r'[^.\[\]]+', path):
+        if part == '...':
+            return None
+        try:
+            value = value[int(part) if part.isdigit() else part]
+        except (KeyError, IndexError, TypeError):
+            return None
+    return value
+
+
+def _shown(document: Any, key: str) -> Any:
+    """Return the value of a key, or ``None`` if it is a secret."""
+    if any(secret in key for secret in SECRET_KEYS):
+        return None
+    return _value_at(document, key)
+
+
+def _join(path: str, name: str) -> str:
+    return f'{path}.{name}' if path else name
+
+
+def _describe(error: Exception, document: Any) -> tuple[str, Any, str]:
+    text = str(error)
+    found = _PATH.search(text)
+    path = found['path'] if found else ''
+    text = _PATH.sub('', text)
+    if '\0' in text:
+        name, text = text.split('\0', 1)
+        key = _join(path, name)
+        return key, _shown(document, key), text
+    unknown = _UNKNOWN.search(text)
+    if unknown:
+        key = _join(path, unknown['name'])
+        remedy = 'unknown key; remove it or correct its name'
+        return key, _shown(document, key), remedy
+    missing = _MISSING.search(text)
+    if missing:
+        return _join(path, missing['name']), None, 'missing; add this key'
+    remedy = text[:1].lower() + text[1:]
+    return path, _shown(document, path), f'{remedy}; correct the value'
+
+
+def parse(text: str, file: str, settings_type: type[T]) -> Result:
+    """Check the text of a settings file.
+
+    :param text: JSON with comments.
+    :param file: name of the file for error messages.
+    :param settings_type: a ``msgspec.Struct`` with
+        ``forbid_unknown_fields=True``.
+    :returns: ``Ok`` of the settings or ``Error`` of :class:`SettingsError`.
+    """
+    try:
+        document = pyjson5.decode(text)
+    except pyjson5.Json5Exception as error:
+        detail = error.message
+        return Error(
+            SettingsError(file, '', None, f'not JSON with comments: {detail}')
+        )
+    try:
+        return Ok(msgspec.convert(document, settings_type))
+    except (msgspec.ValidationError, ValueError) as error:
+        return Error(SettingsError(file, *_describe(error, document)))
+
+
+def load(path: str | Path, settings_type: type[T]) -> Result:
+    """Read and check a settings file.
+
+    :param path: the file.
+    :param settings_type: see :func:`parse`.
+    :returns: ``Ok`` of the settings or ``Error`` of :class:`SettingsError`.
+    """
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, 'strerror', None) or 'not UTF-8 text'
+        return Error(
+            SettingsError(
+                str(path), '', None, f'{reason}; name a readable file'
+            )
+        )
+    return parse(text, str(path), settings_type)
--- /dev/null
+++ b/ibispitch/settings/programs.py
@@ -0,0 +1,233 @@
+"""Settings of the balancer, the agent and the command line."""
+
+from typing import Annotated
+
+import msgspec
+
+from ibispitch.ids import Address
+from ibispitch.ids import parse_address
+from ibispitch.settings.loader import CheckError
+
+Name = Annotated[
+    str, msgspec.Meta(min_length=1, max_length=64, pattern=r'^[a-z0-9.-]+$')
+]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=86400)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+
+
+def _check_address(key: str, text: str) -> None:
+    try:
+        parse_address(text)
+    except ValueError as error:
+        raise CheckError(
+            key, f'{error}; write an IPv4 address and a port'
+        ) from error
+
+
+def _check_keys(keys: list[str]) -> None:
+    for index, key in enumerate(keys):
+        try:
+            raw = bytes.fromhex(key)
+        except ValueError:
+            raw = b''
+        if not 16 <= len(raw) <= 32:
+            raise CheckError(
+                f'shared_keys[{index}]', 'write 32 to 64 hexadecimal digits'
+            )
+
+
+class LogSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Where log lines go.
+
+    :param file: path of the log file, ``-`` for standard error.
+    :param level: least severity that is written.
+    """
+
+    file: str = '-'
+    level: str = 'info'
+
+    def __post_init__(self):
+        if self.level not in ('debug', 'info', 'warning', 'error'):
+            raise CheckError('level', 'use debug, info, warning or error')
+
+
+class MetricsSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """How metrics are exported.
+
+    :param exporter: ``scrape`` serves ``/metrics`` on the administration
+        address, ``console`` prints them, ``none`` exports nothing.
+    :param interval_s: seconds between two exports of ``console``.
+    """
+
+    exporter: str = 'scrape'
+    interval_s: Seconds = 10.0
+
+    def __post_init__(self):
+        if self.exporter not in ('scrape', 'console', 'none'):
+            raise CheckError('exporter', 'use scrape, console or none')
+
+
+class StoreSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """How the store is reached.
+
+    :param endpoints: base addresses, each ``ip:port``.
+    :param cluster: name under which this installation keeps its keys.
+    :param timeout_s: seconds after which a call is given up.
+    """
+
+    endpoints: list[str]
+    cluster: Name = 'default'
+    timeout_s: Seconds = 2.0
+
+    def __post_init__(self):
+        if not self.endpoints:
+            raise CheckError('endpoints', 'name at least one ip:port')
+        for index, endpoint in enumerate(self.endpoints):
+            _check_address(f'endpoints[{index}]', endpoint)
+
+
+class TokenSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """A bearer token of the administration API.
+
+    :param token: the secret, at least 16 characters.
+    :param operator: whether it may edit every entry and data centre.
+    :param owners: owners whose entries it may edit.
+    """
+
+    token: Annotated[str, msgspec.Meta(min_length=16)]
+    operator: bool = False
+    owners: list[Name] = []
+
+
+class BalancerSettings(
+    msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True
+):
+    """Settings of ``ibispitch-balancer``.
+
+    :param balancer_id: unique name of this process.
+    :param datacentre: data centre of this host.
+    :param data_address: UDP address that agents send answers to.
+    :param control_address: UDP and TCP address for gossip and leases.
+    :param admin_address: TCP address of the administration API.
+    :param service_bind: ``address`` binds the addresses of the catalogue
+        entries, ``host`` binds their ports on the IP of ``data_address``.
+    :param seeds: control addresses of other balancers.
+    :param shared_keys: hexadecimal keys; the first signs, all are accepted.
+    :param store: the store.
+    :param tokens: tokens of the administration API.
+    :param stop_deadline_s: longest duration of a graceful stop.
+    """
+
+    balancer_id: Name
+    datacentre: Name
+    data_address: str
+    control_address: str
+    admin_address: str
+    service_bind: str = 'address'
+    seeds: list[str] = []
+    shared_keys: list[str]
+    store: StoreSettings
+    tokens: list[TokenSettings] = []
+    stop_deadline_s: Seconds = 30.0
+    log: LogSettings = LogSettings()
+    metrics: MetricsSettings = MetricsSettings()
+
+    def __post_init__(self):
+        for key in ('data_address', 'control_address', 'admin_address'):
+            _check_address(key, getattr(self, key))
+        for index, seed in enumerate(self.seeds):
+            _check_address(f'seeds[{index}]', seed)
+        if self.service_bind not in ('address', 'host'):
+            raise CheckError('service_bind', 'use address or host')
+        _check_keys(self.shared_keys)
+
+    @property
+    def keys(self) -> list[bytes]:
+        """The shared keys as bytes."""
+        return [bytes.fromhex(key) for key in self.shared_keys]
+
+    @property
+    def data(self) -> Address:
+        """The parsed data address."""
+        return parse_address(self.data_address)
+
+
+class AgentSettings(
+    msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True
+):
+    """Settings of ``ibispitch-agent``.
+
+    :param agent_id: unique name of this agent and its upstream.
+    :param datacentre: data centre of this host.
+    :param service: catalogue entry that the upstream serves.
+    :param data_address: UDP address that balancers and agents send to.
+    :param control_address: TCP address for a successor on this host.
+    :param admin_address: TCP address of state and metrics.
+    :param upstream_address: UDP address of the upstream.
+    :param slots: requests that the upstream runs at the same time.
+    :param connections: flows that the upstream bears.
+    :param seeds: control addresses of balancers.
+    :param shared_keys: hexadecimal keys; the first signs, all are accepted.
+    :param store: the store, read once when no seed answers.
+    :param stop_deadline_s: longest duration of a graceful stop.
+    """
+
+    agent_id: Name
+    datacentre: Name
+    service: Name
+    data_address: str
+    control_address: str
+    admin_address: str
+    upstream_address: str
+    slots: Count = 5
+    connections: Count = 2000
+    seeds: list[str] = []
+    shared_keys: list[str]
+    store: StoreSettings
+    stop_deadline_s: Seconds = 60.0
+    log: LogSettings = LogSettings()
+    metrics: MetricsSettings = MetricsSettings()
+
+    def __post_init__(self):
+        for key in (
+            'data_address',
+            'control_address',
+            'admin_address',
+            'upstream_address',
+        ):
+            _check_address(key, getattr(self, key))
+        for index, seed in enumerate(self.seeds):
+            _check_address(f'seeds[{index}]', seed)
+        _check_keys(self.shared_keys)
+
+    @property
+    def keys(self) -> list[bytes]:
+        """The shared keys as bytes."""
+        return [bytes.fromhex(key) for key in self.shared_keys]
+
+    @property
+    def data(self) -> Address:
+        """The parsed data address."""
+        return parse_address(self.data_address)
+
+
+class ControlSettings(
+    msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True
+):
+    """Settings of ``ibispitchctl``.
+
+    :param store: the store that edits go to.
+    :param admin_endpoints: administration addresses of balancers, asked in
+        this order for state.
+    :param token: bearer token for the administration API.
+    :param operator: name that is recorded with each edit.
+    """
+
+    store: StoreSettings
+    admin_endpoints: list[str] = []
+    token: str = ''
+    operator: str = 'operator'
+
+    def __post_init__(self):
+        for index, endpoint in enumerate(self.admin_endpoints):
+            _check_address(f'admin_endpoints[{index}]', endpoint)
--- /dev/null
+++ b/ibispitch/wire/frames.py
@@ -0,0 +1,165 @@
+"""Data-path frames between balancers and agents.
+
+A frame is ``MAC | magic | version | kind | hops | flags | service number |
+caller address | balancer address | payload``, in network order. The MAC is
+the keyed BLAKE2s of all that follows it.
+"""
+
+from collections.abc import Sequence
+import enum
+from hashlib import blake2s
+import hmac
+import struct
+from typing import NamedTuple
+
+from ibispitch.ids import FlowId
+from ibispitch.ids import ServiceNumber
+from ibispitch.wire.errors import WireError
+from ibispitch.wire.errors import WireFault
+
+MAC_BYTES = 8
+MAGIC = b'IB'
+VERSION = 1
+MAX_HOPS = 4
+NO_ADDRESS = b'\0\0\0\0\0\0'
+
+HEADER = struct.Struct('!2sBBBBQ6s6s')
+HEADER_END = MAC_BYTES + HEADER.size
+MIN_KEY_BYTES = 16
+
+
+class FrameKind(enum.IntEnum):
+    """What a frame carries."""
+
+    FORWARD = 1
+    REPLY = 2
+    RELAY = 3
+    CONTROL = 4
+
+
+class FrameFlag(enum.IntFlag):
+    """Flags of a frame."""
+
+    NONE = 0
+    #: The home of the flow has placed it at the receiver.
+    ADOPT = 1
+
+
+class Frame(NamedTuple):
+    """A decoded frame.
+
+    :param kind: what the payload is.
+    :param hops: how often the packet was relayed between agents.
+    :param flags: see :class:`FrameFlag`.
+    :param service: number of the service.
+    :param flow: caller address, 6 bytes.
+    :param balancer: data address of the balancer that took the packet in,
+        6 bytes in the form of a flow id.
+    :param payload: the caller's datagram, or a control message.
+    """
+
+    kind: int
+    hops: int
+    flags: int
+    service: ServiceNumber
+    flow: FlowId
+    balancer: bytes
+    payload: bytes
+
+
+class Keyring:
+    """The shared keys of an installation.
+
+    The first key signs; every key is accepted, so that keys can be replaced
+    one host at a time.
+
+    :param keys: at least one key of 16 to 32 bytes.
+    :raises ValueError: if there is no key or one has the wrong length.
+    """
+
+    def __init__(self, keys: Sequence[bytes]):
+        if not keys:
+            raise ValueError('no shared key; set shared_keys')
+        if any(not MIN_KEY_BYTES <= len(key) <= 32 for key in keys):
+            raise ValueError('a shared key must have 16 to 32 bytes')
+        self._keys = tuple(keys)
+        self.signing_key = self._keys[0]
+
+    def mac(self, data: bytes) -> bytes:
+        """Return the 8-byte MAC of ``data`` under the signing key."""
+        return blake2s(
+            data, key=self.signing_key, digest_size=MAC_BYTES
+        ).digest()
+
+    def accepts(self, data: bytes, mac: bytes) -> bool:
+        """Tell whether ``mac`` is the MAC of ``data`` under any key."""
+        return any(
+            hmac.compare_digest(
+                blake2s(data, key=key, digest_size=MAC_BYTES).digest(), mac
+            )
+            for key in self._keys
+        )
+
+
+def encode_frame(keyring: Keyring, frame: Frame) -> bytes:
+    """Encode a frame.
+
+    :param keyring: its first key signs the frame.
+    :param frame: the frame.
+    :returns: the datagram.
+
+    >>> keyring = Keyring([b'0123456789abcdef'])
+    >>> frame = Frame(
+    ...     FrameKind.REPLY, 0, 0, ServiceNumber(7), FlowId(NO_ADDRESS),
+    ...     NO_ADDRESS, b'payload',
+    ... )
+    >>> decode_frame(keyring, encode_frame(keyring, frame)) == frame
+    True
+    """
+    body = (
+        HEADER.pack(
+            MAGIC,
+            VERSION,
+            frame.kind,
+            frame.hops,
+            frame.flags,
+            frame.service,
+            frame.flow,
+            frame.balancer,
+        )
+        + frame.payload
+    )
+    return keyring.mac(body) + body
+
+
+def decode_frame(keyring: Keyring, datagram: bytes) -> Frame:
+    """Check and decode a frame.
+
+    :param keyring: the keys that are accepted.
+    :param datagram: the datagram as received.
+    :returns: the frame.
+    :raises WireError: if the datagram is truncated, not signed with a
+        shared key, or of another version or kind.
+    """
+    if len(datagram) < HEADER_END:
+        raise WireError(WireFault.TRUNCATED, f'{len(datagram)} bytes')
+    body = datagram[MAC_BYTES:]
+    if not keyring.accepts(body, datagram[:MAC_BYTES]):
+        raise WireError(
+            WireFault.BAD_MAC, 'not signed with a key in shared_keys'
+        )
+    magic, version, kind, hops, flags, service, flow, balancer = (
+        HEADER.unpack_from(body)
+    )
+    if magic != MAGIC:
+        raise WireError(WireFault.BAD_MAGIC, magic.hex())
+    if version != VERSION:
+        raise WireError(
+            WireFault.BAD_VERSION,
+            f'version {version}; run {VERSION} on all hosts',
+        )
+    if not FrameKind.FORWARD <= kind <= FrameKind.CONTROL:
+        raise WireError(WireFault.BAD_KIND, str(kind))
+    return Frame(
+        kind, hops, flags, service, flow, balancer, body[HEADER.size :]
+    )
--- /dev/null
+++ b/tests/wire/test_frames.py
@@ -0,0 +1,123 @@
+"""Frames, messages and streams that are not accepted."""
+
+import asyncio
+
+from hypothesis import given
+from hypothesis import strategies as st
+import msgspec
+import pytest
+
+from ibispitch.ids import FlowId
+from ibispitch.ids import ServiceNumber
+from ibispitch.wire import control_message
+from ibispitch.wire import decode_frame
+from ibispitch.wire import decode_message
+from ibispitch.wire import encode_frame
+from ibispitch.wire import Frame
+from ibispitch.wire import FrameKind
+from ibispitch.wire import Keyring
+from ibispitch.wire import WireError
+from ibispitch.wire.errors import WireFault
+from ibispitch.wire.streams import accept_stream
+from ibispitch.wire.streams import open_stream
+
+KEY = Keyring([b'a' * 16])
+OTHER_KEY = Keyring([b'b' * 16])
+FRAME = Frame(
+    FrameKind.FORWARD,
+    0,
+    0,
+    ServiceNumber(1),
+    FlowId(b'\x7f\0\0\1\0\1'),
+    b'\x7f\0\0\2\0\2',
+    b'hello',
+)
+
+
+@control_message('test.note')
+class Note(msgspec.Struct, array_like=True, frozen=True):
+    text: str
+
+
+@given(st.binary(max_size=100))
+def test_random_datagram_is_rejected(datagram):
+    """A forged datagram must neither crash the decoder nor be accepted."""
+    with pytest.raises(WireError):
+        decode_frame(KEY, datagram)
+
+
+@given(st.integers(0, 46), st.integers(1, 255))
+def test_changed_byte_is_rejected(position, change):
+    """A change of any byte, header or payload, must break the MAC."""
+    datagram = bytearray(encode_frame(KEY, FRAME))
+    datagram[position % len(datagram)] ^= change
+    with pytest.raises(WireError) as caught:
+        decode_frame(KEY, bytes(datagram))
+    assert caught.value.fault is WireFault.BAD_MAC
+
+
+def test_key_rotation():
+    """A host with the old key first must accept frames of the new key."""
+    both = Keyring([b'b' * 16, b'a' * 16])
+    assert decode_frame(both, encode_frame(KEY, FRAME)) == FRAME
+    with pytest.raises(WireError):
+        decode_frame(KEY, encode_frame(both, FRAME))
+
+
+@given(st.binary(max_size=60))
+def test_random_message_is_rejected(data):
+    """Malformed msgpack must give a typed error and never a crash."""
+    with pytest.raises(WireError):
+        decode_message(data)
+
+
+async def _serve(keyring):
+    received: asyncio.Queue = asyncio.Queue()
+
+    async def serve(reader, writer):
+        try:
+            stream = await accept_stream(reader, writer, keyring)
+            while (message := await stream.receive()) is not None:
+                received.put_nowait(message)
+                await stream.send(message)
+            stream.close()
+        except WireError as error:
+            received.put_nowait(error)
+            writer.transport.abort()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    return server, server.sockets[0].getsockname()[1], received
+
+
+async def test_stream_carries_messages_both_ways():
+    """Messages must arrive whole and in order over one stream."""
+    server, port, _ = await _serve(KEY)
+    stream = await open_stream('127.0.0.1', port, KEY)
+    for text in ('one', 'two' * 50000):
+        await stream.send(Note(text))
+        assert await stream.receive() == Note(text)
+    stream.close()
+    server.close()
+
+
+async def test_stream_without_the_key_is_refused():
+    """A host without a shared key must not get a stream."""
+    server, port, received = await _serve(KEY)
+    with pytest.raises(WireError):
+        await open_stream('127.0.0.1', port, OTHER_KEY)
+    assert isinstance(await received.get(), WireError)
+    server.close()
+
+
+async def test_replayed_message_is_refused():
+    """A recorded message sent again must end the stream."""
+    server, port, received = await _serve(KEY)
+    stream = await open_stream('127.0.0.1', port, KEY)
+    sent = []
+    write = stream._writer.write
+    stream._writer.write = lambda data: (sent.append(data), write(data))
+    await stream.send(Note('pay'))
+    write(sent[0])
+    assert await received.get() == Note('pay')
+    assert (await received.get()).fault is WireFault.BAD_MAC
+    server.close()
