--- /dev/null
+++ b/ibispitch/membership/core.py
@@ -0,0 +1,418 @@
+"""Membership of balancers and the records of agents."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+import random
+from typing import Any
+from typing import NamedTuple
+
+import msgspec
+
+from ibispitch.ids import Address
+from ibispitch.ids import AgentId
+from ibispitch.ids import BalancerId
+from ibispitch.membership.detector import FailureDetector
+from ibispitch.membership.keys import AGENT_PREFIX
+from ibispitch.membership.keys import balancer_key
+from ibispitch.membership.keys import item_record
+from ibispitch.membership.keys import Record
+from ibispitch.membership.keys import record_item
+from ibispitch.membership.messages import Ack
+from ibispitch.membership.messages import Join
+from ibispitch.membership.messages import Ping
+from ibispitch.membership.messages import PingRequest
+from ibispitch.membership.messages import Suspicion
+from ibispitch.membership.messages import SWIM_MESSAGES
+from ibispitch.membership.orphans import OrphanTable
+from ibispitch.membership.records import AgentRecord
+from ibispitch.membership.records import BalancerRecord
+from ibispitch.membership.records import MemberState
+from ibispitch.spread import Item
+from ibispitch.spread import ItemChanged
+from ibispitch.spread import ItemDropped
+from ibispitch.spread import SendDatagram
+from ibispitch.spread import SendStream
+from ibispitch.spread import SPREAD_MESSAGES
+from ibispitch.spread import SpreadCore
+from ibispitch.spread.messages import SpreadItems
+
+#: Lost balancers and seeds are probed this often, so that a partition heals.
+REJOIN_INTERVAL_S = 5.0
+#: A balancer that knows no other asks seeds this often.
+JOIN_INTERVAL_S = 1.0
+JOIN_SEEDS = 3
+#: Timers of a process that was paused longer than this are meaningless.
+PAUSE_S = 1.0
+#: Others declare a process LOST at the earliest after this pause.
+LOST_PAUSE_S = 3.0
+
+
+class BalancerChanged(NamedTuple):
+    """There is a new record of a balancer."""
+
+    record: BalancerRecord
+
+
+class AgentChanged(NamedTuple):
+    """There is a new record of an agent, or its parent was lost.
+
+    :param record: the record with the state that is to be acted upon.
+    """
+
+    record: AgentRecord
+
+
+class CatalogueChanged(NamedTuple):
+    """There is a new version of a document of the catalogue.
+
+    :param item: its version is ``(mod_revision,)``; an empty value stands
+        for a removed document.
+    """
+
+    item: Item
+
+
+class Resumed(NamedTuple):
+    """The process did not run for ``pause_s`` seconds."""
+
+    pause_s: float
+
+
+Effect = (
+    SendDatagram
+    | SendStream
+    | BalancerChanged
+    | AgentChanged
+    | CatalogueChanged
+    | Resumed
+)
+
+
+class MembershipCore:
+    """What one balancer knows of all members and of the catalogue.
+
+    Peers are named by their control address.
+
+    :param record: own record, with the incarnation of this process.
+    :param seeds: control addresses of other balancers.
+    :param rng: source of all random choices.
+    """
+
+    MESSAGES = SWIM_MESSAGES + SPREAD_MESSAGES
+
+    def __init__(
+        self,
+        record: BalancerRecord,
+        seeds: Sequence[Address],
+        rng: random.Random,
+    ):
+        self.record = record
+        self.spread = SpreadCore(record.control_address, rng)
+        self.balancers: dict[BalancerId, BalancerRecord] = {}
+        self.catalogue: dict[str, Item] = {}
+        #: Whether a later process with the same identifier was seen.
+        self.is_superseded = False
+        self._rng = rng
+        self._seeds: set[Address] = set(seeds)
+        self._id_by_address: dict[Address, BalancerId] = {}
+        self._detector = FailureDetector(rng)
+        self._orphans = OrphanTable()
+        self._last_run: float | None = None
+        self._join_due = 0.0
+        self._handlers: dict[type, Callable] = {
+            Ping: self._on_ping,
+            Ack: self._on_ack,
+            PingRequest: self._on_ping_request,
+            Suspicion: self._on_suspicion,
+            Join: self._on_join,
+        }
+
+    @property
+    def agents(self) -> dict[AgentId, AgentRecord]:
+        """Records of agents by id, with the state to be acted upon."""
+        return self._orphans.effective
+
+    @property
+    def self_id(self) -> BalancerId:
+        """Identifier of this balancer."""
+        return self.record.balancer_id
+
+    def present_balancers(self) -> list[BalancerRecord]:
+        """Return the present balancers, this one included."""
+        return [
+            record
+            for record in self.balancers.values()
+            if record.state.is_present
+        ]
+
+    def knows(self, address: Address) -> bool:
+        """Tell whether an address is that of a member or a seed."""
+        return address in self._id_by_address or address in self._seeds
+
+    def add_seeds(self, addresses: Iterable[Address]) -> None:
+        """Add control addresses, for example of a snapshot."""
+        self._seeds |= set(addresses) - {self.record.control_address}
+
+    def start(self, now: float) -> list[Effect]:
+        """Publish the own record and ask seeds to be let in."""
+        self._last_run = now
+        return self._publish(self.record, now) + self._join(now)
+
+    def tick(self, now: float) -> list[Effect]:
+        """Do what is due; call it every 0.2 s or so.
+
+        :param now: monotonic time in seconds.
+        :returns: effects to carry out.
+        """
+        effects = self._check_pause(now)
+        sends, lost = self._detector.tick(now)
+        effects += sends
+        for balancer_id in lost:
+            effects += self._declare_lost(balancer_id, now)
+        if now >= self._join_due:
+            effects += self._join(now)
+        effects += self._apply(self.spread.tick(now), now)
+        for record in self._orphans.retire(now):
+            effects += self._publish(record, now, rumour=False)
+        return effects + self._orphan_changes(now)
+
+    def on_message(
+        self, sender: Address, message: Any, now: float
+    ) -> list[Effect]:
+        """Handle a message of another balancer.
+
+        :param sender: its control address.
+        :param message: one of ``MESSAGES``.
+        :param now: monotonic time in seconds.
+        :returns: effects to carry out.
+        """
+        effects = self._check_pause(now)
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            return effects + handler(sender, message, now)
+        spread_effects = self.spread.on_message(sender, message, now)
+        return effects + self._apply(spread_effects, now, sender)
+
+    def set_state(self, state: MemberState, now: float) -> list[Effect]:
+        """Change the state of this balancer, for example to LEAVING."""
+        return self._renew(self.record.sequence, now, state)
+
+    def publish_agent(self, record: AgentRecord, now: float) -> list[Effect]:
+        """Publish the record of an agent that leases here."""
+        return self._publish(record, now)
+
+    def publish_document(
+        self, key: str, mod_revision: int, value: bytes, now: float
+    ) -> list[Effect]:
+        """Publish a document of the catalogue.
+
+        :param key: key in the store below the cluster.
+        :param mod_revision: revision of the store.
+        :param value: the document, empty if it was removed.
+        :param now: monotonic time in seconds.
+        """
+        effects = self.spread.publish(key, (mod_revision,), value)
+        return self._apply(effects, now)
+
+    def _publish(
+        self, record: Record, now: float, rumour: bool = True
+    ) -> list[Effect]:
+        item = record_item(record)
+        effects = self.spread.publish(
+            item.key,
+            item.version,
+            item.value,
+            retired=item.retired,
+            rumour=rumour,
+        )
+        return self._apply(effects, now)
+
+    def _check_pause(self, now: float) -> list[Effect]:
+        pause = 0.0 if self._last_run is None else now - self._last_run
+        self._last_run = now
+        if pause < PAUSE_S:
+            return []
+        self._detector.reset()
+        if pause < LOST_PAUSE_S:
+            return []
+        effects: list[Effect] = [Resumed(pause)]
+        if self.record.state.is_present:
+            effects += self._renew(self.record.sequence, now)
+        peers = self._peer_addresses()
+        for peer in self._rng.sample(peers, min(3, len(peers))):
+            effects += self.spread.exchange(peer)
+        return effects
+
+    def _renew(
+        self, sequence: int, now: float, state: MemberState | None = None
+    ) -> list[Effect]:
+        """Publish the own record with a sequence after ``sequence``."""
+        self.record = msgspec.structs.replace(
+            self.record,
+            sequence=sequence + 1,
+            state=state or self.record.state,
+        )
+        return self._publish(self.record, now)
+
+    def _declare_lost(
+        self, balancer_id: BalancerId, now: float
+    ) -> list[Effect]:
+        record = msgspec.structs.replace(
+            self.balancers[balancer_id], state=MemberState.LOST
+        )
+        return self._publish(record, now)
+
+    def _peer_addresses(self) -> list[Address]:
+        return [
+            record.control_address
+            for record in self.present_balancers()
+            if record.balancer_id != self.self_id
+        ]
+
+    def _join(self, now: float) -> list[Effect]:
+        peers = set(self._peer_addresses())
+        absent = {
+            record.control_address
+            for record in self.balancers.values()
+            if not record.state.is_present
+        }
+        addresses = sorted(
+            (absent | self._seeds) - peers - {self.record.control_address}
+        )
+        count = 1 if peers else JOIN_SEEDS
+        self._join_due = now + (
+            REJOIN_INTERVAL_S if peers else JOIN_INTERVAL_S
+        )
+        return [
+            SendDatagram(address, Join(self.record))
+            for address in self._rng.sample(
+                addresses, min(count, len(addresses))
+            )
+        ]
+
+    def _apply(
+        self, effects: Sequence, now: float, sender: Address | None = None
+    ) -> list[Effect]:
+        """Turn changed items into changes of members and documents."""
+        result: list[Effect] = []
+        for effect in effects:
+            if isinstance(effect, ItemChanged):
+                result += self._on_item(effect.item, now, sender)
+            elif isinstance(effect, ItemDropped):
+                self._forget(effect.item)
+            else:
+                result.append(effect)
+        return result
+
+    def _on_item(
+        self, item: Item, now: float, sender: Address | None
+    ) -> list[Effect]:
+        record = item_record(item)
+        if isinstance(record, BalancerRecord):
+            return self._on_balancer(record, now, sender)
+        if isinstance(record, AgentRecord):
+            self._orphans.on_record(record, now)
+            return self._orphan_changes(now)
+        if item.key.startswith((AGENT_PREFIX, balancer_key(''))):
+            return []
+        self.catalogue[item.key] = item
+        return [CatalogueChanged(item)]
+
+    def _forget(self, item: Item) -> None:
+        record = item_record(item)
+        if isinstance(record, AgentRecord):
+            self._orphans.forget(record.agent_id)
+        elif isinstance(record, BalancerRecord):
+            self.balancers.pop(record.balancer_id, None)
+            self._id_by_address.pop(record.control_address, None)
+
+    def _orphan_changes(self, now: float) -> list[Effect]:
+        return [AgentChanged(record) for record in self._orphans.changes(now)]
+
+    def _on_balancer(
+        self, record: BalancerRecord, now: float, sender: Address | None
+    ) -> list[Effect]:
+        balancer_id = record.balancer_id
+        previous = self.balancers.get(balancer_id)
+        if previous is not None:
+            self._id_by_address.pop(previous.control_address, None)
+        self.balancers[balancer_id] = record
+        self._id_by_address[record.control_address] = balancer_id
+        self._detector.clear(balancer_id)
+        self._detector.present(
+            other
+            for other in self.present_balancers()
+            if other.balancer_id != self.self_id
+        )
+        self.spread.peers(self._peer_addresses())
+        self._orphans.on_balancer(record, now)
+        if balancer_id == self.self_id and record != self.record:
+            return self._refute(record, now, sender)
+        return [BalancerChanged(record)]
+
+    def _refute(
+        self, record: BalancerRecord, now: float, sender: Address | None
+    ) -> list[Effect]:
+        """Replace a record of this balancer that others have published."""
+        if record.incarnation > self.record.incarnation:
+            self.is_superseded = True
+            return []
+        effects = self._renew(record.sequence, now)
+        if sender is not None:
+            item = record_item(self.record)
+            effects.append(SendDatagram(sender, SpreadItems([item])))
+        return effects
+
+    def _on_ping(self, sender: Address, message: Ping, now: float) -> list:
+        effects: list[Effect] = [SendDatagram(sender, Ack(message.nonce))]
+        record = self.balancers.get(self._id_by_address.get(sender))
+        if record is not None and not record.state.is_present:
+            effects += self._tell(sender, [record])
+        return effects
+
+    def _on_ack(self, sender: Address, message: Ack, now: float) -> list:
+        return self._detector.on_ack(message.nonce)
+
+    def _on_ping_request(
+        self, sender: Address, message: PingRequest, now: float
+    ) -> list[Effect]:
+        return list(self._detector.on_request(sender, message, now))
+
+    def _on_suspicion(
+        self, sender: Address, message: Suspicion, now: float
+    ) -> list[Effect]:
+        suspicion = (message.incarnation, message.sequence)
+        if message.balancer_id == self.self_id:
+            own = (self.record.incarnation, self.record.sequence)
+            if suspicion < own:
+                return self._tell(sender, [self.record])
+            effects = self._renew(message.sequence, now)
+            return effects + self._tell(sender, [self.record])
+        record = self.balancers.get(message.balancer_id)
+        if record is None or message.relayed:
+            return []
+        if suspicion < (record.incarnation, record.sequence):
+            return self._tell(sender, [record])
+        relayed = msgspec.structs.replace(message, relayed=True)
+        return [SendDatagram(record.control_address, relayed)]
+
+    def _on_join(
+        self, sender: Address, message: Join, now: float
+    ) -> list[Effect]:
+        joiner = message.record
+        effects = self._publish(joiner, now)
+        known = self.balancers.get(joiner.balancer_id, joiner)
+        records = [self.record]
+        if known.version > joiner.version:
+            records.append(known)
+        return (
+            effects
+            + self._tell(sender, records)
+            + self.spread.exchange(sender)
+        )
+
+    @staticmethod
+    def _tell(to: Address, records: Iterable[Record]) -> list[Effect]:
+        items = [record_item(record) for record in records]
+        return [SendDatagram(to, SpreadItems(items))]
--- /dev/null
+++ b/ibispitch/membership/keys.py
@@ -0,0 +1,64 @@
+"""Keys of items in spread, and the form of their values.
+
+Records of members are under ``balancer/`` and ``agent/``. Documents of the
+catalogue keep the key that they have in the store below the cluster.
+"""
+
+import msgspec
+
+from ibispitch.ids import AgentId
+from ibispitch.ids import BalancerId
+from ibispitch.membership.records import AgentRecord
+from ibispitch.membership.records import BalancerRecord
+from ibispitch.spread import Item
+
+BALANCER_PREFIX = 'balancer/'
+AGENT_PREFIX = 'agent/'
+ENTRY_PREFIX = 'entries/'
+DATACENTRE_PREFIX = 'datacentres/'
+
+Record = AgentRecord | BalancerRecord
+
+
+def balancer_key(balancer_id: BalancerId) -> str:
+    """Return the key of a balancer's record."""
+    return BALANCER_PREFIX + balancer_id
+
+
+def agent_key(agent_id: AgentId) -> str:
+    """Return the key of an agent's record."""
+    return AGENT_PREFIX + agent_id
+
+
+def record_item(record: Record) -> Item:
+    """Return the item of a record.
+
+    Records of members that are LOST or LEFT are tombstones.
+    """
+    key = (
+        agent_key(record.agent_id)
+        if isinstance(record, AgentRecord)
+        else balancer_key(record.balancer_id)
+    )
+    return Item(
+        key,
+        msgspec.structs.astuple(record.version),
+        msgspec.msgpack.encode(record),
+        not record.state.is_present,
+    )
+
+
+def item_record(item: Item) -> Record | None:
+    """Return the record of an item.
+
+    :returns: ``None`` if the item is not a record or cannot be decoded, for
+        example because a newer release wrote it.
+    """
+    try:
+        if item.key.startswith(BALANCER_PREFIX):
+            return msgspec.msgpack.decode(item.value, type=BalancerRecord)
+        if item.key.startswith(AGENT_PREFIX):
+            return msgspec.msgpack.decode(item.value, type=AgentRecord)
+    except msgspec.MsgspecError:
+        pass
+    return None
--- /dev/null
+++ b/ibispitch/membership/messages.py
@@ -0,0 +1,105 @@
+"""Messages of the failure detector and of the leases of agents."""
+
+import msgspec
+
+from ibispitch.ids import AgentId
+from ibispitch.ids import BalancerId
+from ibispitch.membership.records import AgentRecord
+from ibispitch.membership.records import BalancerRecord
+from ibispitch.wire.messages import control_message
+
+
+@control_message('membership.ping')
+class Ping(msgspec.Struct, array_like=True, frozen=True):
+    """Asks for an :class:`Ack` with the same nonce."""
+
+    nonce: int
+
+
+@control_message('membership.ack')
+class Ack(msgspec.Struct, array_like=True, frozen=True):
+    """Answers a :class:`Ping` or a :class:`PingRequest`."""
+
+    nonce: int
+
+
+@control_message('membership.ping_request')
+class PingRequest(msgspec.Struct, array_like=True, frozen=True):
+    """Asks the receiver to probe another balancer."""
+
+    nonce: int
+    target: BalancerId
+
+
+@control_message('membership.suspicion')
+class Suspicion(msgspec.Struct, array_like=True, frozen=True):
+    """A balancer does not answer and will be declared LOST.
+
+    :param relayed: whether a third balancer passed the message on.
+    """
+
+    balancer_id: BalancerId
+    incarnation: int
+    sequence: int
+    relayed: bool = False
+
+
+@control_message('membership.join')
+class Join(msgspec.Struct, array_like=True, frozen=True):
+    """Introduces the sender to a seed or to a balancer thought LOST."""
+
+    record: BalancerRecord
+
+
+@control_message('membership.announce')
+class Announce(msgspec.Struct, array_like=True, frozen=True):
+    """Asks for a lease, or changes the record under it.
+
+    :param view_version: version of the newest view that the agent has.
+    """
+
+    record: AgentRecord
+    view_version: int
+
+
+@control_message('membership.renew')
+class Renew(msgspec.Struct, array_like=True, frozen=True):
+    """Renews a lease."""
+
+    agent_id: AgentId
+    incarnation: int
+    sequence: int
+
+
+@control_message('membership.leave')
+class Leave(msgspec.Struct, array_like=True, frozen=True):
+    """Gives a lease up; the agent has LEFT."""
+
+    record: AgentRecord
+
+
+@control_message('membership.granted')
+class LeaseGranted(msgspec.Struct, array_like=True, frozen=True):
+    """The lease holds for ``lease_s`` seconds from the request.
+
+    :param sequence: greatest sequence known of the agent; its next change
+        uses a greater one.
+    """
+
+    sequence: int
+    lease_s: float
+
+
+@control_message('membership.refused')
+class LeaseRefused(msgspec.Struct, array_like=True, frozen=True):
+    """There is no lease.
+
+    :param sequence: greatest sequence known of the agent.
+    :param superseded: whether a later process has taken the agent's place.
+    """
+
+    sequence: int
+    superseded: bool
+
+
+SWIM_MESSAGES = (Ping, Ack, PingRequest, Suspicion, Join)
--- /dev/null
+++ b/ibispitch/membership/selection.py
@@ -0,0 +1,73 @@
+"""Choice of parents and readers by rendezvous hashing.
+
+Every process that knows the same balancers chooses the same ones, without
+a vote, and the loss of one balancer moves only what it had.
+"""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from ibispitch.ids import BalancerId
+from ibispitch.ids import DatacentreName
+from ibispitch.membership.records import AgentRecord
+from ibispitch.membership.records import BalancerRecord
+from ibispitch.membership.records import MemberState
+
+READERS_PER_DATACENTRE = 2
+
+
+def _score(subject: str, balancer_id: BalancerId) -> int:
+    return xxhash.xxh3_64_intdigest(f'{subject}\0{balancer_id}'.encode())
+
+
+def _by_score(
+    subject: str, balancers: Iterable[BalancerRecord]
+) -> list[BalancerRecord]:
+    return sorted(
+        balancers,
+        key=lambda record: (
+            _score(subject, record.balancer_id),
+            record.balancer_id,
+        ),
+        reverse=True,
+    )
+
+
+def parent_order(
+    agent: AgentRecord, balancers: Iterable[BalancerRecord]
+) -> list[BalancerRecord]:
+    """Return the balancers in the order in which an agent tries them.
+
+    :param agent: the agent.
+    :param balancers: the balancers that are known.
+    :returns: the ACTIVE balancers of its data centre, then the others.
+    """
+    ordered = _by_score(
+        agent.agent_id,
+        (record for record in balancers if record.state is MemberState.ACTIVE),
+    )
+    return sorted(
+        ordered, key=lambda record: record.datacentre != agent.datacentre
+    )
+
+
+def readers(
+    datacentre: DatacentreName, balancers: Iterable[BalancerRecord]
+) -> list[BalancerId]:
+    """Return the balancers that read the catalogue for a data centre.
+
+    :param datacentre: name of the data centre.
+    :param balancers: the balancers that are known.
+    :returns: at most two identifiers; the first one writes the snapshot.
+    """
+    chosen = _by_score(
+        f'reader\0{datacentre}',
+        (
+            record
+            for record in balancers
+            if record.datacentre == datacentre
+            and record.state is MemberState.ACTIVE
+        ),
+    )
+    return [record.balancer_id for record in chosen[:READERS_PER_DATACENTRE]]
--- /dev/null
+++ b/tests/simulation.py
@@ -0,0 +1,145 @@
+"""In-memory network for deterministic cores, with faults."""
+
+import heapq
+import itertools
+import random
+
+from ibispitch.ids import Address
+from ibispitch.membership.core import MembershipCore
+from ibispitch.membership.records import BalancerRecord
+from ibispitch.membership.records import MemberState
+from ibispitch.spread import SendDatagram
+from ibispitch.spread import SendStream
+from ibispitch.wire.frames import HEADER_END
+from ibispitch.wire.messages import decode_message
+from ibispitch.wire.messages import encode_message
+
+TICK_S = 0.2
+IP_UDP_BYTES = 28
+
+
+class Node:
+    """A core with a clock that stops while the node is paused."""
+
+    def __init__(self, address, core):
+        self.address = address
+        self.core = core
+        self.is_paused = False
+        self.is_crashed = False
+        self.backlog = []
+        self.sent = 0
+        self.stream_sent = 0
+
+    @property
+    def is_running(self):
+        return not self.is_paused and not self.is_crashed
+
+
+class Network:
+    def __init__(self, seed, loss=0.0, duplication=0.0, delay=(0.001, 0.02)):
+        self.rng = random.Random(seed)
+        self.loss, self.duplication, self.delay = loss, duplication, delay
+        self.now = 0.0
+        self.node_by_address = {}
+        self.side_by_address = {}
+        self.events = []
+        self.counter = itertools.count()
+        self.on_effect = lambda node, effect: None
+        self.after_step = lambda node: None
+
+    def add(self, address, core):
+        node = Node(address, core)
+        self.node_by_address[address] = node
+        self._push(self.rng.random() * TICK_S, self._tick, node)
+        return node
+
+    def _push(self, delay, action, *arguments):
+        at = self.now + delay
+        heapq.heappush(
+            self.events, (at, next(self.counter), action, arguments)
+        )
+
+    def _tick(self, node):
+        if self.node_by_address.get(node.address) is not node:
+            return
+        if node.is_running:
+            self.run(node, node.core.tick(self.now))
+        if not node.is_crashed:
+            self._push(TICK_S, self._tick, node)
+
+    def run(self, node, effects):
+        for effect in effects:
+            if isinstance(effect, SendDatagram):
+                self._datagram(node, effect.to, effect.message)
+            elif isinstance(effect, SendStream):
+                for message in effect.messages:
+                    data = encode_message(message)
+                    node.stream_sent += len(data) + 20
+                    self._push(0.05, self._arrive, node, effect.to, data)
+            else:
+                self.on_effect(node, effect)
+        self.after_step(node)
+
+    def _datagram(self, node, to, message):
+        data = encode_message(message)
+        size = len(data) + HEADER_END
+        assert size <= 1200, message
+        node.sent += size + IP_UDP_BYTES
+        copies = 2 if self.rng.random() < self.duplication else 1
+        for _ in range(copies):
+            if self.rng.random() >= self.loss:
+                delay = self.rng.uniform(*self.delay)
+                self._push(delay, self._arrive, node, to, data)
+
+    def _arrive(self, sender, to, data):
+        node = self.node_by_address.get(to)
+        side = self.side_by_address
+        if node is None or node.is_crashed:
+            return
+        if side.get(sender.address) != side.get(to):
+            return
+        if node.is_paused:
+            node.backlog.append((sender, data))
+            return
+        message = decode_message(data)
+        self.run(node, node.core.on_message(sender.address, message, self.now))
+
+    def resume(self, node):
+        node.is_paused = False
+        backlog, node.backlog = node.backlog[-200:], []
+        for sender, data in backlog:
+            self._arrive(sender, node.address, data)
+
+    def advance(self, seconds):
+        until = self.now + seconds
+        while self.events and self.events[0][0] <= until:
+            self.now, _, action, arguments = heapq.heappop(self.events)
+            action(*arguments)
+        self.now = until
+
+
+def balancer_record(number, incarnation=1, datacentre='accra'):
+    return BalancerRecord(
+        balancer_id=f'b{number}',
+        datacentre=datacentre,
+        address=Address(f'10.1.{number // 250}.{number % 250}', 5000),
+        control_address=Address(f'10.0.{number // 250}.{number % 250}', 4000),
+        admin_address=Address(f'10.2.{number // 250}.{number % 250}', 8000),
+        incarnation=incarnation,
+        sequence=1,
+        state=MemberState.ACTIVE,
+    )
+
+
+def start_balancer(network, number, seeds, incarnation=1):
+    record = balancer_record(number, incarnation)
+    rng = random.Random(network.rng.getrandbits(32))
+    core = MembershipCore(record, seeds, rng)
+    node = network.add(record.control_address, core)
+    network.run(node, core.start(network.now))
+    return node
+
+
+def start_fleet(network, count):
+    seeds = [balancer_record(n).control_address for n in range(min(3, count))]
+    return [start_balancer(network, n, seeds) for n in range(count)]
