--- /dev/null
+++ b/ibispitch/telemetry/__init__.py
@@ -0,0 +1,12 @@
+"""Logs and metrics of a process.
+
+Counters come first; log lines are written only for changes of state. The
+state of the slice, the counters, belongs to one process.
+"""
+
+from ibispitch.telemetry.logs import log
+from ibispitch.telemetry.logs import setup_logs
+from ibispitch.telemetry.logs import Severity
+from ibispitch.telemetry.metrics import Metrics
+
+__all__ = ['Metrics', 'Severity', 'log', 'setup_logs']
--- a/ibispitch/wire/frames.py
+++ b/ibispitch/wire/frames.py
@@ -1,7 +1,7 @@
 """Data-path frames between balancers and agents.
 
 A frame is ``MAC | magic | version | kind | hops | flags | service number |
-caller address | balancer address | payload``, in network order. The MAC is
+caller address | balancer address | service address | payload``, in network order. The MAC is
 the keyed BLAKE2s of all that follows it.
 """
 
@@ -23,7 +23,7 @@
 MAX_HOPS = 4
 NO_ADDRESS = b'\0\0\0\0\0\0'
 
-HEADER = struct.Struct('!2sBBBBQ6s6s')
+HEADER = struct.Struct('!2sBBBBQ6s6s6s')
 HEADER_END = MAC_BYTES + HEADER.size
 MIN_KEY_BYTES = 16
 
@@ -56,6 +56,8 @@
     :param balancer: data address of the balancer that took the packet in,
         6 bytes in the form of a flow id.
     :param payload: the caller's datagram, or a control message.
+    :param destination: the address of the service that the caller sent to,
+        6 bytes; the answer leaves from it, whichever balancer sends it.
     """
 
     kind: int
@@ -65,6 +67,7 @@
     flow: FlowId
     balancer: bytes
     payload: bytes
+    destination: bytes = NO_ADDRESS
 
 
 class Keyring:
@@ -126,6 +129,7 @@
             frame.service,
             frame.flow,
             frame.balancer,
+            frame.destination,
         )
         + frame.payload
     )
@@ -148,9 +152,8 @@
         raise WireError(
             WireFault.BAD_MAC, 'not signed with a key in shared_keys'
         )
-    magic, version, kind, hops, flags, service, flow, balancer = (
-        HEADER.unpack_from(body)
-    )
+    magic, version, kind, hops, flags, *addressing = HEADER.unpack_from(body)
+    service, flow, balancer, destination = addressing
     if magic != MAGIC:
         raise WireError(WireFault.BAD_MAGIC, magic.hex())
     if version != VERSION:
@@ -161,5 +164,12 @@
     if not FrameKind.FORWARD <= kind <= FrameKind.CONTROL:
         raise WireError(WireFault.BAD_KIND, str(kind))
     return Frame(
-        kind, hops, flags, service, flow, balancer, body[HEADER.size :]
+        kind,
+        hops,
+        flags,
+        service,
+        flow,
+        balancer,
+        body[HEADER.size :],
+        destination,
     )
