Add the forwarder and the processes that time a relay

Cause: the packet path decides the balancer's speed, so it is written and measured first.

Change: forwarder that hashes, signs and sends without state per flow; bare relay, senders, sinks and round-trip probes for comparison.

--- /dev/null
+++ b/ibispitch/balancer/forwarder.py
@@ -0,0 +1,182 @@
+"""The packet path of the balancer."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from hashlib import blake2s
+import socket
+
+from ibispitch.catalogue.documents import Entry
+from ibispitch.ids import Address
+from ibispitch.ids import flow_address
+from ibispitch.ids import flow_id
+from ibispitch.ids import FlowId
+from ibispitch.ids import parse_address
+from ibispitch.ids import service_number
+from ibispitch.ids import ServiceNumber
+from ibispitch.telemetry import log
+from ibispitch.telemetry import Metrics
+from ibispitch.telemetry import Severity
+from ibispitch.wire.errors import WireError
+from ibispitch.wire.errors import WireFault
+from ibispitch.wire.frames import decode_frame
+from ibispitch.wire.frames import FrameKind
+from ibispitch.wire.frames import HEADER
+from ibispitch.wire.frames import Keyring
+from ibispitch.wire.frames import MAC_BYTES
+from ibispitch.wire.frames import MAGIC
+from ibispitch.wire.frames import NO_ADDRESS
+from ibispitch.wire.frames import VERSION
+from ibispitch.wire.sockets import DatagramSocket
+
+Route = Callable[[ServiceNumber, FlowId], tuple[str, int] | None]
+
+#: Larger datagrams would not fit a frame in one UDP datagram.
+MAX_PAYLOAD_BYTES = 65000
+
+#: Bytes of the header before the caller address; constant for a service.
+PREFIX_BYTES = HEADER.size - 3 * len(NO_ADDRESS)
+
+
+def _prefix(number: ServiceNumber) -> bytes:
+    header = HEADER.pack(
+        MAGIC,
+        VERSION,
+        FrameKind.FORWARD,
+        0,
+        0,
+        number,
+        NO_ADDRESS,
+        NO_ADDRESS,
+        NO_ADDRESS,
+    )
+    return header[:PREFIX_BYTES]
+
+
+class Forwarder:
+    """Forwards callers' packets to agents and answers to callers.
+
+    :param keyring: the shared keys.
+    :param data: own address that agents send answers to.
+    :param route: gives the address of the agent for a packet.
+    :param metrics: the counters.
+    :param binds_host: whether service ports are bound on the IP of ``data``
+        instead of the addresses of the entries.
+    """
+
+    def __init__(
+        self,
+        keyring: Keyring,
+        data: Address,
+        route: Route,
+        metrics: Metrics,
+        binds_host: bool,
+    ):
+        self._keyring = keyring
+        self._data = data
+        self._route = route
+        self._binds_host = binds_host
+        self._socket_by_destination: dict[bytes, DatagramSocket] = {}
+        self._number_by_destination: dict[bytes, ServiceNumber] = {}
+        self._packets = metrics.counts('balancer.packets')
+        self._rejected = metrics.counts('wire.rejected')
+        self._socket = DatagramSocket(self._on_frame, data)
+        self.last_packet = 0.0
+        self.taken_in = 0
+        self.sent_back = 0
+
+    def set_entries(self, entries: Iterable[Entry]) -> None:
+        """Bind the addresses of the entries and unbind all others."""
+        number_by_destination = {
+            bytes(flow_id(parse_address(address))): service_number(
+                entry.service
+            )
+            for entry in entries
+            for address in entry.addresses
+        }
+        for destination in list(self._socket_by_destination):
+            number = self._number_by_destination[destination]
+            if number_by_destination.get(destination) != number:
+                self._socket_by_destination.pop(destination).close()
+        self._number_by_destination = number_by_destination
+        for destination, number in number_by_destination.items():
+            if destination not in self._socket_by_destination:
+                self._bind(destination, number)
+
+    def _bind(self, destination: bytes, number: ServiceNumber) -> None:
+        address = flow_address(FlowId(destination))
+        if self._binds_host:
+            address = Address(self._data.ip, address.port)
+        try:
+            self._socket_by_destination[destination] = DatagramSocket(
+                self._packet_handler(number, destination), address
+            )
+        except OSError as error:
+            log(
+                Severity.ERROR,
+                'balancer.bind_failed',
+                address=str(address),
+                reason=str(error),
+                remedy='give the host this address or set service_bind',
+            )
+
+    def _packet_handler(self, number: ServiceNumber, destination: bytes):
+        """Return the handler of a service socket.
+
+        Everything that is constant for the socket is bound to local names,
+        since this runs once for each packet.
+        """
+        prefix = _prefix(number)
+        suffix = bytes(flow_id(self._data)) + destination
+        key = self._keyring.signing_key
+        sendto = self._socket.sendto
+        route = self._route
+        inet_aton = socket.inet_aton
+        packets = self._packets
+        no_home = (('result', 'no_home'),)
+        oversized = (('result', 'oversized'),)
+        blocked = (('result', 'blocked'),)
+
+        def on_packet(data: bytes, caller: tuple[str, int]) -> None:
+            flow = inet_aton(caller[0]) + caller[1].to_bytes(2, 'big')
+            agent = route(number, flow)
+            if agent is None:
+                packets[no_home] += 1
+                return
+            if len(data) > MAX_PAYLOAD_BYTES:
+                packets[oversized] += 1
+                return
+            body = prefix + flow + suffix + data
+            mac = blake2s(body, key=key, digest_size=MAC_BYTES).digest()
+            try:
+                sendto(mac + body, agent)
+            except OSError:
+                packets[blocked] += 1
+                return
+            self.taken_in += 1
+
+        return on_packet
+
+    def _on_frame(self, data: bytes, _: tuple[str, int]) -> None:
+        try:
+            frame = decode_frame(self._keyring, data)
+        except WireError as error:
+            self._rejected[(('fault', error.fault.value),)] += 1
+            return
+        if frame.kind != FrameKind.REPLY:
+            fault = WireFault.BAD_KIND.value
+            self._rejected[(('fault', fault),)] += 1
+            return
+        service = self._socket_by_destination.get(frame.destination)
+        number = self._number_by_destination.get(frame.destination)
+        if service is None or number != frame.service:
+            self._packets[(('result', 'no_service'),)] += 1
+            return
+        self.sent_back += 1
+        service.send(frame.payload, flow_address(frame.flow))
+
+    def close(self) -> None:
+        """Close all sockets."""
+        self._socket.close()
+        for service in self._socket_by_destination.values():
+            service.close()
+        self._socket_by_destination.clear()
--- /dev/null
+++ b/ibispitch/program.py
@@ -0,0 +1,100 @@
+"""What the long-running programs have in common.
+
+Command line, check of the settings, signals and the event loop. SIGTERM and
+a first SIGINT ask for a graceful stop, a second SIGINT stops at once.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import signal
+import sys
+from typing import Any
+
+import click
+
+import ibispitch
+from ibispitch.settings import load
+
+EXIT_SETTINGS = 2
+EXIT_INTERRUPTED = 130
+
+
+class StopRequest:
+    """Tells a program that it was asked to stop."""
+
+    def __init__(self):
+        self._event = asyncio.Event()
+        self._interrupts = 0
+
+    def install(self) -> None:
+        """Handle SIGTERM and SIGINT in the running loop."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._event.set)
+        loop.add_signal_handler(signal.SIGINT, self._interrupt)
+
+    def _interrupt(self) -> None:
+        self._interrupts += 1
+        if self._interrupts > 1:
+            sys.stderr.write('interrupted twice; stopped at once\n')
+            sys.stderr.flush()
+            raise SystemExit(EXIT_INTERRUPTED)
+        self._event.set()
+
+    async def wait(self) -> None:
+        """Wait until a stop is asked for."""
+        await self._event.wait()
+
+
+def load_or_exit(path: str, settings_type: type) -> Any:
+    """Load a settings file; print one line and exit with 2 on a fault."""
+    result = load(path, settings_type)
+    if result.is_error():
+        click.echo(str(result.error), err=True)
+        raise SystemExit(EXIT_SETTINGS)
+    return result.ok
+
+
+def make_command(
+    name: str,
+    purpose: str,
+    settings_type: type,
+    run: Callable[[Any], Awaitable[None]],
+) -> click.Group:
+    """Return the command of a program.
+
+    :param name: name of the console script.
+    :param purpose: first paragraph of the help.
+    :param settings_type: type of its settings file.
+    :param run: coroutine function that runs until the program stops.
+    """
+    examples = (
+        f'\b\nExamples:\n  {name} --config /etc/ibispitch/{name}.json\n'
+        f'  {name} --config {name}.json check-config'
+    )
+
+    @click.group(
+        name=name,
+        invoke_without_command=True,
+        help=f'{purpose}\n\n{examples}',
+    )
+    @click.option(
+        '--config',
+        required=True,
+        metavar='FILE',
+        help='Settings in JSON with comments.',
+    )
+    @click.version_option(ibispitch.__version__, prog_name=name)
+    @click.pass_context
+    def command(context: click.Context, config: str) -> None:
+        settings = load_or_exit(config, settings_type)
+        if context.invoked_subcommand is None:
+            asyncio.run(run(settings))
+
+    @command.command('check-config')
+    @click.pass_context
+    def check_config(context: click.Context) -> None:
+        """Check the settings file and exit."""
+        click.echo(f'{context.parent.params["config"]}: ok')
+
+    return command
--- a/ibispitch/settings/programs.py
+++ b/ibispitch/settings/programs.py
@@ -55,16 +55,23 @@
     """How metrics are exported.
 
     :param exporter: ``scrape`` serves ``/metrics`` on the administration
-        address, ``console`` prints them, ``none`` exports nothing.
-    :param interval_s: seconds between two exports of ``console``.
+        address, ``push`` sends OTLP over HTTP to ``endpoint``, ``none``
+        exports nothing.
+    :param endpoint: URL of the OTLP receiver, ``http://ip:port/v1/metrics``.
+    :param interval_s: seconds between two pushes.
     """
 
     exporter: str = 'scrape'
+    endpoint: str = ''
     interval_s: Seconds = 10.0
 
     def __post_init__(self):
-        if self.exporter not in ('scrape', 'console', 'none'):
-            raise CheckError('exporter', 'use scrape, console or none')
+        if self.exporter not in ('scrape', 'push', 'none'):
+            raise CheckError('exporter', 'use scrape, push or none')
+        if self.exporter == 'push' and not self.endpoint.startswith('http'):
+            raise CheckError(
+                'endpoint', 'write http://ip:port/v1/metrics for push'
+            )
 
 
 class StoreSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/ibispitch/telemetry/metrics.py
+++ b/ibispitch/telemetry/metrics.py
@@ -8,14 +8,15 @@
 from collections import Counter
 from collections.abc import Callable
 from collections.abc import Iterable
-import sys
 
+from opentelemetry.exporter.otlp.proto.http.metric_exporter import (
+    OTLPMetricExporter,
+)
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions
 from opentelemetry.metrics import Histogram
 from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.metrics.export import ConsoleMetricExporter
 from opentelemetry.sdk.metrics.export import PeriodicExportingMetricReader
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation
 from opentelemetry.sdk.metrics.view import View
@@ -67,10 +68,10 @@
         self._is_scraped = settings.exporter == 'scrape'
         if self._is_scraped:
             readers.append(PrometheusMetricReader(registry=self._registry))
-        elif settings.exporter == 'console':
+        elif settings.exporter == 'push':
             readers.append(
                 PeriodicExportingMetricReader(
-                    ConsoleMetricExporter(out=sys.stdout),
+                    OTLPMetricExporter(endpoint=settings.endpoint),
                     export_interval_millis=settings.interval_s * 1000,
                 )
             )
--- a/ibispitch/wire/frames.py
+++ b/ibispitch/wire/frames.py
@@ -1,8 +1,8 @@
 """Data-path frames between balancers and agents.
 
-A frame is ``MAC | magic | version | kind | hops | flags | service number |
-caller address | balancer address | service address | payload``, in network order. The MAC is
-the keyed BLAKE2s of all that follows it.
+A frame is, in network order: MAC, magic, version, kind, hops, flags, service
+number, caller address, balancer address, service address, payload. The MAC
+is the keyed BLAKE2s of all that follows it.
 """
 
 from collections.abc import Sequence
--- /dev/null
+++ b/testbed/datapath.py
@@ -0,0 +1,236 @@
+"""Processes for timing a relay of datagrams: senders, sinks, bare relay.
+
+``python -m testbed.datapath ROLE ...``; each role but ``relay`` prints one
+line of JSON at its end. All loops but the relay's are bounded in time.
+"""
+
+import argparse
+import asyncio
+import json
+import socket
+import time
+
+from ibispitch.ids import Address
+from ibispitch.ids import flow_address
+from ibispitch.ids import FlowId
+from ibispitch.ids import parse_address
+from ibispitch.wire import decode_frame
+from ibispitch.wire import encode_frame
+from ibispitch.wire import FrameKind
+from ibispitch.wire import Keyring
+from ibispitch.wire.sockets import BUFFER_BYTES
+from ibispitch.wire.sockets import DatagramSocket
+
+PAYLOAD_BYTES = 200
+BATCH = 50
+PING_INTERVAL_S = 0.0005
+
+
+def open_socket(bind: Address) -> socket.socket:
+    """Return a bound UDP socket with large buffers."""
+    opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        opened.setsockopt(socket.SOL_SOCKET, option, BUFFER_BYTES)
+    opened.bind(bind)
+    return opened
+
+
+async def relay(service: Address, data: Address, sink: Address) -> None:
+    """Relay datagrams between callers and one sink without decisions.
+
+    Towards the sink the caller's address goes before the datagram, so that
+    the answer finds its way back.
+    """
+    inet_aton = socket.inet_aton
+
+    def from_caller(datagram, caller):
+        back.sendto(
+            inet_aton(caller[0]) + caller[1].to_bytes(2, 'big') + datagram,
+            sink,
+        )
+
+    def from_sink(datagram, _):
+        front.sendto(datagram[6:], flow_address(FlowId(datagram[:6])))
+
+    back = DatagramSocket(from_sink, data)
+    front = DatagramSocket(from_caller, service)
+    await asyncio.Event().wait()
+
+
+def send(target: Address, bind_ip: str, seconds: float, flows: int) -> dict:
+    """Send datagrams as fast as possible from many source ports."""
+    sockets = [open_socket(Address(bind_ip, 0)) for _ in range(flows)]
+    datagram = b'x' * PAYLOAD_BYTES
+    sent = 0
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        for opened in sockets:
+            for _ in range(BATCH):
+                opened.sendto(datagram, target)
+        sent += BATCH * len(sockets)
+    return {'sent': sent}
+
+
+def open_flows(target: Address, count: int, first: int) -> dict:
+    """Send one datagram from each of many caller addresses.
+
+    :param target: address of the service.
+    :param count: number of flows.
+    :param first: number of the first flow, so that runs do not overlap.
+    """
+    datagram = b'x' * PAYLOAD_BYTES
+    start = time.monotonic()
+    for number in range(first, first + count):
+        ip = f'127.{100 + (number >> 16)}.{number >> 8 & 255}.{number & 255}'
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as opened:
+            opened.bind((ip, 0))
+            opened.sendto(datagram, target)
+    return {'opened': count, 'seconds': time.monotonic() - start}
+
+
+def count_datagrams(opened: socket.socket, seconds: float) -> dict:
+    """Count datagrams, and the time between the first and the last."""
+    opened.settimeout(0.2)
+    buffer = bytearray(65536)
+    count, first, last = 0, 0.0, 0.0
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        try:
+            for _ in range(BATCH):
+                opened.recvfrom_into(buffer)
+                count += 1
+            last = time.monotonic()
+            first = first or last
+        except TimeoutError:
+            continue
+    return {'received': count, 'seconds': last - first}
+
+
+def ping(target: Address, bind: Address, seconds: float) -> dict:
+    """Measure round trips through a relay, one at a time."""
+    caller = open_socket(bind)
+    caller.settimeout(0.5)
+    latencies = []
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        start = time.perf_counter()
+        caller.sendto(b'x' * PAYLOAD_BYTES, target)
+        try:
+            caller.recvfrom(65536)
+        except TimeoutError:
+            continue
+        latencies.append(time.perf_counter() - start)
+        time.sleep(PING_INTERVAL_S)
+    latencies.sort()
+    if not latencies:
+        return {'count': 0, 'p50_s': 9.9, 'p99_s': 9.9}
+    return {
+        'count': len(latencies),
+        'p50_s': latencies[len(latencies) // 2],
+        'p99_s': latencies[len(latencies) * 99 // 100],
+    }
+
+
+def plain_answer(datagram: bytes, _: Keyring) -> bytes:
+    """Return the answer to a datagram of the bare relay."""
+    return datagram
+
+
+def framed_answer(datagram: bytes, keyring: Keyring) -> bytes:
+    """Return the answer to a frame of the balancer."""
+    frame = decode_frame(keyring, datagram)
+    return encode_frame(keyring, frame._replace(kind=FrameKind.REPLY))
+
+
+ANSWER_BY_FORMAT = {'plain': plain_answer, 'frame': framed_answer}
+
+
+def echo(bind: Address, seconds: float, answer, keyring: Keyring) -> dict:
+    """Answer each datagram."""
+    opened = open_socket(bind)
+    opened.settimeout(0.2)
+    count = 0
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        try:
+            datagram, sender = opened.recvfrom(65536)
+        except TimeoutError:
+            continue
+        opened.sendto(answer(datagram, keyring), sender)
+        count += 1
+    return {'answered': count}
+
+
+def flood_answers(
+    bind: Address, seconds: float, answer, keyring: Keyring
+) -> dict:
+    """Answer the last datagram of each caller as often as possible.
+
+    Waits for the callers' datagrams first, so that the answers are valid.
+    """
+    opened = open_socket(bind)
+    opened.settimeout(1.0)
+    answers: dict[bytes, tuple] = {}
+    end = time.monotonic() + seconds
+    while time.monotonic() < end and not answers:
+        try:
+            datagram, sender = opened.recvfrom(65536)
+        except TimeoutError:
+            continue
+        built = answer(datagram, keyring)
+        answers[built] = sender
+    sent = 0
+    while time.monotonic() < end:
+        for built, sender in answers.items():
+            for _ in range(BATCH):
+                opened.sendto(built, sender)
+            sent += BATCH
+    return {'sent': sent}
+
+
+def call_and_count(target: Address, bind: Address, seconds: float) -> dict:
+    """Send one datagram and count the answers to it."""
+    opened = open_socket(bind)
+    opened.settimeout(0.2)
+    opened.sendto(b'x' * PAYLOAD_BYTES, target)
+    return count_datagrams(opened, seconds)
+
+
+def main() -> None:
+    """Run one role and print its result."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('role', choices=sorted(RUN_BY_ROLE))
+    parser.add_argument('--target', type=parse_address)
+    parser.add_argument('--bind', type=parse_address)
+    parser.add_argument('--data', type=parse_address)
+    parser.add_argument('--ip', default='127.0.0.1')
+    parser.add_argument('--seconds', type=float, default=1.0)
+    parser.add_argument('--flows', type=int, default=50)
+    parser.add_argument('--first', type=int, default=0)
+    parser.add_argument('--format', choices=sorted(ANSWER_BY_FORMAT))
+    parser.add_argument('--key', type=bytes.fromhex, default=b'k' * 16)
+    options = parser.parse_args()
+    result = RUN_BY_ROLE[options.role](options)
+    print(json.dumps(result), flush=True)
+
+
+def _answering(role):
+    return lambda o: role(
+        o.bind, o.seconds, ANSWER_BY_FORMAT[o.format], Keyring([o.key])
+    )
+
+
+RUN_BY_ROLE = {
+    'relay': lambda o: asyncio.run(relay(o.bind, o.data, o.target)),
+    'send': lambda o: send(o.target, o.ip, o.seconds, o.flows),
+    'open': lambda o: open_flows(o.target, o.flows, o.first),
+    'sink': lambda o: count_datagrams(open_socket(o.bind), o.seconds),
+    'ping': lambda o: ping(o.target, o.bind, o.seconds),
+    'echo': _answering(echo),
+    'flood': _answering(flood_answers),
+    'call': lambda o: call_and_count(o.target, o.bind, o.seconds),
+}
+
+
+if __name__ == '__main__':
+    main()
