Add the store client and a stand-in store

Change: StoreClient with get, range, put, txn, leases and watch over several endpoints. Errors tell whether a write may have taken effect; a write in doubt is never sent to a second endpoint. testbed.store speaks the same form in memory and brings about outages, lost answers, slowness, stale reads and compaction.

Tests: 14 new tests in tests/store pass; the whole suite passes.

Conclusion: the catalogue editor and the readers can be built on it.

--- /dev/null
+++ b/ibispitch/store/__init__.py
@@ -0,0 +1,31 @@
+"""Client of the key-value store.
+
+The slice speaks the etcd v3 JSON-over-HTTP form and keeps no state but its
+connections.
+"""
+
+from ibispitch.store.client import StoreClient
+from ibispitch.store.errors import StoreError
+from ibispitch.store.errors import StoreFault
+from ibispitch.store.messages import Compare
+from ibispitch.store.messages import KeyValue
+from ibispitch.store.messages import Put
+from ibispitch.store.messages import RangeResult
+from ibispitch.store.messages import Read
+from ibispitch.store.messages import TxnResult
+from ibispitch.store.messages import WatchBatch
+from ibispitch.store.messages import WatchEvent
+
+__all__ = [
+    'Compare',
+    'KeyValue',
+    'Put',
+    'RangeResult',
+    'Read',
+    'StoreClient',
+    'StoreError',
+    'StoreFault',
+    'TxnResult',
+    'WatchBatch',
+    'WatchEvent',
+]
--- /dev/null
+++ b/tests/store/test_client.py
@@ -0,0 +1,197 @@
+"""Failures of the store as the client reports them."""
+
+import asyncio
+
+import pytest
+
+from ibispitch.store import Compare
+from ibispitch.store import Put
+from ibispitch.store import Read
+from ibispitch.store import StoreClient
+from ibispitch.store import StoreError
+from ibispitch.store import StoreFault
+from ibispitch.store.client import PAGE_KEYS
+from testbed.store import Faults
+from testbed.store import StoreServer
+
+
+@pytest.fixture
+async def server():
+    async with StoreServer() as server:
+        yield server
+
+
+@pytest.fixture
+async def client(server):
+    async with StoreClient([server.address], timeout_s=0.5) as client:
+        yield client
+
+
+@pytest.mark.parametrize('is_hanging', [False, True])
+async def test_lost_answer_is_not_reported_as_failure(
+    server, client, is_hanging
+):
+    """Guards against treating a write that took effect as not done."""
+    server.set_faults(Faults(lose_answers=1, lose_by_hanging=is_hanging))
+    with pytest.raises(StoreError) as raised:
+        await client.put('k', b'v')
+    assert raised.value.fault is StoreFault.TIMEOUT
+    assert raised.value.may_have_taken_effect
+    assert (await client.get('k')).value == b'v'
+
+
+async def test_write_is_not_sent_twice(server):
+    """Guards against a failover that repeats a write in doubt."""
+    endpoints = [server.address, server.address]
+    async with StoreClient(endpoints, timeout_s=0.5) as client:
+        server.set_faults(Faults(lose_answers=1))
+        with pytest.raises(StoreError):
+            await client.put('k', b'v')
+    assert server.calls['/v3/kv/put'] == 1
+
+
+async def test_failover_when_an_endpoint_refuses(server):
+    """Guards against an outage of one endpoint stopping all calls."""
+    async with StoreClient(['127.0.0.1:1', server.address]) as client:
+        await client.put('k', b'v')
+        assert (await client.get('k')).value == b'v'
+        assert client.calls['/v3/kv/put', 'unavailable'] == 1
+        assert client.calls['/v3/kv/range', 'unavailable'] == 0
+
+
+async def test_read_moves_on_from_a_silent_endpoint(server):
+    """Guards against a read that spends its whole time on one endpoint."""
+    async with StoreServer() as silent:
+        silent.set_faults(Faults(delay_s=5.0))
+        endpoints = [silent.address, server.address]
+        async with StoreClient(endpoints, timeout_s=0.6) as client:
+            assert await client.get('k') is None
+
+
+async def test_store_down(server, client):
+    """Guards against an outage that is reported as a lost answer."""
+    await server.stop()
+    with pytest.raises(StoreError) as raised:
+        await client.put('k', b'v')
+    assert raised.value.fault is StoreFault.UNAVAILABLE
+    assert not raised.value.may_have_taken_effect
+
+
+async def test_malformed_answer(server, client):
+    """Guards against a crash on an answer of another HTTP server."""
+    server.set_faults(Faults(malformed_answers=2))
+    with pytest.raises(StoreError) as raised:
+        await client.get('k')
+    assert raised.value.fault is StoreFault.MALFORMED
+    with pytest.raises(StoreError) as raised:
+        await client.put('k', b'v')
+    assert raised.value.may_have_taken_effect
+
+
+async def test_transaction_compares(client):
+    """Guards against a write whose condition does not hold."""
+    first = await client.put('k', b'v')
+    stale = Compare.on_mod_revision('k', first - 1)
+    result = await client.txn([stale], [Put('k', b'w')], [Read('k')])
+    assert not result.succeeded
+    assert result.read['k'].value == b'v'
+    for key, value, expected in [
+        ('k', b'v', True),
+        ('k', b'v', False),
+        ('absent', b'', False),
+    ]:
+        compare = Compare.on_value(key, value)
+        result = await client.txn([compare], [Put(key, b'w')])
+        assert result.succeeded is expected
+    absent = Compare.on_mod_revision('new', 0)
+    assert (await client.txn([absent], [Put('new', b'1')])).succeeded
+    assert not (await client.txn([absent], [Put('new', b'2')])).succeeded
+
+
+async def test_range_reads_all_pages(client):
+    """Guards against keys lost behind the page limit."""
+    for number in range(PAGE_KEYS + 1):
+        await client.put(f'p/{number:04}', b'')
+    await client.put('q', b'')
+    result = await client.range('p/')
+    assert [item.key for item in result.items] == [
+        f'p/{number:04}' for number in range(PAGE_KEYS + 1)
+    ]
+
+
+async def test_lease_lapses_by_the_clock():
+    """Guards against keys of a dead process that stay, and a false renewal."""
+    now = 0.0
+    async with (
+        StoreServer(clock=lambda: now) as server,
+        StoreClient([server.address]) as client,
+    ):
+        lease = await client.lease_grant(10)
+        await client.put('k', b'v', lease)
+        now = 9.0
+        assert await client.lease_keepalive(lease) == 10
+        now = 18.0
+        server.expire_leases()
+        assert (await client.get('k')).lease == lease
+        now = 19.0
+        server.expire_leases()
+        assert await client.get('k') is None
+        assert await client.lease_keepalive(lease) == 0
+        with pytest.raises(StoreError) as raised:
+            await client.lease_revoke(lease)
+        assert raised.value.fault is StoreFault.REJECTED
+
+
+async def test_watch_reports_each_change_once(server, client):
+    """Guards against changes lost or repeated over a broken watch."""
+    first = await client.put('w/a', b'1')
+    await client.put('x', b'outside')
+    seen = []
+    start = first
+    for change in (b'2', b'3'):
+        with pytest.raises(StoreError) as raised:
+            async for batch in client.watch('w/', start):
+                start = batch.revision + 1 if batch.events else start
+                seen.extend(event.value for event in batch.events)
+                if batch.events and seen[-1] != change:
+                    await client.put('w/a', change)
+                elif batch.events:
+                    server.break_watches()
+                elif seen:
+                    await client.put('w/a', change)
+        assert raised.value.fault is StoreFault.UNAVAILABLE
+    assert seen == [b'1', b'2', b'3']
+
+
+async def test_watch_reports_lapsed_lease_as_deletion(client):
+    """Guards against an end of a lease that a watch does not show."""
+    lease = await client.lease_grant(10)
+    await client.put('w/a', b'1', lease)
+    watch = client.watch('w/', 0)
+    assert not (await anext(watch)).events
+    await client.lease_revoke(lease)
+    batch = await anext(watch)
+    assert [(e.key, e.value) for e in batch.events] == [('w/a', None)]
+    await watch.aclose()
+
+
+async def test_watch_reports_compaction(server, client):
+    """Guards against a gap in the changes after the history was compacted."""
+    first = await client.put('w/a', b'1')
+    await client.put('w/a', b'2')
+    await client.put('w/a', b'3')
+    server.core.compact()
+    with pytest.raises(StoreError) as raised:
+        async for _ in client.watch('w/', first + 1):
+            pass
+    assert raised.value.fault is StoreFault.COMPACTED
+    assert raised.value.compact_revision == server.core.revision
+
+
+async def test_silent_watch_is_reported(client):
+    """Guards against a watch that waits forever on a dead connection."""
+    with pytest.raises(StoreError) as raised:
+        async with asyncio.timeout(5):
+            async for _ in client.watch('w/', 0, idle_timeout_s=0.1):
+                pass
+    assert raised.value.fault is StoreFault.TIMEOUT
