--- a/ibispitch/ids.py
+++ b/ibispitch/ids.py
@@ -61,7 +61,7 @@
     :param name: name of the service.
     :returns: the 64-bit XXH3 hash of the name.
     """
-    return ServiceNumber(xxhash.xxh3_64_intdigest(name))
+    return ServiceNumber(xxhash.xxh3_64_intdigest(name.encode()))
 
 
 def flow_id(address: tuple[str, int]) -> FlowId:
