--- /dev/null
+++ b/tests/settings/test_loader.py
@@ -0,0 +1,65 @@
+"""Settings files that must be refused with one line and the remedy."""
+
+import pytest
+
+from ibispitch.settings.loader import load
+from ibispitch.settings.loader import parse
+from ibispitch.settings.programs import BalancerSettings
+
+SECRET = 'ab' * 16
+BASE = """{
+  balancer_id: "b1", datacentre: "accra", // one process
+  data_address: "127.0.0.1:1", control_address: "127.0.0.1:2",
+  admin_address: "127.0.0.1:3", shared_keys: ["%s"],
+  store: {endpoints: ["127.0.0.1:4"]},
+  %s
+}"""
+
+
+def _error(extra, key=SECRET):
+    result = parse(BASE % (key, extra), 'b.json', BalancerSettings)
+    assert result.is_error()
+    text = str(result.error)
+    assert '\n' not in text
+    return text
+
+
+def test_comments_are_accepted():
+    """Settings are JSON with comments; plain JSON parsers refuse them."""
+    settings = parse(BASE % (SECRET, ''), 'b.json', BalancerSettings).ok
+    assert settings.keys == [bytes.fromhex(SECRET)]
+
+
+@pytest.mark.parametrize(
+    ('extra', 'parts'),
+    [
+        ('seedz: []', ['seedz', 'unknown key']),
+        ('seeds: "x"', ['seeds', "'x'", 'array']),
+        ('seeds: ["x:1"]', ['seeds[0]', "'x:1'", 'IPv4']),
+        ('stop_deadline_s: -1', ['stop_deadline_s', '-1', '> 0']),
+        ('log: {level: "loud"}', ['log.level', "'loud'", 'debug']),
+        ('metrics: {exporter: "push"}', ['metrics.endpoint', 'http://']),
+        ('store: {}', ['store.endpoints', 'missing']),
+        ('{', ['not JSON']),
+    ],
+)
+def test_error_names_file_key_value_and_remedy(extra, parts):
+    """An error without key, value or remedy leaves the operator guessing."""
+    text = _error(extra)
+    assert text.startswith('b.json: ')
+    assert all(part in text for part in parts), text
+
+
+def test_secrets_are_not_shown():
+    """Error messages end up in logs, where keys must not appear."""
+    assert 'cd' * 5 not in _error('', key='cd' * 5)
+    token = 'hunter2'
+    assert token not in _error(f'tokens: [{{token: "{token}"}}]')
+
+
+def test_unreadable_file(tmp_path):
+    """A missing or half-written file must give an error, not a traceback."""
+    assert load(tmp_path / 'none.json', BalancerSettings).is_error()
+    half = tmp_path / 'half.json'
+    half.write_bytes(b'{"balancer_id": "b\xff')
+    assert load(half, BalancerSettings).is_error()
