Add the request gate with at-most-once records

The agent must answer truthfully what its upstream has run. CoapGate binds each request that must run once to an Echo value of this incarnation and keeps a record until that value expires. Runs can be delegated, retried under a budget, cancelled and handed over with their flow or with the whole gate.

--- /dev/null
+++ b/ibispitch/requests/core.py
@@ -0,0 +1,581 @@
+"""The gate for CoAP (RFC 7252, 7641, 7959, 9175)."""
+
+from collections.abc import Sequence
+import random
+
+from aiocoap import Message
+from aiocoap.numbers.codes import Code
+from aiocoap.numbers.types import Type
+import msgspec
+
+from ibispitch.admission.types import Admission
+from ibispitch.admission.types import Retries
+from ibispitch.admission.types import RunOutcome
+from ibispitch.ids import AgentId
+from ibispitch.ids import FlowId
+from ibispitch.ids import RequestId
+from ibispitch.requests import coap
+from ibispitch.requests import guard
+from ibispitch.requests import outcomes
+from ibispitch.requests.delegation import DelegationSide
+from ibispitch.requests.echo import ECHO_LIFETIME_S
+from ibispitch.requests.effects import Effect
+from ibispitch.requests.effects import OpenFlow
+from ibispitch.requests.effects import RelayToIssuer
+from ibispitch.requests.feeds import is_newer
+from ibispitch.requests.feeds import Observation
+from ibispitch.requests.handover import FlowExport
+from ibispitch.requests.handover import Snapshot
+from ibispitch.requests.jobs import Job
+from ibispitch.requests.jobs import JobState
+from ibispitch.requests.records import record_key
+from ibispitch.requests.registry import gate
+from ibispitch.requests.registry import GateSettings
+from ibispitch.requests.runs import RETRY_AFTER_S
+
+#: Requests of one caller that wait for the same run.
+MAX_WAITERS = 8
+#: Incarnations whose Echo values a chain of successors accepts.
+MAX_INCARNATIONS = 8
+#: Time in seconds for which a second copy of an export is recognised.
+EXPORT_LIFETIME_S = 2 * ECHO_LIFETIME_S
+#: Time in seconds between two expiries of Echo keys and adoptions.
+EXPIRE_INTERVAL_S = 1.0
+
+
+@gate('coap')
+class CoapGate(DelegationSide):
+    """Gate between the callers of a service and one upstream."""
+
+    def __init__(
+        self,
+        settings: GateSettings,
+        admission: Admission,
+        retries: Retries,
+        rng: random.Random,
+    ):
+        super().__init__(settings, admission, retries, rng)
+        self._adopted: dict[bytes, float] = {}
+        self._exports = 0
+        self._next_expiry = 0.0
+        self._handed_over = False
+
+    # Callers
+
+    def on_caller(
+        self, flow: FlowId, datagram: bytes, now: float, relayed: bool = False
+    ) -> Sequence[Effect]:
+        """Handle a datagram of a caller.
+
+        :param relayed: whether another agent relayed it because of its Echo
+            value; it is not relayed for that reason again.
+        """
+        if self._handed_over:
+            return []
+        try:
+            message = coap.decode(datagram)
+        except coap.MalformedError:
+            self._on_malformed(flow, datagram, now)
+            return self._drain()
+        if message.code is Code.EMPTY:
+            self._on_empty(flow, message, now)
+        elif message.code.is_request():
+            self._on_request(flow, message, datagram, now, relayed)
+        else:
+            self._count('gate_malformed', reason='unexpected')
+        return self._drain()
+
+    def _on_malformed(self, flow: FlowId, datagram: bytes, now: float) -> None:
+        self._count('gate_malformed', reason='decode')
+        if len(datagram) < 4 or datagram[0] >> 6 != 1:
+            return
+        token_length = datagram[0] & 0x0F
+        token = datagram[4 : 4 + token_length]
+        is_request = 0 < datagram[1] < 32
+        is_confirmable = datagram[0] & 0x30 == 0
+        if (
+            is_request
+            and is_confirmable
+            and len(token) == token_length <= coap.MAX_TOKEN_BYTES
+        ):
+            head = Message(code=Code(datagram[1]))
+            head.mid = int.from_bytes(datagram[2:4], 'big')
+            head.mtype, head.token = Type.CON, token
+            key = self._callers.receive(flow, head, datagram, now)
+            if key is not None:
+                answer = outcomes.bad_request('malformed message')
+                self._callers.answer(key, answer, now)
+
+    def _on_empty(self, flow: FlowId, message: Message, now: float) -> None:
+        if message.mtype is Type.CON:
+            self._callers.reject(flow, message.mid)
+            return
+        outgoing = self._callers.settle(flow, message.mid)
+        if message.mtype is not Type.RST:
+            return
+        found = self._feeds.find_by_mid(flow, message.mid)
+        if found is not None:
+            self._end_feed(flow, found.token, now)
+        elif outgoing is not None and outgoing.feed is not None:
+            self._end_feed(flow, outgoing.feed, now)
+
+    def _on_request(
+        self,
+        flow: FlowId,
+        message: Message,
+        datagram: bytes,
+        now: float,
+        relayed: bool,
+    ) -> None:
+        key = self._callers.receive(flow, message, datagram, now)
+        if key is None:
+            return
+        path = message.opt.uri_path
+        if message.code is Code.DELETE and path[:2] == coap.REQUESTS_PATH:
+            self._callers.answer(key, self._cancel_by_id(flow, path, now), now)
+            return
+        job = Job(
+            run_id=self._new_run_id(),
+            flow=flow,
+            datagram=datagram,
+            guarded=guard.is_guarded(message),
+            received=now,
+            deadline=now + self._deadline_s(message),
+            waiters=[key],
+            part=coap.part_of(message),
+            site=flow + coap.exchange_digest(message),
+        )
+        job.starts_exchange = job.part == (0, 0)
+        if job.guarded and not self._admit(job, message, key, now, relayed):
+            return
+        if message.opt.observe == 1:
+            self._end_feed(flow, message.token, now)
+        elif message.opt.observe == 0 and message.code in (
+            Code.GET,
+            Code.FETCH,
+        ):
+            if not self._feeds.has_room(flow, message.token):
+                self._jobs.add(job)
+                self._refuse(job, RETRY_AFTER_S, 'feeds', now)
+                return
+            job.observe = message.token
+        self._place(job, message, now)
+
+    def _place(self, job: Job, message: Message, now: float) -> None:
+        """Start a job where its exchange runs."""
+        site = self._jobs.find_site(job.site, now)
+        if not job.starts_exchange and site is not None and site.delegate:
+            self._continue_at(job, site.delegate, now)
+            return
+        job.pinned = (
+            job.observe is not None
+            or message.opt.block1 is not None
+            or not job.starts_exchange
+        )
+        self._start(job, now)
+
+    def _continue_at(self, job: Job, agent_id: AgentId, now: float) -> None:
+        self._jobs.add(job)
+        self._timers.set(job.deadline, 'deadline', job.run_id)
+        if agent_id in self._incarnation_by_agent:
+            self._run_at(job, agent_id, now)
+        else:
+            self._give_up(job, 'delegate', now)
+
+    def _deadline_s(self, message: Message) -> float:
+        remaining_ms = coap.uint_option(message, coap.DEADLINE_MS)
+        if remaining_ms is None:
+            return self._settings.deadline_default_s
+        return min(remaining_ms / 1000, self._settings.deadline_max_s)
+
+    def _admit(
+        self,
+        job: Job,
+        message: Message,
+        key: bytes,
+        now: float,
+        relayed: bool,
+    ) -> bool:
+        """Apply the Echo rule; tell whether the job may start."""
+        verdict = self._guard.admit(
+            job.flow, message, job.datagram, job.run_id, job.deadline, now
+        )
+        match verdict:
+            case guard.Run(record, deadline):
+                job.record = record
+                job.deadline = min(job.deadline, deadline)
+                return True
+            case guard.Answer(answer, reason):
+                self._count('gate_not_admitted', reason=reason)
+                self._callers.answer(key, answer, now)
+            case guard.Join(run_id):
+                self._join(run_id, key, now)
+            case guard.Relay(incarnation):
+                self._relay(job, incarnation, key, now, relayed)
+        return False
+
+    def _join(self, run_id: bytes, key: bytes, now: float) -> None:
+        self._count('gate_repeated_requests')
+        job = self._jobs.by_run[run_id]
+        if len(job.waiters) < MAX_WAITERS:
+            job.waiters.append(key)
+        if job.state is not JobState.RUNNING:
+            self._callers.acknowledge(key)
+
+    def _relay(
+        self, job: Job, incarnation: int, key: bytes, now: float, relayed: bool
+    ) -> None:
+        issuer = next(
+            (
+                agent_id
+                for agent_id, present in self._incarnation_by_agent.items()
+                if present == incarnation
+            ),
+            None,
+        )
+        if issuer is not None and not relayed:
+            self._callers.forget(key)
+            self._emit(RelayToIssuer(issuer, job.flow, job.datagram))
+            return
+        self._count('gate_not_admitted', reason='other_incarnation')
+        echo = self._echo.issue(job.flow, now)
+        self._callers.answer(key, outcomes.unknown(echo), now)
+
+    def _cancel_by_id(
+        self, flow: FlowId, path: Sequence[str], now: float
+    ) -> Message:
+        try:
+            request_id = RequestId(bytes.fromhex(path[2]))
+        except (ValueError, IndexError):
+            return outcomes.bad_request('use /.well-known/requests/<hex id>')
+        key = record_key(flow, request_id)
+        record = self._records.find(key, now)
+        if record is None:
+            return Message(code=Code.NOT_FOUND)
+        runs = [part.run_id for part in record.parts.values() if part.run_id]
+        for run_id in runs:
+            job = self._jobs.by_run[run_id]
+            if not job.cancelled:
+                self._cancel(job, now)
+        if not runs and self._guard.may_have_run(key):
+            return Message(code=Code.NOT_FOUND)
+        if not self._guard.may_have_run(key):
+            self._guard.refuse(key)
+        return Message(code=Code.DELETED)
+
+    # Upstream
+
+    def on_upstream(
+        self, flow: FlowId, datagram: bytes, now: float
+    ) -> Sequence[Effect]:
+        """Handle a datagram that the upstream sent to a flow's socket."""
+        if self._handed_over:
+            return []
+        received = self._upstreams.receive(flow, datagram, now)
+        if received is not None:
+            token, message = received
+            job = self._jobs.by_run.get(self._run_by_token.get(token))
+            if job is not None and message is None:
+                self._on_run_error(job, 'reset', now)
+            elif job is not None:
+                self._on_answer(job, message, now)
+            elif message is not None:
+                self._on_notification(token, message, now)
+        return self._drain()
+
+    def on_upstream_refused(
+        self, flow: FlowId, datagram: bytes, now: float
+    ) -> Sequence[Effect]:
+        """Handle that no socket of the upstream took this datagram.
+
+        :param datagram: the datagram that the kernel reported, not a later
+            one; the report proves that it was not run.
+        """
+        token = self._upstreams.refused(flow, datagram)
+        job = self._jobs.by_run.get(self._run_by_token.get(token))
+        if job is not None:
+            self._finished(job, RunOutcome.UNREACHABLE, now)
+            self._release(job, 'late')
+            self._not_run(job, RETRY_AFTER_S, 'unreachable', now)
+        return self._drain()
+
+    def on_upstream_lost(self, now: float) -> Sequence[Effect]:
+        """Handle that the upstream process is gone.
+
+        Requests that it had received may have run. Its observations are
+        ended, so that callers register again elsewhere.
+        """
+        for run_id in list(self._run_by_token.values()):
+            job = self._jobs.by_run.get(run_id)
+            if job is not None:
+                self._on_run_error(job, 'unreachable', now)
+        for flow, feeds in list(self._feeds.state.by_flow.items()):
+            for observation in list(feeds.values()):
+                self._callers.send_confirmable(
+                    flow, outcomes.busy(RETRY_AFTER_S), observation.token, now
+                )
+                self._feeds.remove(flow, observation.token)
+                self._upstreams.end(observation.upstream_token, 'late')
+        return self._drain()
+
+    def _on_run_error(self, job: Job, reason: str, now: float) -> None:
+        self._finished(job, RunOutcome.UNREACHABLE, now)
+        self._release(job, 'late')
+        self._failed(job, reason, now)
+
+    def _on_notification(
+        self, token: bytes, message: Message, now: float
+    ) -> None:
+        found = self._feeds.find(token)
+        if found is None:
+            return
+        flow, observation = found
+        if not coap.is_notification(message):
+            self._feeds.remove(flow, observation.token)
+            self._upstreams.end(token, 'late')
+            message.opt.observe = None
+            self._callers.send_confirmable(
+                flow, message, observation.token, now
+            )
+            return
+        number = message.opt.observe
+        if not is_newer(number, observation.upstream_sequence):
+            self._count('gate_answers_dropped', reason='old_notification')
+            return
+        observation.upstream_sequence = number
+        self._feeds.notify(flow, observation, message, now)
+
+    def _end_feed(self, flow: FlowId, token: bytes, now: float) -> None:
+        """End an observation here and at the upstream."""
+        observation = self._feeds.remove(flow, token)
+        if observation is None or not observation.upstream_token:
+            return
+        if flow in self._upstreams.state.sockets:
+            message = coap.decode(observation.registration)
+            message.opt.observe = 1
+            message.opt.echo = None
+            coap.set_uint_option(message, coap.DEADLINE_MS, None)
+            self._upstreams.send(
+                flow, message, False, now, observation.upstream_token
+            )
+        self._upstreams.end(observation.upstream_token, 'cancellation')
+
+    # Flows
+
+    def close_flow(self, flow: FlowId, now: float) -> Sequence[Effect]:
+        """End a flow whose owner is now another agent.
+
+        Requests that run are still answered; the socket is closed after
+        the last one.
+        """
+        for job in self._jobs.of_flow(flow):
+            if job.state is JobState.QUEUED:
+                self._on_queue_end(job, now)
+        for token in list(self._feeds.of_flow(flow)):
+            self._end_feed(flow, token, now)
+        socket = self._upstreams.state.sockets.get(flow)
+        if socket is not None:
+            socket.closing = True
+            self._close_when_unused(flow)
+        return self._drain()
+
+    def export_flow(
+        self, flow: FlowId, now: float
+    ) -> tuple[bytes | None, Sequence[Effect]]:
+        """Give a flow up for :meth:`adopt_flow` of another agent.
+
+        From now on no Echo value of the flow is accepted here that was
+        issued before, so its records have one owner.
+
+        :returns: the flow, or ``None`` while requests of it wait or run.
+        """
+        if self._jobs.of_flow(flow):
+            return None, []
+        self._exports += 1
+        export = FlowExport(
+            self._settings.incarnation.to_bytes(8, 'big')
+            + self._exports.to_bytes(8, 'big'),
+            flow,
+            now,
+            list(self._feeds.of_flow(flow).values()),
+            self._echo.hand_over(flow, now),
+            self._records.take_flow(flow),
+        )
+        data = msgspec.msgpack.encode(export)
+        return data, self.close_flow(flow, now)
+
+    def adopt_flow(self, data: bytes, now: float) -> Sequence[Effect]:
+        """Take over a flow that another agent exported.
+
+        The registrations are replayed towards the upstream of this agent.
+        A second copy of an export is ignored.
+
+        :raises msgspec.DecodeError: if the data is no exported flow.
+        """
+        export = msgspec.msgpack.decode(data, type=FlowExport)
+        if self._handed_over or export.export_id in self._adopted:
+            return []
+        self._adopted[export.export_id] = now + EXPORT_LIFETIME_S
+        offset_s = now - export.now
+        flow = export.flow
+        for key, record in export.records.items():
+            record.expires += offset_s
+            record.deadline += offset_s
+            if key not in self._records.state.by_request:
+                self._records.add(key, record)
+        self._records.count_answers()
+        self._echo.take_over(flow, export.echo_keys, offset_s)
+        for observation in export.observations:
+            observation.upstream_token = b''
+            observation.mids = []
+            self._feeds.add(flow, observation)
+            self._replay(flow, observation, now)
+        return self._drain()
+
+    def _replay(
+        self, flow: FlowId, observation: Observation, now: float
+    ) -> None:
+        message = coap.decode(observation.registration)
+        job = Job(
+            run_id=self._new_run_id(),
+            flow=flow,
+            datagram=observation.registration,
+            guarded=False,
+            received=now,
+            deadline=now + self._settings.deadline_default_s,
+            pinned=True,
+            observe=observation.token,
+            replay=True,
+            site=flow + coap.exchange_digest(message),
+            starts_exchange=True,
+        )
+        self._start(job, now)
+
+    def _retry_replay(self, job: Job, after_s: float, now: float) -> None:
+        key = job.flow + job.observe
+        self._timers.set(now + max(after_s, RETRY_AFTER_S), 'replay', key)
+
+    def _on_replay_due(self, key: bytes, now: float) -> None:
+        flow, token = FlowId(key[:6]), key[6:]
+        observation = self._feeds.of_flow(flow).get(token)
+        if observation is not None and not observation.upstream_token:
+            self._replay(flow, observation, now)
+
+    def _notify_replayed(self, job: Job, message: Message, now: float) -> None:
+        observation = self._feeds.of_flow(job.flow).get(job.observe)
+        message.mtype = Type.CON
+        if observation is not None:
+            self._feeds.notify(job.flow, observation, message, now)
+        else:
+            message.opt.observe = None
+            self._callers.send_confirmable(job.flow, message, job.observe, now)
+
+    # Time
+
+    def tick(self, now: float) -> Sequence[Effect]:
+        """Do what is due; call it at least every 50 ms."""
+        if self._handed_over:
+            return []
+        for run_id in self._admission.tick(now):
+            self._on_ready(run_id, now)
+        for kind, key in self._timers.pop_due(now):
+            if kind == 'replay':
+                self._on_replay_due(key, now)
+                continue
+            job = self._jobs.by_run.get(key)
+            if job is not None:
+                self._job_timers[kind](self, job, now)
+        for flow, token in self._callers.tick(now):
+            self._end_feed(flow, token, now)
+        for flow in self._upstreams.tick(now):
+            self._close_when_unused(flow)
+        self._expire(now)
+        return self._drain()
+
+    _job_timers = {
+        'deadline': DelegationSide._on_deadline,
+        'queue': DelegationSide._on_queue_end,
+        'ask': DelegationSide._on_ask_due,
+        'cancelled': DelegationSide._on_cancel_end,
+    }
+
+    def _on_ready(self, run_id: bytes, now: float) -> None:
+        job = self._jobs.by_run.get(run_id)
+        if job is None or job.state is not JobState.QUEUED:
+            self._admission.finished(run_id, RunOutcome.CANCELLED, 0.0, now)
+        elif now >= job.deadline:
+            self._on_deadline(job, now)
+        else:
+            self._run_here(job, now)
+
+    def _expire(self, now: float) -> None:
+        if now < self._next_expiry:
+            return
+        self._next_expiry = now + EXPIRE_INTERVAL_S
+        self._records.expire(now)
+        self._runs.expire(now)
+        self._echo.expire(now)
+        for key in [k for k, until in self._adopted.items() if until <= now]:
+            del self._adopted[key]
+
+    # Successor
+
+    def export(self, now: float) -> bytes:
+        """Return the whole state for a successor process on this host.
+
+        This gate does nothing afterwards, as the successor answers for its
+        records from now on.
+        """
+        self._handed_over = True
+        snapshot = Snapshot(
+            self._echo.state,
+            self._records.state,
+            self._runs.state,
+            self._callers.state,
+            self._callers.timers.dump(),
+            self._upstreams.state,
+            self._upstreams.timers.dump(),
+            self._feeds.state,
+            list(self._jobs.by_run.values()),
+            self._jobs.sites,
+            self._timers.dump(),
+            self._adopted,
+        )
+        return msgspec.msgpack.encode(snapshot)
+
+    def restore(self, data: bytes, now: float) -> Sequence[Effect]:
+        """Take over the state of the predecessor into a new gate.
+
+        Admission is told of the runs in progress by ``started`` and asked
+        again about those that wait.
+
+        :raises msgspec.DecodeError: if the data is no exported state.
+        """
+        snapshot = msgspec.msgpack.decode(data, type=Snapshot)
+        keys = list((snapshot.echo.keys | self._echo.state.keys).items())
+        snapshot.echo.keys = dict(keys[-MAX_INCARNATIONS:])
+        self._echo.state = snapshot.echo
+        self._records.state = snapshot.records
+        self._records.recount()
+        self._runs.state = snapshot.runs
+        self._callers.state = snapshot.callers
+        self._callers.timers.load(snapshot.caller_timers)
+        self._upstreams.state = snapshot.upstreams
+        self._upstreams.timers.load(snapshot.upstream_timers)
+        self._feeds.state = snapshot.feeds
+        self._jobs.sites = snapshot.sites
+        self._adopted = snapshot.adopted
+        self._timers.load(snapshot.timers)
+        for flow in self._upstreams.state.sockets:
+            self._emit(OpenFlow(FlowId(flow)))
+        for job in snapshot.jobs:
+            self._restore_job(job, now)
+        return self._drain()
+
+    def _restore_job(self, job: Job, now: float) -> None:
+        self._jobs.add(job)
+        if job.state is JobState.RUNNING:
+            self._run_by_token[job.token] = job.run_id
+            self._admission.started(job.run_id, now)
+        elif job.state is JobState.QUEUED:
+            self._decide(job, now)
--- /dev/null
+++ b/ibispitch/requests/delegation.py
@@ -0,0 +1,235 @@
+"""Delegated runs, as the owner of a request and as the delegate."""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+from aiocoap import Message
+
+from ibispitch.ids import AgentId
+from ibispitch.requests import coap
+from ibispitch.requests import guard
+from ibispitch.requests.effects import Effect
+from ibispitch.requests.effects import SendRun
+from ibispitch.requests.effects import SendRunReply
+from ibispitch.requests.jobs import Job
+from ibispitch.requests.jobs import JobState
+from ibispitch.requests.messages import ReplyOutcome
+from ibispitch.requests.messages import RunCancel
+from ibispitch.requests.messages import RunReply
+from ibispitch.requests.messages import RunRequest
+from ibispitch.requests.records import DelegatedRunTable
+from ibispitch.requests.runs import RETRY_AFTER_S
+from ibispitch.requests.runs import RunSide
+
+#: Time in seconds after which a delegate is asked again.
+ASK_INTERVAL_S = 0.5
+#: Times a delegate is asked without an answer before it counts as lost; with
+#: the interval this is the duration of an agent's lease.
+MAX_ASKED = 6
+
+
+class DelegationSide(RunSide):
+    """Passes runs to other agents and runs theirs."""
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self._runs = DelegatedRunTable()
+        self._incarnation_by_agent: dict[AgentId, int] = {}
+
+    def on_agents(
+        self, incarnation_by_agent: Mapping[AgentId, int], now: float
+    ) -> Sequence[Effect]:
+        """Take the present agents of the service from a new view.
+
+        :param incarnation_by_agent: incarnations by agent, without this one.
+        """
+        self._incarnation_by_agent = dict(incarnation_by_agent)
+        for job in list(self._jobs.by_run.values()):
+            if (
+                job.state is JobState.DELEGATED
+                and job.delegate not in self._incarnation_by_agent
+            ):
+                self._failed(job, 'delegate', now)
+        return self._drain()
+
+    # Owner
+
+    def _run_at(self, job: Job, agent_id: AgentId, now: float) -> None:
+        incarnation = self._incarnation_by_agent.get(agent_id)
+        if incarnation is None:
+            self._run_pinned(job, now)
+            return
+        job.state, job.delegate = JobState.DELEGATED, agent_id
+        job.delegate_incarnation, job.asked = incarnation, 0
+        job.started = now
+        self._acknowledge(job)
+        self._ask(job, now)
+
+    def _run_pinned(self, job: Job, now: float) -> None:
+        """Decide again after a delegate has not run the request."""
+        job.pinned = True
+        self._renew(job)
+        self._timers.set(job.deadline, 'deadline', job.run_id)
+        self._decide(job, now)
+
+    def _ask(self, job: Job, now: float) -> None:
+        job.asked += 1
+        self._timers.set(now + ASK_INTERVAL_S, 'ask', job.run_id)
+        request = RunRequest(
+            run_id=job.run_id,
+            incarnation=job.delegate_incarnation,
+            flow=job.flow,
+            deadline_ms=max(1, int((job.deadline - now) * 1000)),
+            datagram=job.datagram,
+        )
+        self._emit(SendRun(job.delegate, request))
+
+    def _on_ask_due(self, job: Job, now: float) -> None:
+        if job.state is not JobState.DELEGATED:
+            return
+        if job.asked >= MAX_ASKED:
+            self._failed(job, 'delegate', now)
+        else:
+            self._ask(job, now)
+
+    def _cancel_delegate(self, job: Job) -> None:
+        if job.delegate is not None:
+            self._emit(SendRun(job.delegate, RunCancel(job.run_id)))
+
+    def on_run_reply(
+        self, sender: AgentId, reply: RunReply, now: float
+    ) -> Sequence[Effect]:
+        """Handle what a delegate says about a run."""
+        job = self._jobs.by_run.get(reply.run_id)
+        if (
+            job is None
+            or job.state is not JobState.DELEGATED
+            or job.delegate != sender
+        ):
+            self._count('gate_answers_dropped', reason='late')
+            return self._drain()
+        job.asked = 0
+        match reply.outcome:
+            case ReplyOutcome.RESULT:
+                self._on_delegated_result(job, reply, now)
+            case ReplyOutcome.NOT_RUN if job.cancelled or (
+                not job.starts_exchange
+            ):
+                self._refuse(job, reply.retry_after_s, 'delegate', now)
+            case ReplyOutcome.NOT_RUN:
+                self._run_pinned(job, now)
+            case ReplyOutcome.UNKNOWN:
+                self._failed(job, 'delegate', now)
+        return self._drain()
+
+    def _on_delegated_result(
+        self, job: Job, reply: RunReply, now: float
+    ) -> None:
+        try:
+            message = coap.decode(reply.datagram)
+        except coap.MalformedError:
+            self._failed(job, 'malformed', now)
+            return
+        self._retries.deposit(now)
+        self._complete(job, message, now)
+
+    # Delegate
+
+    def on_run_request(
+        self, sender: AgentId, request: RunRequest, now: float
+    ) -> Sequence[Effect]:
+        """Run a request for another agent, or repeat what was said of it."""
+        run = self._runs.find(request.run_id)
+        if run is not None:
+            running = RunReply(
+                run_id=request.run_id, outcome=ReplyOutcome.RUNNING
+            )
+            self._emit(SendRunReply(sender, run.reply or running))
+        elif (
+            request.incarnation not in self._echo.state.keys
+            or not self._runs.may_add(request.run_id)
+        ):
+            # It may have run before a restart, or before it was forgotten.
+            self._count('gate_unknown_runs')
+            unknown = RunReply(
+                run_id=request.run_id, outcome=ReplyOutcome.UNKNOWN
+            )
+            self._emit(SendRunReply(sender, unknown))
+        else:
+            self._runs.add(request.run_id, now)
+            self._start_delegated(sender, request, now)
+        return self._drain()
+
+    def _start_delegated(
+        self, sender: AgentId, request: RunRequest, now: float
+    ) -> None:
+        try:
+            message = coap.decode(request.datagram)
+        except coap.MalformedError:
+            message = Message()
+        limit_s = self._settings.deadline_max_s
+        job = Job(
+            run_id=request.run_id,
+            flow=request.flow,
+            datagram=request.datagram,
+            guarded=True,
+            received=now,
+            deadline=now + min(request.deadline_ms / 1000, limit_s),
+            pinned=True,
+            origin=sender,
+        )
+        if message.code is None or not message.code.is_request():
+            self._reply_failure(job, RETRY_AFTER_S, now)
+            return
+        job.guarded = guard.is_guarded(message)
+        job.site = request.flow + coap.exchange_digest(message)
+        job.starts_exchange = coap.part_of(message) == (0, 0)
+        self._start(job, now)
+
+    def on_run_cancel(
+        self, sender: AgentId, cancel: RunCancel, now: float
+    ) -> Sequence[Effect]:
+        """Cancel a run for another agent.
+
+        A run that was not asked for yet is recorded as not run, as the
+        request may have been overtaken.
+        """
+        job = self._jobs.by_run.get(cancel.run_id)
+        if job is not None and job.origin == sender:
+            if not job.cancelled:
+                self._cancel(job, now)
+        elif self._runs.find(cancel.run_id) is None and self._runs.may_add(
+            cancel.run_id
+        ):
+            run = self._runs.add(cancel.run_id, now)
+            run.reply = RunReply(
+                run_id=cancel.run_id,
+                outcome=ReplyOutcome.NOT_RUN,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        return self._drain()
+
+    def _reply_result(self, job: Job, message: Message, now: float) -> None:
+        reply = RunReply(
+            run_id=job.run_id,
+            outcome=ReplyOutcome.RESULT,
+            datagram=coap.encode_detached(message),
+        )
+        self._record_reply(job, reply)
+
+    def _reply_failure(
+        self, job: Job, retry_after_s: float | None, now: float
+    ) -> None:
+        not_run = retry_after_s is not None
+        reply = RunReply(
+            run_id=job.run_id,
+            outcome=ReplyOutcome.NOT_RUN if not_run else ReplyOutcome.UNKNOWN,
+            retry_after_s=retry_after_s or 0.0,
+        )
+        self._record_reply(job, reply)
+
+    def _record_reply(self, job: Job, reply: RunReply) -> None:
+        run = self._runs.find(job.run_id)
+        if run is not None:
+            run.reply = reply
+        self._emit(SendRunReply(job.origin, reply))
--- /dev/null
+++ b/ibispitch/requests/feeds.py
@@ -0,0 +1,141 @@
+"""Open observations (RFC 7641) of callers."""
+
+from aiocoap import Message
+from aiocoap.numbers.types import Type
+import msgspec
+
+from ibispitch.ids import FlowId
+from ibispitch.requests.callers import CallerSide
+
+MAX_FEEDS_PER_FLOW = 64
+SEQUENCE_RANGE = 1 << 24
+#: Notifications whose message ids are remembered to match a reset.
+RECENT_MIDS = 8
+
+
+class Observation(msgspec.Struct, array_like=True):
+    """An observation that a caller has registered.
+
+    :param registration: the caller's datagram.
+    :param upstream_token: token towards the upstream, empty while a
+        registration is replayed.
+    :param sequence: last Observe number sent to the caller.
+    :param upstream_sequence: last Observe number of the upstream.
+    :param mids: message ids of the last notifications.
+    """
+
+    token: bytes
+    registration: bytes
+    upstream_token: bytes = b''
+    sequence: int = 0
+    upstream_sequence: int = 0
+    mids: list[int] = []
+
+
+def is_newer(number: int, last: int) -> bool:
+    """Compare Observe numbers with wrap-around (RFC 7641, 3.4).
+
+    >>> is_newer(1, 2**24 - 1), is_newer(5, 5)
+    (True, False)
+    """
+    return 0 < (number - last) % SEQUENCE_RANGE < SEQUENCE_RANGE // 2
+
+
+class FeedState(msgspec.Struct):
+    """What is handed to a successor.
+
+    :param by_flow: observations by flow and token of the caller.
+    :param by_upstream_token: flow and token of the caller.
+    """
+
+    by_flow: dict[bytes, dict[bytes, Observation]] = {}
+    by_upstream_token: dict[bytes, tuple[bytes, bytes]] = {}
+
+
+class FeedTable:
+    """Observations by flow and by upstream token."""
+
+    def __init__(self, callers: CallerSide):
+        self.state = FeedState({}, {})
+        self._callers = callers
+
+    def of_flow(self, flow: FlowId) -> dict[bytes, Observation]:
+        """Return the observations of a flow by token of the caller."""
+        return self.state.by_flow.get(flow, {})
+
+    def find(self, upstream_token: bytes) -> tuple[FlowId, Observation] | None:
+        """Return the observation that uses a token towards the upstream."""
+        place = self.state.by_upstream_token.get(upstream_token)
+        if place is None:
+            return None
+        flow, token = place
+        return FlowId(flow), self.state.by_flow[flow][token]
+
+    def has_room(self, flow: FlowId, token: bytes) -> bool:
+        """Tell whether a flow may open an observation."""
+        feeds = self.of_flow(flow)
+        return token in feeds or len(feeds) < MAX_FEEDS_PER_FLOW
+
+    def add(self, flow: FlowId, observation: Observation) -> None:
+        """Add an observation, or one under a new upstream token."""
+        feeds = self.state.by_flow.setdefault(flow, {})
+        known = feeds.get(observation.token)
+        if known is not None:
+            self.state.by_upstream_token.pop(known.upstream_token, None)
+        feeds[observation.token] = observation
+        if observation.upstream_token:
+            self.state.by_upstream_token[observation.upstream_token] = (
+                flow,
+                observation.token,
+            )
+
+    def remove(self, flow: FlowId, token: bytes) -> Observation | None:
+        """Remove an observation."""
+        feeds = self.state.by_flow.get(flow, {})
+        observation = feeds.pop(token, None)
+        if observation is not None:
+            self.state.by_upstream_token.pop(observation.upstream_token, None)
+            if not feeds:
+                del self.state.by_flow[flow]
+        return observation
+
+    def find_by_mid(self, flow: FlowId, mid: int) -> Observation | None:
+        """Return the observation of which a notification was sent."""
+        for observation in self.of_flow(flow).values():
+            if mid in observation.mids:
+                return observation
+        return None
+
+    def notify(
+        self,
+        flow: FlowId,
+        observation: Observation,
+        message: Message,
+        now: float,
+    ) -> None:
+        """Send a notification under the next Observe number.
+
+        Own numbers keep increasing when the upstream changes. A confirmable
+        notification replaces an unacknowledged one and inherits its
+        repetitions, so that a caller that is gone is noticed however often
+        the feed changes.
+        """
+        message.opt.observe = self.next_sequence(observation)
+        if message.mtype is not Type.CON:
+            mid = self._callers.send_unconfirmed(
+                flow, message, observation.token
+            )
+        else:
+            replaced = [
+                self._callers.settle(flow, mid) for mid in observation.mids
+            ]
+            tries = max((o.tries for o in replaced if o), default=0)
+            mid = self._callers.send_confirmable(
+                flow, message, observation.token, now, observation.token, tries
+            )[1]
+        observation.mids = [*observation.mids[1 - RECENT_MIDS :], mid]
+
+    def next_sequence(self, observation: Observation) -> int:
+        """Return the next Observe number for the caller."""
+        observation.sequence = (observation.sequence + 1) % SEQUENCE_RANGE
+        return observation.sequence
--- /dev/null
+++ b/ibispitch/requests/messages.py
@@ -0,0 +1,64 @@
+"""Messages between agents about delegated runs."""
+
+import enum
+
+import msgspec
+
+from ibispitch.admission.types import Load
+from ibispitch.admission.types import RunId
+from ibispitch.ids import FlowId
+from ibispitch.wire.messages import control_message
+
+
+class ReplyOutcome(enum.IntEnum):
+    """What a delegate says about a run.
+
+    RUNNING answers a repeated request for a run that has not ended.
+    """
+
+    RESULT = 0
+    NOT_RUN = 1
+    UNKNOWN = 2
+    RUNNING = 3
+
+
+@control_message('requests.run')
+class RunRequest(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """Ask another agent to run a request at its upstream.
+
+    :param incarnation: incarnation of the delegate that is meant. A
+        delegate that restarted has lost its run records, so it must not run
+        a request that may have run before the restart.
+    :param deadline_ms: time that is left, in milliseconds.
+    :param datagram: the request as the caller sent it.
+    """
+
+    run_id: RunId
+    incarnation: int
+    flow: FlowId
+    deadline_ms: int
+    datagram: bytes
+
+
+@control_message('requests.reply')
+class RunReply(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """Say how a delegated run ended.
+
+    :param datagram: the answer of the upstream, empty if there is none;
+        message id and token are unset.
+    :param retry_after_s: for NOT_RUN, when to try again.
+    :param load: load of the delegate.
+    """
+
+    run_id: RunId
+    outcome: ReplyOutcome
+    datagram: bytes = b''
+    retry_after_s: float = 0.0
+    load: Load | None = None
+
+
+@control_message('requests.cancel')
+class RunCancel(msgspec.Struct, array_like=True, frozen=True):
+    """Ask the delegate to cancel a run."""
+
+    run_id: RunId
