Add the balancer and agent programs

Cause: the cores of the slices need programs that join them.

Change: balancer program (membership, reader, forwarder), agent program (packet path, views, load reports, drain), limits in front of admission.

--- /dev/null
+++ b/ibispitch/agent/datapath.py
@@ -0,0 +1,407 @@
+"""The packet path of the agent: joins the cores with the sockets."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import random
+import time
+from typing import Any
+
+from ibispitch.admission.messages import LoadReport
+from ibispitch.affinity import CloseFlow
+from ibispitch.affinity import Deliver
+from ibispitch.affinity import Drop
+from ibispitch.affinity import Packet
+from ibispitch.affinity import Relay
+from ibispitch.affinity import SendMessage
+from ibispitch.agent.messages import IssuedRequest
+from ibispitch.agent.paths import ReturnPaths
+from ibispitch.agent.peers import Peers
+from ibispitch.agent.service import ServiceCores
+from ibispitch.agent.upstream import UpstreamSockets
+from ibispitch.catalogue.documents import Entry
+from ibispitch.ids import Address
+from ibispitch.ids import AgentId
+from ibispitch.ids import FlowId
+from ibispitch.ids import service_number
+from ibispitch.limits.messages import ShareReport
+from ibispitch.membership.records import AgentRecord
+from ibispitch.membership.records import ServiceView
+from ibispitch.requests import effects as gate_effects
+from ibispitch.requests.delegation import DelegationSide
+from ibispitch.requests.messages import RunCancel
+from ibispitch.requests.messages import RunReply
+from ibispitch.requests.messages import RunRequest
+from ibispitch.requests.registry import gate_by_protocol
+from ibispitch.telemetry import log
+from ibispitch.telemetry import Metrics
+from ibispitch.telemetry import Severity
+from ibispitch.wire import decode_frame
+from ibispitch.wire import decode_message
+from ibispitch.wire import encode_frame
+from ibispitch.wire import Frame
+from ibispitch.wire import FrameKind
+from ibispitch.wire import Keyring
+from ibispitch.wire import NO_ADDRESS
+from ibispitch.wire import WireError
+from ibispitch.wire.sockets import DatagramSocket
+
+RUN_MESSAGES = (RunRequest, RunReply, RunCancel, IssuedRequest)
+
+
+class DataPath:
+    """Handles the datagrams of balancers, agents and the upstream.
+
+    :param record: own record.
+    :param upstream: address of the upstream.
+    :param keyring: the shared keys.
+    :param metrics: counters and histograms.
+    :param may_act: tells whether a paused process may act again.
+    :param rng: source of random choices.
+    :param clock: monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        record: AgentRecord,
+        upstream: Address,
+        keyring: Keyring,
+        metrics: Metrics,
+        may_act: Callable[[], bool],
+        rng: random.Random,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self._record = record
+        self._number = service_number(record.service)
+        self._keyring = keyring
+        self._metrics = metrics
+        self._may_act = may_act
+        self._rng = rng
+        self._clock = clock
+        self._datagrams = metrics.counts('agent.datagrams')
+        self._rejected = metrics.counts('wire.rejected')
+        self.cores: ServiceCores | None = None
+        self.paths = ReturnPaths()
+        self.peers = Peers(
+            record.agent_id, self._number, keyring, record.address
+        )
+        self.upstreams = UpstreamSockets(
+            record.address.ip, upstream, self._on_upstream, self._on_refused
+        )
+        self._socket = DatagramSocket(self._on_datagram, record.address)
+        self._handle_by_message: dict[type, Callable] = {
+            LoadReport: self._on_load_report,
+            ShareReport: self._on_share_report,
+            RunRequest: self._on_run_request,
+            RunReply: self._on_run_reply,
+            RunCancel: self._on_run_cancel,
+            IssuedRequest: self._on_issued,
+        }
+        self._apply_by_effect: dict[type, Callable] = {
+            Deliver: self._deliver,
+            Relay: self._relay,
+            SendMessage: self._send_message,
+            CloseFlow: self._close_flow,
+            Drop: self._count_drop,
+            gate_effects.ToCaller: self._to_caller,
+            gate_effects.ToUpstream: self._to_upstream,
+            gate_effects.SendRun: self._send_message,
+            gate_effects.SendRunReply: self._send_message,
+            gate_effects.RelayToIssuer: self._relay_to_issuer,
+            gate_effects.OpenFlow: self._open_socket,
+            gate_effects.CloseFlow: self._close_socket,
+            gate_effects.Count: self._count,
+            gate_effects.Measure: self._measure,
+        }
+
+    def on_view(self, view: ServiceView) -> None:
+        """Take over a view of the service."""
+        now = self._clock()
+        self.peers.set_agents(view.agents)
+        self.paths.set_balancers([b.address for b in view.balancers])
+        if self.cores is None and not self._start_serving(view.entry, now):
+            return
+        self.cores.on_view(view, self._record.agent_id, now)
+        incarnation_by_agent = {
+            record.agent_id: record.incarnation
+            for record in view.agents
+            if record.agent_id != self._record.agent_id
+        }
+        if self._delegation is not None:
+            effects = self._delegation.on_agents(incarnation_by_agent, now)
+            self._run(effects, now)
+        self._run(self.cores.affinity.on_view(view, now), now)
+
+    def _start_serving(self, entry: Entry | None, now: float) -> bool:
+        """Create the cores; false without an entry that can be served."""
+        if entry is None:
+            return False
+        if entry.protocol not in gate_by_protocol:
+            log(
+                Severity.ERROR,
+                'agent.unknown_protocol',
+                service=entry.service,
+                protocol=entry.protocol,
+                remedy=f'use one of {sorted(gate_by_protocol)}',
+            )
+            return False
+        self.cores = ServiceCores(self._record, entry, self._rng, now)
+        log(
+            Severity.INFO,
+            'agent.serving',
+            service=entry.service,
+            protocol=entry.protocol,
+        )
+        return True
+
+    @property
+    def _delegation(self) -> DelegationSide | None:
+        """The gate if its protocol allows runs at other agents."""
+        gate = self.cores.gate
+        return gate if isinstance(gate, DelegationSide) else None
+
+    def on_paused(self) -> None:
+        """Hold packets until a new view, after a pause of the process."""
+        if self.cores is not None:
+            self.cores.affinity.on_paused(self._clock())
+
+    def tick(self) -> None:
+        """Do what is due; called every 20 ms."""
+        if self.cores is None:
+            return
+        now = self._clock()
+        if not self._may_act():
+            return
+        self._run(self.cores.affinity.tick(now), now)
+        self._run(self.cores.gate.tick(now), now)
+        self._report_load(now)
+
+    def drain(self) -> None:
+        """Take no new flows from now on."""
+        if self.cores is not None:
+            self.cores.affinity.set_draining()
+            self.cores.admission.drain()
+
+    def _report_load(self, now: float) -> None:
+        admission = self.cores.admission
+        due = admission.loads.due(now)
+        if not due:
+            return
+        self.cores.rebalance(now)
+        report = admission.report(now)
+        for agent_id in due:
+            self._send_to(agent_id, report)
+            shares = self.cores.limits.report_for(agent_id)
+            if shares is not None:
+                self._send_to(agent_id, shares)
+
+    def _send_to(self, to: AgentId, message: Any) -> None:
+        address = None
+        if self.cores is not None:
+            address = self.cores.affinity.address_of(to)
+        self.peers.send_message(self._socket, to, message, address)
+
+    def _reject(self, fault: str) -> None:
+        self._rejected[(('fault', fault),)] += 1
+
+    def _on_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
+        try:
+            frame = decode_frame(self._keyring, data)
+        except WireError as error:
+            self._reject(error.fault.value)
+            return
+        if frame.service != self._number:
+            self._reject('wrong_service')
+        elif self.cores is None:
+            self._reject('not_serving')
+        elif frame.kind in (FrameKind.FORWARD, FrameKind.RELAY):
+            self._on_packet(frame, Address(*sender))
+        elif frame.kind == FrameKind.CONTROL:
+            self._on_control(frame, Address(*sender))
+        else:
+            self._reject('bad_kind')
+
+    def _identify(self, sender: Address) -> AgentId | None:
+        known = self.cores.affinity.agent_at(sender)
+        return known or self.peers.identify(sender)
+
+    def _on_packet(self, frame: Frame, sender: Address) -> None:
+        now = self._clock()
+        relayed_by = None
+        if frame.kind == FrameKind.RELAY:
+            relayed_by = self._identify(sender)
+        packet = Packet(
+            frame.flow,
+            frame.hops,
+            False,
+            relayed_by,
+            frame.balancer,
+            frame,
+        ).with_flags(frame.flags)
+        self._may_act()
+        self._datagrams[(('path', 'in'),)] += 1
+        self._run(self.cores.affinity.on_packet(packet, now), now)
+
+    def _on_control(self, frame: Frame, sender: Address) -> None:
+        try:
+            message = decode_message(frame.payload)
+        except WireError as error:
+            self._reject(error.fault.value)
+            return
+        now = self._clock()
+        self._may_act()
+        handle = self._handle_by_message.get(type(message))
+        known = self._identify(sender)
+        if isinstance(message, RUN_MESSAGES) and self._delegation is None:
+            self._reject('no_delegation')
+            return
+        if handle is not None and known is not None:
+            handle(known, message, now)
+        elif handle is not None:
+            self._reject('unknown_sender')
+        else:
+            effects = self.cores.affinity.on_message(known, message, now)
+            self._run(effects, now)
+
+    def _on_load_report(self, _: AgentId, report: LoadReport, now) -> None:
+        self.cores.admission.loads.on_report(report, now)
+
+    def _on_share_report(self, _: AgentId, report: ShareReport, __) -> None:
+        self.cores.share_reports.append(report)
+
+    def _on_run_request(self, sender, request: RunRequest, now) -> None:
+        self._run(self._delegation.on_run_request(sender, request, now), now)
+
+    def _on_run_reply(self, sender, reply: RunReply, now) -> None:
+        if reply.load is not None:
+            loads = self.cores.admission.loads
+            loads.on_load(sender, reply.load, now)
+        self._run(self._delegation.on_run_reply(sender, reply, now), now)
+
+    def _on_run_cancel(self, sender, cancel: RunCancel, now) -> None:
+        self._run(self._delegation.on_run_cancel(sender, cancel, now), now)
+
+    def _on_issued(self, _: AgentId, message: IssuedRequest, now) -> None:
+        self.paths.heard(
+            message.flow, message.balancer, message.destination, now
+        )
+        self._run(
+            self.cores.gate.on_caller(
+                message.flow, message.datagram, now, relayed=True
+            ),
+            now,
+        )
+
+    def _on_upstream(self, flow: FlowId, datagram: bytes) -> None:
+        now = self._clock()
+        self._may_act()
+        self._datagrams[(('path', 'upstream'),)] += 1
+        self.cores.affinity.touch(flow, now)
+        self._run(self.cores.gate.on_upstream(flow, datagram, now), now)
+
+    def _on_refused(self, flow: FlowId, datagram: bytes) -> None:
+        now = self._clock()
+        self._metrics.count('agent.upstream_refused')
+        self._run(
+            self.cores.gate.on_upstream_refused(flow, datagram, now), now
+        )
+
+    def _run(self, effects: Iterable[Any], now: float) -> None:
+        for effect in effects:
+            self._apply_by_effect[type(effect)](effect, now)
+
+    def _deliver(self, effect: Deliver, now: float) -> None:
+        frame = effect.packet.payload
+        self.paths.heard(frame.flow, frame.balancer, frame.destination, now)
+        if effect.is_new:
+            self._metrics.count('affinity.adopted')
+            self.cores.admission.flow_opened(now)
+        self._run(
+            self.cores.gate.on_caller(frame.flow, frame.payload, now), now
+        )
+
+    def _relay(self, effect: Relay, now: float) -> None:
+        packet = effect.packet
+        self._metrics.count('affinity.relayed')
+        self.peers.relay(
+            self._socket,
+            effect.to,
+            packet.payload._replace(hops=packet.hops, flags=packet.flags),
+            self.cores.affinity.address_of(effect.to),
+        )
+
+    def _send_message(self, effect: Any, now: float) -> None:
+        self._send_to(effect.to, effect.message)
+
+    def _close_flow(self, effect: CloseFlow, now: float) -> None:
+        self._metrics.count('affinity.closed')
+        self.cores.admission.flow_closed()
+        self._run(self.cores.gate.close_flow(effect.flow, now), now)
+        self.paths.forget(effect.flow)
+
+    def _count_drop(self, effect: Drop, now: float) -> None:
+        self._metrics.count('affinity.dropped', reason=effect.reason.value)
+
+    def _to_caller(self, effect: gate_effects.ToCaller, now: float) -> None:
+        chosen = self.paths.choose(effect.flow, now)
+        if chosen is None:
+            self._metrics.count('agent.no_return_path')
+            return
+        balancer, destination = chosen
+        frame = Frame(
+            FrameKind.REPLY,
+            0,
+            0,
+            self._number,
+            effect.flow,
+            NO_ADDRESS,
+            effect.datagram,
+            destination,
+        )
+        self._datagrams[(('path', 'out'),)] += 1
+        self._socket.send(encode_frame(self._keyring, frame), balancer)
+
+    def _to_upstream(
+        self, effect: gate_effects.ToUpstream, now: float
+    ) -> None:
+        try:
+            self.upstreams.send(effect.flow, effect.datagram)
+        except OSError:
+            self._metrics.count('agent.no_socket')
+
+    def _relay_to_issuer(
+        self, effect: gate_effects.RelayToIssuer, now: float
+    ) -> None:
+        balancer, destination = self.paths.way(effect.flow)
+        self._metrics.count('requests.relayed_to_issuer')
+        self._send_to(
+            effect.to,
+            IssuedRequest(effect.flow, balancer, destination, effect.datagram),
+        )
+
+    def _open_socket(self, effect: gate_effects.OpenFlow, now: float) -> None:
+        try:
+            self.upstreams.open(effect.flow)
+        except OSError:
+            self._metrics.count('agent.no_socket')
+
+    def _close_socket(
+        self, effect: gate_effects.CloseFlow, now: float
+    ) -> None:
+        self.upstreams.close(effect.flow)
+
+    def _count(self, effect: gate_effects.Count, now: float) -> None:
+        self._metrics.counts(effect.name)[effect.labels] += 1
+
+    def _measure(self, effect: gate_effects.Measure, now: float) -> None:
+        self._metrics.record(
+            effect.name,
+            effect.value,
+            owner=self.cores.entry.owner,
+            class_name=self.cores.entry.class_name,
+            **dict(effect.labels),
+        )
+
+    def close(self) -> None:
+        """Close all sockets."""
+        self._socket.close()
+        self.upstreams.close_all()
--- /dev/null
+++ b/ibispitch/agent/messages.py
@@ -0,0 +1,20 @@
+"""Messages of the agent program itself."""
+
+import msgspec
+
+from ibispitch.ids import FlowId
+from ibispitch.wire.messages import control_message
+
+
+@control_message('agent.issued')
+class IssuedRequest(msgspec.Struct, array_like=True, frozen=True):
+    """Passes a caller's datagram to the agent that issued its Echo value.
+
+    :param balancer: balancer that took it in, 6 bytes.
+    :param destination: address of the service, 6 bytes.
+    """
+
+    flow: FlowId
+    balancer: bytes
+    destination: bytes
+    datagram: bytes
--- a/ibispitch/agent/paths.py
+++ b/ibispitch/agent/paths.py
@@ -63,6 +63,11 @@
         chosen = self._balancers[self._turn % len(self._balancers)]
         return chosen, path.destination
 
+    def way(self, flow: FlowId) -> tuple[bytes, bytes]:
+        """Return balancer and service address of the last packet."""
+        path = self._path_by_flow[flow]
+        return path.balancer, path.destination
+
     def forget(self, flow: FlowId) -> None:
         """Drop the path of a flow that ended."""
         self._path_by_flow.pop(flow, None)
--- a/ibispitch/agent/peers.py
+++ b/ibispitch/agent/peers.py
@@ -12,7 +12,6 @@
 from ibispitch.wire import encode_frame
 from ibispitch.wire import encode_message
 from ibispitch.wire import Frame
-from ibispitch.wire import FrameFlag
 from ibispitch.wire import FrameKind
 from ibispitch.wire import Keyring
 from ibispitch.wire import NO_ADDRESS
@@ -60,10 +59,17 @@
         return self._id_by_address.get(address)
 
     def send_message(
-        self, socket: DatagramSocket, to: AgentId, message: Any
+        self,
+        socket: DatagramSocket,
+        to: AgentId,
+        message: Any,
+        address: Address | None = None,
     ) -> None:
-        """Send a control message; dropped if the agent is not known."""
-        address = self._address_by_id.get(to)
+        """Send a control message; dropped if the agent is not known.
+
+        :param address: where the agent is reached, ``None`` to look it up.
+        """
+        address = address or self._address_by_id.get(to)
         if address is None:
             return
         data = encode_frame(
@@ -82,15 +88,15 @@
         socket.send(data, address)
 
     def relay(
-        self, socket: DatagramSocket, to: AgentId, frame: Frame, adopt: bool
-    ) -> bool:
-        """Pass a caller's packet on; false if the agent is not known."""
-        address = self._address_by_id.get(to)
+        self,
+        socket: DatagramSocket,
+        to: AgentId,
+        frame: Frame,
+        address: Address | None = None,
+    ) -> None:
+        """Pass a caller's packet on; dropped if the agent is not known."""
+        address = address or self._address_by_id.get(to)
         if address is None:
-            return False
-        flags = FrameFlag.ADOPT if adopt else FrameFlag.NONE
-        relayed = frame._replace(
-            kind=FrameKind.RELAY, hops=frame.hops + 1, flags=int(flags)
-        )
+            return
+        relayed = frame._replace(kind=FrameKind.RELAY)
         socket.send(encode_frame(self._keyring, relayed), address)
-        return True
--- /dev/null
+++ b/ibispitch/agent/program.py
@@ -0,0 +1,214 @@
+"""The agent program: membership, packet path, administration, stop."""
+
+import asyncio
+import random
+import time
+
+from aiohttp import web
+import msgspec
+import reactivex
+from reactivex.scheduler.eventloop import AsyncIOScheduler
+
+from ibispitch.agent.datapath import DataPath
+from ibispitch.ids import Address
+from ibispitch.ids import parse_address
+from ibispitch.membership.client import MembershipClient
+from ibispitch.membership.reader import read_peers
+from ibispitch.membership.records import AgentRecord
+from ibispitch.membership.records import MemberState
+from ibispitch.program import make_command
+from ibispitch.program import StopRequest
+from ibispitch.settings.programs import AgentSettings
+from ibispitch.store import StoreClient
+from ibispitch.telemetry import log
+from ibispitch.telemetry import Metrics
+from ibispitch.telemetry import setup_logs
+from ibispitch.telemetry import Severity
+from ibispitch.wire import Keyring
+
+TICK_S = 0.02
+#: A draining agent checks this often whether its flows have ended.
+DRAIN_CHECK_S = 0.1
+
+
+def own_record(settings: AgentSettings, incarnation: int) -> AgentRecord:
+    """Return the first record of this process."""
+    return AgentRecord(
+        agent_id=settings.agent_id,
+        service=settings.service,
+        datacentre=settings.datacentre,
+        address=settings.data,
+        incarnation=incarnation,
+        sequence=0,
+        state=MemberState.ACTIVE,
+        slots=settings.slots,
+        connections=settings.connections,
+        parent='',
+        admin_address=parse_address(settings.admin_address),
+    )
+
+
+class AgentState(msgspec.Struct):
+    """What ``/v1/state`` of an agent returns.
+
+    :param limit: present concurrency limit.
+    :param view_version: version of the newest view.
+    :param parent: control address of the parent, empty without one.
+    """
+
+    agent_id: str
+    service: str
+    datacentre: str
+    flows: int
+    exceptions: int
+    in_flight: int
+    queued: int
+    limit: float
+    is_draining: bool
+    view_version: int
+    parent: str
+    counters: dict[str, int]
+
+
+class Agent:
+    """One agent process.
+
+    :param settings: its settings.
+    """
+
+    def __init__(self, settings: AgentSettings):
+        self._settings = settings
+        self._metrics = Metrics(settings.metrics, settings.agent_id)
+        self._keyring = Keyring(settings.keys)
+        self._store = StoreClient(
+            settings.store.endpoints, settings.store.timeout_s
+        )
+        record = own_record(settings, time.time_ns())
+        self._client = MembershipClient(
+            record,
+            [parse_address(seed) for seed in settings.seeds],
+            self._keyring,
+            self._metrics,
+            find_peers=self._find_peers,
+        )
+        self.path = DataPath(
+            record,
+            parse_address(settings.upstream_address),
+            self._keyring,
+            self._metrics,
+            self._client.may_act,
+            random.Random(),
+        )
+        self._subscriptions: list = []
+        self._runner: web.AppRunner | None = None
+
+    async def _find_peers(self) -> list[Address]:
+        return await read_peers(self._store, self._settings.store.cluster)
+
+    async def start(self) -> None:
+        """Serve administration requests and look for a parent."""
+        await self._start_admin()
+        scheduler = AsyncIOScheduler(asyncio.get_running_loop())
+        self._subscriptions = [
+            self._client.views.subscribe(self.path.on_view),
+            self._client.pauses.subscribe(lambda _: self.path.on_paused()),
+            reactivex.interval(TICK_S, scheduler=scheduler).subscribe(
+                lambda _: self.path.tick()
+            ),
+        ]
+        await self._client.start()
+        log(
+            Severity.INFO,
+            'agent.started',
+            agent=self._settings.agent_id,
+            service=self._settings.service,
+        )
+
+    async def _start_admin(self) -> None:
+        app = web.Application()
+        app.add_routes(
+            [
+                web.get('/v1/state', self._state),
+                web.get('/metrics', self._scrape),
+                web.get('/healthz', self._healthz),
+            ]
+        )
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        ip, port = parse_address(self._settings.admin_address)
+        await web.TCPSite(self._runner, ip, port).start()
+
+    def state(self) -> AgentState:
+        """Return the present state."""
+        cores = self.path.cores
+        view = self._client.view
+        return AgentState(
+            agent_id=self._settings.agent_id,
+            service=self._settings.service,
+            datacentre=self._settings.datacentre,
+            flows=cores.affinity.flow_count if cores else 0,
+            exceptions=cores.affinity.exception_count if cores else 0,
+            in_flight=cores.admission.in_flight if cores else 0,
+            queued=cores.admission.queued if cores else 0,
+            limit=cores.admission.limit.value if cores else 0.0,
+            is_draining=cores.affinity.is_draining if cores else False,
+            view_version=view.version if view else 0,
+            parent=str(self._client.parent or ''),
+            counters=self._metrics.labelled(),
+        )
+
+    async def _state(self, _: web.Request) -> web.Response:
+        return web.Response(
+            body=msgspec.json.encode(self.state()),
+            content_type='application/json',
+        )
+
+    async def _scrape(self, _: web.Request) -> web.Response:
+        return web.Response(
+            body=self._metrics.scrape(), content_type='text/plain'
+        )
+
+    async def _healthz(self, _: web.Request) -> web.Response:
+        is_serving = self.path.cores is not None
+        return web.Response(status=200 if is_serving else 503)
+
+    async def drain(self) -> None:
+        """Take no new flows and wait until the old ones have ended."""
+        log(Severity.INFO, 'agent.draining', flows=self.state().flows)
+        self.path.drain()
+        self._client.set_state(MemberState.DRAINING)
+        end = time.monotonic() + self._settings.stop_deadline_s
+        while time.monotonic() < end and self.state().flows:
+            await asyncio.sleep(DRAIN_CHECK_S)
+
+    async def stop(self) -> None:
+        """Leave and close everything."""
+        await self._client.leave()
+        for subscription in self._subscriptions:
+            subscription.dispose()
+        self.path.close()
+        if self._runner is not None:
+            await self._runner.cleanup()
+        await self._store.close()
+        self._metrics.shutdown()
+        log(Severity.INFO, 'agent.stopped', agent=self._settings.agent_id)
+
+
+async def run(settings: AgentSettings) -> None:
+    """Run an agent until it is asked to stop."""
+    setup_logs(settings.log, settings.agent_id)
+    stop = StopRequest()
+    stop.install()
+    agent = Agent(settings)
+    await agent.start()
+    await stop.wait()
+    await agent.drain()
+    await agent.stop()
+
+
+main = make_command(
+    'ibispitch-agent',
+    'Owns the flows and requests of the upstream on this host.',
+    AgentSettings,
+    run,
+)
--- /dev/null
+++ b/ibispitch/balancer/program.py
@@ -0,0 +1,156 @@
+"""The balancer program: membership, packet path, administration, stop."""
+
+import asyncio
+import random
+import time
+from typing import Any
+
+from ibispitch.balancer.forwarder import Forwarder
+from ibispitch.catalogue.core import CatalogueState
+from ibispitch.ids import parse_address
+from ibispitch.membership.core import AgentChanged
+from ibispitch.membership.core import CatalogueChanged
+from ibispitch.membership.reader import CatalogueReader
+from ibispitch.membership.records import BalancerRecord
+from ibispitch.membership.records import MemberState
+from ibispitch.membership.server import MembershipServer
+from ibispitch.program import make_command
+from ibispitch.program import StopRequest
+from ibispitch.routing import RoutingCore
+from ibispitch.settings.programs import BalancerSettings
+from ibispitch.store import StoreClient
+from ibispitch.telemetry import log
+from ibispitch.telemetry import Metrics
+from ibispitch.telemetry import setup_logs
+from ibispitch.telemetry import Severity
+from ibispitch.wire import Keyring
+
+#: A leaving balancer goes on until no packet came for this long.
+QUIET_S = 1.0
+QUIET_CHECK_S = 0.1
+
+
+def own_record(settings: BalancerSettings, incarnation: int):
+    """Return the first record of this process."""
+    return BalancerRecord(
+        balancer_id=settings.balancer_id,
+        datacentre=settings.datacentre,
+        address=settings.data,
+        control_address=parse_address(settings.control_address),
+        admin_address=parse_address(settings.admin_address),
+        incarnation=incarnation,
+        sequence=0,
+        state=MemberState.ACTIVE,
+    )
+
+
+class Balancer:
+    """One balancer process.
+
+    :param settings: its settings.
+    """
+
+    def __init__(self, settings: BalancerSettings):
+        self.settings = settings
+        self.metrics = Metrics(settings.metrics, settings.balancer_id)
+        keyring = Keyring(settings.keys)
+        self.catalogue = CatalogueState()
+        self.routing = RoutingCore()
+        self.store = StoreClient(
+            settings.store.endpoints, settings.store.timeout_s
+        )
+        self.server = MembershipServer(
+            own_record(settings, time.time_ns()),
+            [parse_address(seed) for seed in settings.seeds],
+            keyring,
+            self.catalogue,
+            self.metrics,
+            random.Random(),
+        )
+        self.reader = CatalogueReader(
+            self.server, self.store, settings.store.cluster, self.metrics
+        )
+        self.forwarder = Forwarder(
+            keyring,
+            settings.data,
+            self.routing.route,
+            self.metrics,
+            settings.service_bind == 'host',
+        )
+        self.is_leaving = False
+        self._services: set[str] = set()
+
+    async def start(self) -> None:
+        """Join the other balancers and forward packets."""
+        self.server.changes.subscribe(self._on_change)
+        await self.server.start()
+        await self.reader.start()
+        log(
+            Severity.INFO,
+            'balancer.started',
+            balancer=self.settings.balancer_id,
+        )
+
+    def _on_change(self, change: Any) -> None:
+        if isinstance(change, AgentChanged):
+            self.routing.set_agent(change.record)
+        elif isinstance(change, CatalogueChanged):
+            self._on_catalogue()
+
+    def _on_catalogue(self) -> None:
+        entries = self.catalogue.entries()
+        for service in self._services - entries.keys():
+            self.routing.set_entry(service, False)
+        for service in entries.keys() - self._services:
+            self.routing.set_entry(service, True)
+        self._services = set(entries)
+        states = self.catalogue.datacentres()
+        out = self.catalogue.datacentres_out
+        for name in states:
+            self.routing.set_datacentre(name, name in out)
+        self.forwarder.set_entries(entries.values())
+
+    async def leave(self) -> None:
+        """Publish LEAVING and forward until packets stop to come."""
+        self.is_leaving = True
+        self.server.set_state(MemberState.LEAVING)
+        log(Severity.INFO, 'balancer.leaving')
+        end = time.monotonic() + self.settings.stop_deadline_s
+        packets, changed = -1, time.monotonic()
+        while time.monotonic() < min(end, changed + QUIET_S):
+            if self.forwarder.taken_in != packets:
+                packets, changed = self.forwarder.taken_in, time.monotonic()
+            await asyncio.sleep(QUIET_CHECK_S)
+
+    async def stop(self) -> None:
+        """Close everything."""
+        await self.reader.stop()
+        await self.server.stop()
+        self.forwarder.close()
+        await self.store.close()
+        self.metrics.shutdown()
+        log(
+            Severity.INFO,
+            'balancer.stopped',
+            balancer=self.settings.balancer_id,
+        )
+
+
+async def run(settings: BalancerSettings) -> None:
+    """Run a balancer until it is asked to stop."""
+    setup_logs(settings.log, settings.balancer_id)
+    stop = StopRequest()
+    stop.install()
+    balancer = Balancer(settings)
+    await balancer.start()
+    await stop.wait()
+    await balancer.leave()
+    await balancer.stop()
+
+
+main = make_command(
+    'ibispitch-balancer',
+    'Forwards the packets of callers to the agents of their service.',
+    BalancerSettings,
+    run,
+)
