--- a/ibispitch/admission/types.py
+++ b/ibispitch/admission/types.py
@@ -89,9 +89,9 @@
 class RunOutcome(enum.Enum):
     """How a run at the own upstream ended.
 
-    COMPLETED is any answer but 5.03, also a 4.xx. SHED is 5.03 by the
-    upstream. TIMED_OUT means no answer until the deadline or the last
-    retransmission. UNREACHABLE is a reset or a refused socket. CANCELLED
+    COMPLETED is any answer but 5.03 and 5.04, also a 4.xx. SHED is 5.03 by
+    the upstream. TIMED_OUT is 5.04 by the upstream, or no answer until the
+    deadline. UNREACHABLE is a reset or a refused socket. CANCELLED
     means that the caller gave it up, before or after it started.
     """
 
@@ -124,7 +124,11 @@
         """Decide on a run; ``RunHere`` and ``Wait`` reserve it."""
 
     def started(self, run_id: RunId, now: float) -> None:
-        """Note that the run was sent to the upstream."""
+        """Note that the run was sent to the upstream.
+
+        A run that was never decided here was started by a predecessor of
+        this process; it takes a slot as well.
+        """
 
     def finished(
         self,
--- a/ibispitch/requests/runs.py
+++ b/ibispitch/requests/runs.py
@@ -194,6 +194,12 @@
                 retry_after_s = RETRY_AFTER_S
             self._not_run(job, retry_after_s, 'upstream', now)
             return
+        if message.code is Code.GATEWAY_TIMEOUT:
+            # The upstream has given the request up while it ran.
+            self._finished(job, RunOutcome.TIMED_OUT, now)
+            self._release(job, 'duplicated')
+            self._failed(job, 'upstream', now)
+            return
         self._finished(job, RunOutcome.COMPLETED, now)
         self._retries.deposit(now)
         if job.observe is not None and coap.is_notification(message):
--- /dev/null
+++ b/tests/requests/loopback.py
@@ -0,0 +1,109 @@
+"""A gate between a UDP socket for callers and an upstream on loopback."""
+
+import asyncio
+import contextlib
+import socket
+
+from ibispitch.ids import flow_address
+from ibispitch.ids import flow_id
+from ibispitch.requests.effects import CloseFlow
+from ibispitch.requests.effects import OpenFlow
+from ibispitch.requests.effects import ToCaller
+from ibispitch.requests.effects import ToUpstream
+from testbed.upstream import Capacity
+from testbed.upstream import serve
+from testbed.upstream import Upstream
+
+TICK_S = 0.02
+
+
+def free_address(ip='127.0.0.1'):
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind((ip, 0))
+        return probe.getsockname()
+
+
+class LoopbackAgent:
+    """Sockets and loop around one gate."""
+
+    def __init__(self, gate, upstream_address):
+        self.gate = gate
+        self.upstream_address = upstream_address
+        self.loop = asyncio.get_running_loop()
+        self.counts = []
+        self.sockets = {}
+        self.callers = self._open(('127.0.0.1', 0))
+        self.address = self.callers.getsockname()
+        self.loop.add_reader(self.callers, self._on_callers)
+        self.ticker = asyncio.create_task(self._tick())
+
+    def _open(self, bind):
+        opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        opened.setblocking(False)
+        opened.bind(bind)
+        return opened
+
+    def _on_callers(self):
+        datagram, address = self.callers.recvfrom(65536)
+        self.do(
+            self.gate.on_caller(flow_id(address), datagram, self.loop.time())
+        )
+
+    def _on_upstream(self, flow):
+        with contextlib.suppress(ConnectionRefusedError):
+            datagram = self.sockets[flow].recv(65536)
+            self.do(self.gate.on_upstream(flow, datagram, self.loop.time()))
+
+    async def _tick(self):
+        while True:
+            self.do(self.gate.tick(self.loop.time()))
+            await asyncio.sleep(TICK_S)
+
+    def do(self, effects):
+        for effect in effects:
+            match effect:
+                case ToCaller(flow, datagram):
+                    self.callers.sendto(datagram, tuple(flow_address(flow)))
+                case OpenFlow(flow):
+                    self.sockets[flow] = self._open(('127.0.0.1', 0))
+                    self.sockets[flow].connect(self.upstream_address)
+                    self.loop.add_reader(
+                        self.sockets[flow], self._on_upstream, flow
+                    )
+                case CloseFlow(flow):
+                    self._close(self.sockets.pop(flow))
+                case ToUpstream(flow, datagram):
+                    self.sockets[flow].send(datagram)
+                case _:
+                    self.counts.append(effect)
+
+    def _close(self, opened):
+        self.loop.remove_reader(opened)
+        opened.close()
+
+    def stop(self):
+        self.ticker.cancel()
+        for opened in [self.callers, *self.sockets.values()]:
+            self._close(opened)
+
+
+@contextlib.asynccontextmanager
+async def running_upstream(name='u1', service_s=0.01, sheds=True, slots=20):
+    address = free_address()
+    upstream = Upstream(name, Capacity(slots, 0.0, 0.0), service_s, sheds)
+    context, changes = await serve(upstream, address, 0.05)
+    upstream.address = address
+    try:
+        yield upstream
+    finally:
+        changes.cancel()
+        await context.shutdown()
+
+
+@contextlib.asynccontextmanager
+async def running_agent(gate, upstream):
+    agent = LoopbackAgent(gate, upstream.address)
+    try:
+        yield agent
+    finally:
+        agent.stop()
