--- a/ibispitch/catalogue/documents.py
+++ b/ibispitch/catalogue/documents.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from ibispitch.ids import parse_address
+
 #: How many edit ids a document remembers, to settle lost answers.
 EDIT_HISTORY = 16
 
@@ -65,3 +67,111 @@
 
     name: Name
     state: DatacentreState
+
+
+class Edit(msgspec.Struct, frozen=True):
+    """Who made an edit, and when.
+
+    :param edit_id: unique id.
+    :param operator: name of the person or token.
+    :param time: UTC in the form of ISO 8601, by the clock of the host that
+        made the edit; for people only, no decision depends on it.
+    """
+
+    edit_id: str
+    operator: str
+    time: str
+
+    def __str__(self):
+        return f'edit {self.edit_id} by {self.operator} at {self.time}'
+
+
+class EntryDocument(msgspec.Struct, frozen=True):
+    """Value of ``entries/<service>`` in the store.
+
+    :param entry: the entry, ``None`` after its removal.
+    :param edit: the edit that wrote this document.
+    :param edit_ids: ids of the last edits, this one last, at most
+        :data:`EDIT_HISTORY`.
+    """
+
+    edit: Edit
+    edit_ids: list[str]
+    entry: Entry | None = None
+
+
+class DatacentreDocument(msgspec.Struct, frozen=True):
+    """Value of ``datacentres/<name>`` in the store; see above."""
+
+    edit: Edit
+    edit_ids: list[str]
+    datacentre: Datacentre
+
+
+Document = EntryDocument | DatacentreDocument
+
+#: First part of a key, and the type of its documents.
+type_by_kind: dict[str, type[Document]] = {
+    'entries': EntryDocument,
+    'datacentres': DatacentreDocument,
+}
+
+
+class DocumentError(ValueError):
+    """A value in the store that is not a document of its key."""
+
+
+def cluster_prefix(cluster: str) -> str:
+    """Return the prefix of all keys of an installation."""
+    return f'ibispitch/{cluster}/'
+
+
+def entry_key(service: str) -> str:
+    """Return the key of an entry below the cluster prefix."""
+    return f'entries/{service}'
+
+
+def datacentre_key(name: str) -> str:
+    """Return the key of a data centre below the cluster prefix."""
+    return f'datacentres/{name}'
+
+
+def split_key(key: str) -> tuple[str, str]:
+    """Return kind and name of a key, with or without the cluster prefix.
+
+    >>> split_key('ibispitch/default/entries/returns')
+    ('entries', 'returns')
+    """
+    kind, _, name = key.rpartition('/')
+    return kind.rpartition('/')[2], name
+
+
+def parse_document(key: str, value: bytes) -> Document:
+    """Parse a value of the store.
+
+    :param key: key of an entry or a data centre.
+    :param value: the value.
+    :returns: the document.
+    :raises DocumentError: if the value is not a document of this key.
+    """
+    kind, name = split_key(key)
+    try:
+        document = msgspec.json.decode(value, type=type_by_kind[kind])
+    except (KeyError, msgspec.DecodeError, RecursionError) as error:
+        raise DocumentError(f'{key}: {error}') from error
+    if isinstance(document, DatacentreDocument):
+        found = document.datacentre.name
+    else:
+        found = document.entry.service if document.entry else name
+        _check_addresses(key, document.entry)
+    if found != name:
+        raise DocumentError(f'{key}: the document is about {found!r}')
+    return document
+
+
+def _check_addresses(key: str, entry: Entry | None) -> None:
+    try:
+        for address in entry.addresses if entry else ():
+            parse_address(address)
+    except ValueError as error:
+        raise DocumentError(f'{key}: {error}') from error
--- a/testbed/store.py
+++ b/testbed/store.py
@@ -346,6 +346,8 @@
         found = self.core.select(b64decode(body['key']), end, revision)
         limit = int(body.get('limit', 0)) or len(found)
         answer = self._header()
+        if self.faults.stale_by:
+            answer = {'header': {'revision': str(revision)}}
         if found:
             answer['kvs'] = [_kv_json(item) for item in found[:limit]]
             answer['count'] = str(len(found))
