--- a/ibispitch/membership/messages.py
+++ b/ibispitch/membership/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ibispitch.ids import Address
 from ibispitch.ids import AgentId
 from ibispitch.ids import BalancerId
 from ibispitch.membership.records import AgentRecord
@@ -102,4 +103,15 @@
     superseded: bool
 
 
+@control_message('membership.peer')
+class PeerHello(msgspec.Struct, array_like=True, frozen=True):
+    """First message of a stream between balancers.
+
+    :param control_address: names the sender; its IP number must be that of
+        the connection.
+    """
+
+    control_address: Address
+
+
 SWIM_MESSAGES = (Ping, Ack, PingRequest, Suspicion, Join)
--- /dev/null
+++ b/tests/membership/test_sockets.py
@@ -0,0 +1,247 @@
+"""Leases, gossip and readers over real sockets on loopback."""
+
+import asyncio
+import contextlib
+import itertools
+import time
+
+import pytest
+
+from ibispitch.ids import Address
+from ibispitch.membership.client import MembershipClient
+from ibispitch.membership.reader import CatalogueReader
+from ibispitch.membership.reader import cluster_key
+from ibispitch.membership.reader import read_peers
+from ibispitch.membership.records import AgentRecord
+from ibispitch.membership.records import BalancerRecord
+from ibispitch.membership.records import MemberState
+from ibispitch.membership.server import MembershipServer
+from ibispitch.settings.programs import MetricsSettings
+from ibispitch.store import StoreClient
+from ibispitch.telemetry import Metrics
+from ibispitch.wire import Keyring
+from testbed.store import Faults
+from testbed.store import StoreServer
+
+KEYRING = Keyring([b'k' * 16])
+PORTS = itertools.count(21000 + time.time_ns() % 9000)
+
+
+class Catalogue:
+    """Relative of ``CatalogueState`` that keeps raw values."""
+
+    datacentres_out = frozenset()
+
+    def __init__(self):
+        self.by_key = {}
+
+    def apply(self, key, mod_revision, value):
+        assert mod_revision > self.by_key.get(key, (0,))[0]
+        self.by_key[key] = (mod_revision, value)
+        return True
+
+    def entry(self, service):
+        return None
+
+
+class Fleet:
+    """Balancers and agents of one test, stopped at its end."""
+
+    def __init__(self):
+        self.metrics = Metrics(MetricsSettings(exporter='none'), 'test')
+        self.port = next(PORTS)
+        self.seeds = []
+        self.servers = []
+        self.clients = []
+
+    async def balancer(self, number):
+        ip = f'127.0.7.{number}'
+        record = BalancerRecord(
+            balancer_id=f'b{number}',
+            datacentre='accra',
+            address=Address(ip, 5000),
+            control_address=Address(ip, self.port),
+            admin_address=Address(ip, 8000),
+            incarnation=time.time_ns(),
+            sequence=1,
+            state=MemberState.ACTIVE,
+        )
+        server = MembershipServer(
+            record, list(self.seeds), KEYRING, Catalogue(), self.metrics
+        )
+        await server.start()
+        self.seeds.append(record.control_address)
+        self.servers.append(server)
+        return server
+
+    async def agent(self, name):
+        record = AgentRecord(
+            agent_id=name,
+            service='bench',
+            datacentre='accra',
+            address=Address('127.0.7.100', 5000),
+            incarnation=time.time_ns(),
+            sequence=0,
+            state=MemberState.ACTIVE,
+            slots=1,
+            connections=2000,
+            parent='',
+        )
+        client = MembershipClient(record, self.seeds, KEYRING, self.metrics)
+        await client.start()
+        self.clients.append(client)
+        return client
+
+    async def crash(self, server):
+        """Stop a balancer without a word to anyone."""
+        server._socket.close()
+        server._send = lambda effect: None
+        for task in list(server._tasks):
+            task.cancel()
+        server._server.close()
+        self.servers.remove(server)
+        await asyncio.sleep(0)
+
+    async def stop(self):
+        for client in self.clients:
+            await client.stop()
+        for server in self.servers:
+            await server.stop()
+
+
+@pytest.fixture
+async def fleet():
+    fleet = Fleet()
+    yield fleet
+    await fleet.stop()
+
+
+async def until(condition, seconds):
+    """Wait for a condition and return the seconds that it took."""
+    start = time.monotonic()
+    while not condition():
+        assert time.monotonic() - start < seconds, 'not in time'
+        await asyncio.sleep(0.02)
+    return time.monotonic() - start
+
+
+def _agents_in_view(client):
+    return {agent.agent_id for agent in client.view.agents}
+
+
+def _state(server, agent_id):
+    record = server.core.agents.get(agent_id)
+    return record and record.state
+
+
+async def test_agent_changes_parent_and_lapses(fleet):
+    """A lost parent must not lose its agents; a dead agent must leave the
+    views of the others.
+    """
+    servers = [await fleet.balancer(number) for number in (1, 2, 3)]
+    clients = [await fleet.agent(name) for name in ('a1', 'a2')]
+    await until(
+        lambda: all(
+            client.view and _agents_in_view(client) == {'a1', 'a2'}
+            for client in clients
+        ),
+        5,
+    )
+    parent = next(
+        server
+        for server in servers
+        if server.core.record.control_address == clients[0].parent
+    )
+    old_version = clients[0].view.version
+    await fleet.crash(parent)
+    left = [server for server in servers if server is not parent]
+    took = await until(
+        lambda: (
+            clients[0].parent
+            not in (
+                None,
+                parent.core.record.control_address,
+            )
+        ),
+        4,
+    )
+    assert took < 3, 'the lease would have lapsed'
+    assert clients[0].view.version > old_version
+    await until(
+        lambda: all(
+            parent.core.self_id
+            not in {r.balancer_id for r in server.core.present_balancers()}
+            for server in left
+        ),
+        10,
+    )
+    for server in left:
+        assert _state(server, 'a1') is MemberState.ACTIVE
+    await clients[0].stop()
+    await until(lambda: _agents_in_view(clients[1]) == {'a2'}, 6)
+    assert _state(left[0], 'a1') is MemberState.LOST
+
+
+async def test_clean_stops_are_seen_at_once(fleet):
+    """A planned stop must not wait for a lease or for the detector."""
+    first = await fleet.balancer(1)
+    second = await fleet.balancer(2)
+    client = await fleet.agent('a1')
+    await until(lambda: _state(second, 'a1') is MemberState.ACTIVE, 5)
+    await until(lambda: _state(first, 'a1') is MemberState.ACTIVE, 5)
+    client.set_state(MemberState.DRAINING)
+    await until(lambda: _state(first, 'a1') is MemberState.DRAINING, 1)
+    await until(lambda: _state(second, 'a1') is MemberState.DRAINING, 1)
+    await client.leave()
+    await until(lambda: _state(first, 'a1') is MemberState.LEFT, 1)
+    await until(lambda: _state(second, 'a1') is MemberState.LEFT, 1)
+    fleet.servers.remove(second)
+    await second.stop()
+    await until(
+        lambda: first.core.balancers['b2'].state is MemberState.LEFT, 1
+    )
+
+
+async def test_reader_survives_an_outage(fleet):
+    """An edit must reach a balancer that does not read the store, also
+    after an outage, and a starting process must find peers.
+    """
+    async with contextlib.AsyncExitStack() as stack:
+        store = await stack.enter_async_context(StoreServer())
+        client = await stack.enter_async_context(
+            StoreClient([store.address], timeout_s=0.5)
+        )
+        key = cluster_key('default', 'entries/bench')
+        await client.put(key, b'one')
+        servers = [await fleet.balancer(number) for number in (1, 2, 3)]
+        await until(
+            lambda: all(len(s.core.present_balancers()) == 3 for s in servers),
+            5,
+        )
+        readers = [
+            CatalogueReader(server, client, 'default', fleet.metrics)
+            for server in servers
+        ]
+        for reader in readers:
+            await reader.start()
+            stack.push_async_callback(reader.stop)
+        assert [reader.rank for reader in readers].count(None) == 1
+
+        def has(value):
+            return lambda: all(
+                server.catalogue.by_key.get('entries/bench', (0, b''))[1]
+                == value
+                for server in servers
+            )
+
+        await until(has(b'one'), 3)
+        await until(lambda: store.calls['/v3/kv/txn'], 3)
+        peers = await read_peers(client, 'default')
+        assert sorted(peers) == sorted(fleet.seeds)
+        store.set_faults(Faults(down=True))
+        store.break_watches()
+        await asyncio.sleep(1)
+        assert has(b'one')()
+        store.set_faults(Faults())
+        await client.put(key, b'two')
+        await until(has(b'two'), 6)
