Let the ramp start from nothing and peers decline

Cause: an upstream that bears time over ramp, and at least a tenth, bears less than a ramp that adds the cold value on top. The gate gives a request a new run id after a peer declined it, so the core cannot know which peers were asked.

Change: the limit and the new flows follow the greater of the cold share and the ramp.

--- a/ibispitch/admission/concurrency.py
+++ b/ibispitch/admission/concurrency.py
@@ -98,9 +98,9 @@
 class ConcurrencyLimit:
     """How many requests may run at the upstream at once.
 
-    The limit starts at a cold value and ramps to the slots as runs
-    succeed. Refused connections, timeouts, 5.03 answers and slow requests
-    restart it. What the upstream says of its own health is not an input.
+    The limit stays at a cold value until the ramp, which leads from
+    nothing to the slots as runs succeed, has passed it. Refused
+    connections, timeouts, 5.03 answers and slow requests restart it. What the upstream says of its own health is not an input.
 
     A limit below 1 is a duty cycle: one run at a time, then idle for as
     long as makes the busy share equal to the limit.
@@ -132,9 +132,7 @@
     @property
     def value(self) -> float:
         """The limit, fractional while the upstream ramps."""
-        return self.slots * (
-            self._cold_share + (1.0 - self._cold_share) * self._progress
-        )
+        return self.slots * max(self._cold_share, self._progress)
 
     @property
     def is_ramping(self) -> bool:
--- a/ibispitch/admission/core.py
+++ b/ibispitch/admission/core.py
@@ -1,5 +1,6 @@
 """Decisions of an agent on requests and new flows."""
 
+from collections.abc import Collection
 from collections.abc import Iterable
 import itertools
 import random
@@ -107,8 +108,6 @@
         self._sequence = itertools.count(incarnation // 1_000_000 + 1)
         self._holding: set[RunId] = set()
         self._waiting: dict[RunId, _Waiting] = {}
-        #: Peers that were asked for a request which is not decided yet.
-        self._asked: dict[RunId, tuple[float, set[AgentId]]] = {}
         self._refused = _DecayingCount(now)
         self._completed = _DecayingCount(now)
 
@@ -136,27 +135,22 @@
         The order is: a free slot here, a peer that is known to have one, a
         short wait, a peer that may have one, refusal.
 
-        When a peer did not run the request, ``decide`` is asked again with
-        the same request. After ``MAX_DELEGATIONS`` peers it is decided
-        here.
+        After ``MAX_DELEGATIONS`` peers have declined the request, it is
+        decided here.
 
         :param request: what is known of the request.
         :param now: time in seconds.
         :returns: the decision; ``RunHere`` and ``Wait`` reserve it.
         """
         self._waiting.pop(request.run_id, None)
-        _, asked = self._asked.pop(request.run_id, (0.0, set()))
-        decision = self._decide(request, asked, now)
+        decision = self._decide(request, now)
         if isinstance(decision, RunAt):
             self.loads.run_sent(decision.agent_id, now)
-            asked.add(decision.agent_id)
-            self._asked[request.run_id] = (request.deadline, asked)
         return decision
 
-    def _decide(
-        self, request: RequestInfo, asked: set[AgentId], now: float
-    ) -> Decision:
-        may_delegate = not request.pinned and len(asked) < MAX_DELEGATIONS
+    def _decide(self, request: RequestInfo, now: float) -> Decision:
+        declined = request.declined
+        may_delegate = not request.pinned and len(declined) < MAX_DELEGATIONS
         if request.deadline <= now:
             return self._refuse(now)
         if not self._waiting and self.limit.may_start(self.in_flight, now):
@@ -164,11 +158,11 @@
             return RunHere()
         if request.delegated:
             return self._refuse(now)
-        if may_delegate and (peer := self._free_peer(asked, now)):
+        if may_delegate and (peer := self._free_peer(declined, now)):
             return RunAt(peer)
         if wait := self._wait(request, now):
             return wait
-        if may_delegate and (peer := self._probe(asked, now)):
+        if may_delegate and (peer := self._probe(declined, now)):
             return RunAt(peer)
         return self._refuse(now)
 
@@ -212,11 +206,6 @@
             if now > waiting.until + FORGET_S
         ]:
             del self._waiting[run_id]
-        self._asked = {
-            run_id: item
-            for run_id, item in self._asked.items()
-            if now <= item[0] + FORGET_S
-        }
         ready: list[RunId] = []
         while self.limit.may_start(self.in_flight, now):
             run_id = self._next_waiting(now)
@@ -273,11 +262,13 @@
         ]
         return min(alive)[2] if alive else None
 
-    def _free_peer(self, asked: set[AgentId], now: float) -> AgentId | None:
+    def _free_peer(
+        self, declined: Collection[AgentId], now: float
+    ) -> AgentId | None:
         free_by_id = {
             agent_id: load.free
             for agent_id in self.loads.peers
-            if agent_id not in asked
+            if agent_id not in declined
             and (load := self.loads.load(agent_id, now))
             and load.free > 0
         }
@@ -287,12 +278,14 @@
             0
         ]
 
-    def _probe(self, asked: set[AgentId], now: float) -> AgentId | None:
+    def _probe(
+        self, declined: Collection[AgentId], now: float
+    ) -> AgentId | None:
         """Return the peer whose load is known least, if any is uncertain.
 
         One such peer is asked for a request.
         """
-        if asked:
+        if declined:
             return None
         age_by_id = {
             agent_id: load.age_s if load else self.loads.max_age_s
--- a/ibispitch/admission/flows.py
+++ b/ibispitch/admission/flows.py
@@ -32,8 +32,7 @@
     def share(self, now: float) -> float:
         """Return the share of the connections that the ramp allows."""
         elapsed = max(0.0, now - self._restarted_at)
-        progress = min(1.0, elapsed / self.ramp_s)
-        return COLD_SHARE + (1.0 - COLD_SHARE) * progress
+        return min(1.0, max(COLD_SHARE, elapsed / self.ramp_s))
 
     def room(self, now: float) -> int:
         """Return how many flows may be opened now."""
--- a/tests/admission/test_core.py
+++ b/tests/admission/test_core.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
+import msgspec
 import pytest
 
 from ibispitch.admission.core import AdmissionCore
@@ -251,6 +252,7 @@
         while isinstance(decision := core.decide(request, self.now), RunAt):
             assert decision.agent_id not in asked
             asked.append(decision.agent_id)
+            request = msgspec.structs.replace(request, declined=tuple(asked))
             peer = self.core_by_id[decision.agent_id]
             options = {'run_id': request.run_id, 'flow': request.flow}
             options['deadline'] = request.deadline
