--- a/ibispitch/admission/concurrency.py
+++ b/ibispitch/admission/concurrency.py
@@ -100,7 +100,8 @@
 
     The limit stays at a cold value until the ramp, which leads from
     nothing to the slots as runs succeed, has passed it. Refused
-    connections, timeouts, 5.03 answers and slow requests restart it. What the upstream says of its own health is not an input.
+    connections, timeouts, 5.03 answers and slow requests restart it. What
+    the upstream says of its own health is not an input.
 
     A limit below 1 is a duty cycle: one run at a time, then idle for as
     long as makes the busy share equal to the limit.
