--- a/testbed/upstream.py
+++ b/testbed/upstream.py
@@ -11,6 +11,7 @@
 import logging
 import signal
 import time
+from typing import TextIO
 
 import aiocoap
 from aiocoap import Message
@@ -80,6 +81,7 @@
         self.sheds = sheds
         self.clock = clock
         self.draining = False
+        self.audit: TextIO | None = None
         self.counts: Counter[str] = Counter()
         self.runs: Counter[str] = Counter()
         self.running = 0
@@ -112,7 +114,7 @@
         raw_id = coap.opaque_option(request, coap.REQUEST_ID)
         request_id = raw_id.hex() if raw_id is not None else ''
         if request_id:
-            self.runs[request_id] += 1
+            self._note_run(request_id)
         self.counts['run'] += 1
         self.running += 1
         self.max_running = max(self.max_running, self.running)
@@ -137,6 +139,13 @@
         fields |= body(request_id)
         return Message(payload=json.dumps(fields).encode())
 
+    def _note_run(self, request_id: str) -> None:
+        """Count a run, also in the audit file, which outlives a kill."""
+        self.runs[request_id] += 1
+        if self.audit is not None:
+            self.audit.write(f'{request_id}\n')
+            self.audit.flush()
+
     def cancel(self, request_id: str) -> bool:
         """Cancel a running request.
 
@@ -370,8 +379,17 @@
     show_default=True,
 )
 @click.option('--warm', is_flag=True, help='Start at full capacity.')
+@click.option('--audit', default=None, help='File that gets each run id.')
 def main(
-    address, name, slots, ramp_s, service_ms, feed_period_s, overload, warm
+    address,
+    name,
+    slots,
+    ramp_s,
+    service_ms,
+    feed_period_s,
+    overload,
+    warm,
+    audit,
 ):
     """Serve as a stand-in upstream until SIGTERM."""
     logging.getLogger('coap-server').setLevel(logging.ERROR)
@@ -381,6 +399,8 @@
     upstream = Upstream(
         name or address, capacity, service_ms / 1000, overload == 'shed'
     )
+    if audit is not None:
+        upstream.audit = open(audit, 'a')
     asyncio.run(_serve_until_signal(upstream, bind, feed_period_s))
 
 
