Add the scenario, the demo and tests of the whole path

Cause: the whole path must be shown with real processes and failures.

Change: scenario with feeds, requests and an audit of all runs; the demo kills a balancer, takes a data centre out and back and drains an upstream; tests with processes.

--- a/testbed/callers.py
+++ b/testbed/callers.py
@@ -268,10 +268,19 @@
         )
 
     async def observe(self, path: str, timeout_s: float = 10.0):
-        """Open a feed.
+        """Open a feed; one that is refused is tried again when asked to.
 
         :returns: the :class:`Feed`, or ``None`` if it was not accepted.
         """
+        end = time.monotonic() + timeout_s
+        while time.monotonic() < end:
+            feed, retry_after_s = await self._register(path, timeout_s)
+            if feed is not None:
+                return feed
+            await asyncio.sleep(retry_after_s)
+        return None
+
+    async def _register(self, path: str, timeout_s: float):
         message = self._message(GET, path, b'')
         message.opt.observe = 0
         feed = Feed()
@@ -279,8 +288,9 @@
         response, _ = await self._exchange(message, timeout_s)
         if response is None or response.opt.observe is None:
             del self._feed_by_token[message.token]
-            return None
-        return feed
+            max_age_s = response.opt.max_age if response else None
+            return None, float(max_age_s or 1.0)
+        return feed, 0.0
 
     def close(self) -> None:
         """Close the socket."""
--- /dev/null
+++ b/testbed/demo.py
@@ -0,0 +1,208 @@
+"""``ibispitch-demo``: the whole path on loopback, with failures.
+
+Starts a store, balancers, agents and upstreams as separate processes, keeps
+feeds and requests going while things fail, and prints a summary. The exit
+code is 1 if something happened that must not happen.
+"""
+
+import asyncio
+from pathlib import Path
+import signal
+import sys
+import tempfile
+import time
+
+import click
+from tabulate import tabulate
+
+from ibispitch.caller import CallerSession
+from ibispitch.caller import Result
+from ibispitch.catalogue.documents import DatacentreState
+from ibispitch.ids import Address
+from testbed.callers import Outcome
+from testbed.deployment import ASANTE
+from testbed.deployment import Deployment
+from testbed.deployment import OMAHEKE
+from testbed.deployment import Shape
+from testbed.fabric import Fabric
+from testbed.scenario import Report
+from testbed.scenario import Scenario
+
+NETWORK = 60
+FEEDS = 60
+SUBMITTERS = 12
+SUBMIT_INTERVAL_S = 0.3
+SCAN_BYTES = 40_000
+#: A fabric stops to send to a dead balancer after its health check.
+HEALTH_CHECK_S = 1.0
+SETTLE_S = 4.0
+SHAPES = {'omaheke': OMAHEKE, 'asante': ASANTE}
+
+
+class Progress:
+    """Prints a line for each step."""
+
+    def __init__(self):
+        self._start = time.monotonic()
+
+    def __call__(self, text: str) -> None:
+        """Print a line with the seconds since the start."""
+        elapsed = time.monotonic() - self._start
+        click.echo(f'[{elapsed:5.1f} s] {text}')
+
+
+class Demo:
+    """The steps of the demonstration.
+
+    :param scenario: deployment and load.
+    :param say: prints progress.
+    """
+
+    def __init__(self, scenario: Scenario, say: Progress):
+        self._scenario = scenario
+        self._deployment = scenario.deployment
+        self._say = say
+        shape = self._deployment.shape
+        self._service, self._uploads = shape.services
+
+    async def run(self) -> None:
+        """Run all steps."""
+        scenario, say = self._scenario, self._say
+        await scenario.start()
+        processes = len(self._deployment.supervisor.process_by_name)
+        say(f'{processes} processes are up and serve')
+        opened = await scenario.open_feeds(self._service, FEEDS)
+        say(f'{opened} of {FEEDS} feeds are open')
+        scenario.submit_steadily(self._service, SUBMITTERS, SUBMIT_INTERVAL_S)
+        await self._upload()
+        await asyncio.sleep(SETTLE_S)
+        await self._kill_balancer()
+        await self._datacentre_out_and_back()
+        await self._drain_upstream()
+        await scenario.stop_load()
+        await asyncio.sleep(SETTLE_S)
+
+    async def _upload(self) -> None:
+        """Upload a scan through a fabric with a CoAP client library."""
+        fabric = Fabric(self._scenario.rng)
+        fabric.set_balancers(self._scenario.spray.balancers)
+        front = Address(f'127.{NETWORK}.8.1', self._uploads.port)
+        fabric.listen(front)
+        local = Address(f'127.{NETWORK}.8.2', 0)
+        async with CallerSession(front, local) as session:
+            body = self._scenario.rng.randbytes(SCAN_BYTES)
+            outcome = await session.upload(('scan',), body)
+        fabric.close()
+        is_whole = isinstance(outcome, Result) and outcome.is_success
+        self._say(
+            f'scan of {SCAN_BYTES} bytes: {"stored" if is_whole else outcome}'
+        )
+        if not is_whole:
+            self._scenario.mismatched += 1
+
+    async def _kill_balancer(self) -> None:
+        name = next(iter(self._deployment.balancer_ips))
+        ip = self._deployment.balancer_ips[name]
+        self._deployment.supervisor.kill(name)
+        self._say(f'{name} killed')
+        await asyncio.sleep(HEALTH_CHECK_S)
+        self._scenario.spray.balancers.remove(ip)
+        await asyncio.sleep(SETTLE_S)
+        self._deployment.start_balancer(name)
+        await asyncio.sleep(SETTLE_S)
+        self._scenario.spray.balancers.append(ip)
+        self._say(f'{name} is back')
+
+    async def _datacentre_out_and_back(self) -> None:
+        name = self._deployment.shape.datacentres[-1]
+        hosts = [h for h in self._deployment.hosts if h.datacentre == name]
+        self._scenario.give_up(hosts)
+        await self._set_datacentre(name, DatacentreState.OUT)
+        await asyncio.sleep(SETTLE_S)
+        before = await self._packets(hosts)
+        await asyncio.sleep(SETTLE_S)
+        late = await self._packets(hosts) - before
+        self._say(f'{late} packets reached {name} {SETTLE_S:.0f} s later')
+        self._scenario.wrong_service += late
+        await self._set_datacentre(name, DatacentreState.IN)
+        await asyncio.sleep(SETTLE_S)
+
+    async def _set_datacentre(self, name: str, state: DatacentreState):
+        editor = self._scenario.editor
+        edit = editor.out if state is DatacentreState.OUT else editor.back
+        result = await edit(name)
+        self._say(f'{name} {state.value}: {result.default_with(str)}')
+
+    async def _packets(self, hosts) -> int:
+        """Packets that the agents passed to their upstreams or answered."""
+        states = await self._scenario.agent_states()
+        return sum(
+            states[host.name]['counters'].get('agent.datagrams{path=in}', 0)
+            for host in hosts
+            if host.name in states
+        )
+
+    async def _drain_upstream(self) -> None:
+        host = self._deployment.hosts[0]
+        name = f'agent-{host.name}'
+        self._deployment.supervisor.signal(name, signal.SIGTERM)
+        self._deployment.supervisor.forget(name)
+        self._say(f'{host.name} drains')
+        await asyncio.sleep(2 * SETTLE_S)
+
+
+def summary(report: Report) -> str:
+    """Return the summary as text."""
+    rows = [
+        ('feeds established', report.feeds, ''),
+        ('feeds given up with their data centre', report.given_up, ''),
+        ('broken flows', report.broken, 'must be 0'),
+        ('wrong-service packets', report.wrong_service, 'must be 0'),
+        ('doubled runs', report.doubled, 'must be 0'),
+        ('false refusals', report.false_refusals, 'must be 0'),
+        ('answers to another request', report.mismatched, 'must be 0'),
+    ]
+    rows += [
+        (f'requests: {outcome.value}', report.count_by_outcome[outcome], '')
+        for outcome in Outcome
+    ]
+    for percentile in (50, 90, 99, 100):
+        value_us = report.latency.get_value_at_percentile(percentile)
+        rows.append(
+            (f'latency p{percentile}', f'{value_us / 1000:.1f} ms', '')
+        )
+    return tabulate(rows, tablefmt='plain')
+
+
+async def run_demo(shape: Shape, folder: Path, seed: int) -> Report:
+    """Run the demonstration.
+
+    :param folder: where settings and logs go.
+    :returns: what came of it.
+    """
+    scenario = Scenario(Deployment(shape, folder, NETWORK), seed)
+    try:
+        await Demo(scenario, Progress()).run()
+        dead = scenario.deployment.supervisor.dead()
+        if dead:
+            raise click.ClickException(f'ended by themselves: {dead}')
+        return scenario.report()
+    finally:
+        await scenario.stop()
+
+
+@click.command()
+@click.option('--shape', type=click.Choice(sorted(SHAPES)), default='omaheke')
+@click.option('--seed', default=1, show_default=True)
+@click.option('--folder', default=None, help='Where settings and logs go.')
+def main(shape: str, seed: int, folder: str | None) -> None:
+    """Show requests, feeds and failures on loopback."""
+    path = Path(folder or tempfile.mkdtemp(prefix='ibispitch-demo-'))
+    click.echo(f'logs and settings are in {path}')
+    report = asyncio.run(run_demo(SHAPES[shape], path, seed))
+    click.echo(summary(report))
+    sys.exit(1 if report.violations else 0)
+
+
+if __name__ == '__main__':
+    main()
--- a/testbed/deployment.py
+++ b/testbed/deployment.py
@@ -185,6 +185,8 @@
             str(host.service.slots),
             '--ramp-s',
             str(self.ramp_s),
+            '--audit',
+            str(self.supervisor.folder / f'{host.name}.audit'),
             *arguments,
         )
 
--- /dev/null
+++ b/testbed/scenario.py
@@ -0,0 +1,307 @@
+"""Load on a deployment, and what came of it.
+
+A scenario keeps feeds open, makes requests, lets the caller of this module
+kill, drain and move things, and then compares what callers were told with
+what the upstreams have run.
+"""
+
+import asyncio
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+import ipaddress
+import json
+from pathlib import Path
+import random
+import time
+
+import aiohttp
+from hdrh.histogram import HdrHistogram
+import msgspec
+
+from ibispitch.catalogue.documents import Entry
+from ibispitch.catalogue.editor import Actor
+from ibispitch.catalogue.editor import CatalogueEditor
+from ibispitch.ids import Address
+from ibispitch.store import StoreClient
+from ibispitch.store import StoreError
+from testbed.callers import Answer
+from testbed.callers import Caller
+from testbed.callers import Feed
+from testbed.callers import Outcome
+from testbed.callers import Spray
+from testbed.deployment import ADMIN_PORT
+from testbed.deployment import Deployment
+from testbed.deployment import ServiceShape
+from testbed.deployment import UpstreamHost
+
+#: A feed with a period of 1 s is broken if nothing came for this long;
+#: longer than the detection of a lost balancer and one retransmission.
+FEED_SILENCE_S = 8.0
+READY_TIMEOUT_S = 20.0
+READY_CHECK_S = 0.1
+CALLER_PORT = 4000
+MAX_LATENCY_US = 60_000_000
+
+
+@dataclass
+class FeedUser:
+    """A caller with an open feed."""
+
+    caller: Caller
+    service: ServiceShape
+    feed: Feed
+    upstream: str = ''
+    upstreams: set[str] = field(default_factory=set)
+
+
+@dataclass
+class Report:
+    """What came of a scenario.
+
+    :param feeds: feeds that were established.
+    :param broken: feeds that fell silent and were not given up.
+    :param given_up: feeds whose upstream was taken out or killed.
+    :param wrong_service: answers from an upstream of another service.
+    :param doubled: request ids that ran more than once.
+    :param false_refusals: requests that ran although refused as not run.
+    """
+
+    feeds: int = 0
+    broken: int = 0
+    given_up: int = 0
+    wrong_service: int = 0
+    doubled: int = 0
+    false_refusals: int = 0
+    mismatched: int = 0
+    count_by_outcome: Counter = field(default_factory=Counter)
+    latency: HdrHistogram = field(
+        default_factory=lambda: HdrHistogram(1, MAX_LATENCY_US, 3)
+    )
+
+    @property
+    def violations(self) -> int:
+        """Events that must not happen."""
+        return (
+            self.broken
+            + self.wrong_service
+            + self.doubled
+            + self.false_refusals
+            + self.mismatched
+        )
+
+
+class Scenario:
+    """Callers of one deployment.
+
+    :param deployment: the processes.
+    :param seed: seed of all random choices.
+    """
+
+    def __init__(self, deployment: Deployment, seed: int):
+        self.deployment = deployment
+        self.rng = random.Random(seed)
+        self.spray = Spray(self.rng)
+        self.feeds: list[FeedUser] = []
+        self.answers: list[tuple[float, Answer]] = []
+        self.given_up: set[str] = set()
+        self.wrong_service = 0
+        self.mismatched = 0
+        self.store = StoreClient([str(deployment.store_address)])
+        self.editor = CatalogueEditor(self.store, 'default', Actor('testbed'))
+        self._callers: list[Caller] = []
+        self._http: aiohttp.ClientSession | None = None
+        self._tasks: list[asyncio.Task] = []
+        network = int(deployment.store_address.ip.split('.')[1])
+        self._next_caller = int(
+            ipaddress.IPv4Address(f'127.{network + 100}.0.1')
+        )
+
+    async def start(self) -> None:
+        """Start all processes, write the catalogue, wait until all serve.
+
+        :raises TimeoutError: if a process does not become ready.
+        """
+        self._http = aiohttp.ClientSession()
+        self.deployment.start_store()
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            await self._write_entries()
+            self.deployment.start()
+            for host in self.deployment.hosts:
+                await self.wait_ready(host)
+        self.spray.balancers = list(self.deployment.balancer_ips.values())
+
+    async def _write_entries(self) -> None:
+        for raw in self.deployment.entries():
+            entry = msgspec.convert(raw, Entry)
+            while True:
+                try:
+                    result = await self.editor.set(entry)
+                except StoreError:
+                    result = None
+                if result is not None and result.is_ok():
+                    break
+                await asyncio.sleep(READY_CHECK_S)
+
+    async def wait_ready(self, host: UpstreamHost) -> None:
+        """Wait until an agent serves."""
+        while True:
+            try:
+                state = await self.agent_state(host)
+                if state['view_version']:
+                    return
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(READY_CHECK_S)
+
+    async def agent_state(self, host: UpstreamHost) -> dict:
+        """Return what an agent says of itself."""
+        url = f'http://{host.ip}:{ADMIN_PORT}/v1/state'
+        async with self._http.get(url) as response:
+            return await response.json()
+
+    async def agent_states(self) -> dict[str, dict]:
+        """Return the states of the agents that answer, by name."""
+        result = {}
+        for host in self.deployment.hosts:
+            try:
+                result[host.name] = await self.agent_state(host)
+            except (aiohttp.ClientError, TimeoutError):
+                continue
+        return result
+
+    def new_caller(self, service: ServiceShape) -> Caller:
+        """Return a caller with an address of its own."""
+        ip = str(ipaddress.IPv4Address(self._next_caller))
+        self._next_caller += 1
+        caller = Caller(Address(ip, CALLER_PORT), service.port, self.spray)
+        self._callers.append(caller)
+        return caller
+
+    def _service_prefix(self, service: ServiceShape) -> str:
+        ips = (h.ip for h in self.deployment.hosts if h.service == service)
+        return next(ips).rsplit('.', 1)[0] + '.'
+
+    def _check_service(self, service: ServiceShape, payload: bytes) -> str:
+        """Return the upstream that an answer names; count a wrong one."""
+        try:
+            upstream = json.loads(payload).get('upstream', '')
+        except (ValueError, AttributeError):
+            return ''
+        if upstream and not upstream.startswith(self._service_prefix(service)):
+            self.wrong_service += 1
+        return upstream
+
+    async def open_feeds(self, service: ServiceShape, count: int) -> int:
+        """Open feeds, each from a caller of its own.
+
+        :returns: how many were established.
+        """
+        users = await asyncio.gather(
+            *(self._open_feed(service) for _ in range(count))
+        )
+        established = [user for user in users if user is not None]
+        self.feeds += established
+        return len(established)
+
+    async def _open_feed(self, service: ServiceShape) -> FeedUser | None:
+        caller = self.new_caller(service)
+        user = FeedUser(caller, service, Feed())
+
+        def on_notification(_: Feed, message) -> None:
+            upstream = self._check_service(service, message.payload)
+            if upstream:
+                user.upstream = upstream
+                user.upstreams.add(upstream)
+
+        caller.on_notification = on_notification
+        feed = await caller.observe('/feed')
+        if feed is None:
+            return None
+        user.feed = feed
+        return user
+
+    async def submit(self, caller: Caller, service: ServiceShape) -> Answer:
+        """Make a non-idempotent request and check the answer."""
+        body = self.rng.randbytes(16).hex().encode()
+        answer = await caller.request('/submit', body, timeout_s=8.0)
+        self.answers.append((time.monotonic(), answer))
+        if answer.outcome is Outcome.RESULT:
+            self._check_service(service, answer.payload)
+            fields = json.loads(answer.payload)
+            if fields.get('request_id') != answer.request_id.hex():
+                self.mismatched += 1
+        return answer
+
+    def submit_steadily(
+        self, service: ServiceShape, callers: int, interval_s: float
+    ) -> None:
+        """Make requests from some callers until :meth:`stop_load`."""
+        for _ in range(callers):
+            caller = self.new_caller(service)
+            self._tasks.append(
+                asyncio.ensure_future(
+                    self._submit_forever(caller, service, interval_s)
+                )
+            )
+
+    async def _submit_forever(self, caller, service, interval_s) -> None:
+        while True:
+            answer = await self.submit(caller, service)
+            pause = interval_s * self.rng.uniform(0.5, 1.5)
+            await asyncio.sleep(max(pause, min(2.0, answer.retry_after_s)))
+
+    async def stop_load(self) -> None:
+        """Stop the callers of :meth:`submit_steadily`."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks.clear()
+
+    def give_up(self, hosts: Iterable[UpstreamHost]) -> None:
+        """Expect feeds at these upstreams to end."""
+        self.given_up |= {str(host.upstream) for host in hosts}
+
+    def report(self) -> Report:
+        """Compare what callers were told with what upstreams have run."""
+        report = Report(
+            feeds=len(self.feeds),
+            wrong_service=self.wrong_service,
+            mismatched=self.mismatched,
+        )
+        now = time.monotonic()
+        for user in self.feeds:
+            if user.upstreams & self.given_up:
+                report.given_up += 1
+            elif now - user.feed.last > FEED_SILENCE_S:
+                report.broken += 1
+        runs = read_audit(self.deployment.supervisor.folder)
+        report.doubled = sum(count > 1 for count in runs.values())
+        for _, answer in self.answers:
+            report.count_by_outcome[answer.outcome] += 1
+            if answer.outcome is Outcome.RESULT:
+                report.latency.record_value(int(answer.latency_s * 1e6))
+            is_refused = answer.outcome is Outcome.NOT_RUN
+            if is_refused and answer.request_id.hex() in runs:
+                report.false_refusals += 1
+        return report
+
+    async def stop(self) -> None:
+        """Stop callers and processes."""
+        await self.stop_load()
+        for caller in self._callers:
+            caller.close()
+        if self._http is not None:
+            await self._http.close()
+        await self.store.close()
+        self.deployment.stop()
+
+
+def read_audit(folder: Path) -> Counter:
+    """Return how often each request id ran, over all upstreams."""
+    return Counter(
+        line
+        for path in folder.glob('*.audit')
+        for line in path.read_text().splitlines()
+    )
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,58 @@
+"""The whole path as separate processes."""
+
+import asyncio
+import random
+
+import pytest
+
+from testbed.callers import Outcome
+from testbed.deployment import Deployment
+from testbed.deployment import OMAHEKE
+from testbed.scenario import Scenario
+
+pytestmark = pytest.mark.process
+
+SETTLE_S = 2.0
+
+
+async def test_requests_feeds_and_a_killed_balancer(tmp_path):
+    """A killed balancer must break no feed and double no request."""
+    scenario = Scenario(Deployment(OMAHEKE, tmp_path, 71), seed=7)
+    service = OMAHEKE.services[0]
+    try:
+        await scenario.start()
+        assert await scenario.open_feeds(service, 20) == 20
+        scenario.submit_steadily(service, 4, 0.1)
+        await asyncio.sleep(SETTLE_S)
+        name, ip = next(iter(scenario.deployment.balancer_ips.items()))
+        scenario.deployment.supervisor.kill(name)
+        scenario.spray.balancers.remove(ip)
+        await asyncio.sleep(4 * SETTLE_S)
+        await scenario.stop_load()
+        report = scenario.report()
+        assert report.violations == 0, report
+        assert report.count_by_outcome[Outcome.RESULT] > 50
+        assert report.count_by_outcome[Outcome.NO_ANSWER] == 0
+        assert scenario.deployment.supervisor.dead() == []
+    finally:
+        await scenario.stop()
+
+
+async def test_lost_and_doubled_packets_run_nothing_twice(tmp_path):
+    """Loss and duplication in the fabric must not double a request."""
+    scenario = Scenario(Deployment(OMAHEKE, tmp_path, 72), seed=8)
+    service = OMAHEKE.services[0]
+    try:
+        await scenario.start()
+        scenario.spray.rng = random.Random(8)
+        scenario.spray.drop = 0.1
+        scenario.spray.duplicate = 0.2
+        scenario.submit_steadily(service, 20, 0.1)
+        await asyncio.sleep(4 * SETTLE_S)
+        await scenario.stop_load()
+        report = scenario.report()
+        assert report.doubled == 0, report
+        assert report.false_refusals == 0, report
+        assert report.count_by_outcome[Outcome.RESULT] > 50
+    finally:
+        await scenario.stop()
