Add the agent's affinity core in a first form

Cause: the programs need the interface to be joined.

Change: slot authority by ballots (term, agent), pulls and paged entries, directory of exceptions, pending buffer, relay, adoption and refusal, flow claims, releases and idle flows. testbed.affinity_network runs cores over a network that loses, duplicates, delays and reorders.

--- /dev/null
+++ b/ibispitch/affinity/directory.py
@@ -0,0 +1,61 @@
+"""Owners of flows that are not owned by the authority of their slot."""
+
+from collections.abc import Collection
+from collections.abc import Iterator
+
+from ibispitch.ids import AgentId
+from ibispitch.ids import FlowId
+
+
+class Directory:
+    """Owners by slot and flow, for the slots of this agent only."""
+
+    def __init__(self):
+        self._by_slot: dict[int, dict[FlowId, AgentId]] = {}
+
+    def __len__(self) -> int:
+        return sum(len(owners) for owners in self._by_slot.values())
+
+    def __iter__(self) -> Iterator[tuple[int, FlowId, AgentId]]:
+        for slot, owners in self._by_slot.items():
+            for flow, owner in owners.items():
+                yield slot, flow, owner
+
+    def get(self, slot: int, flow: FlowId) -> AgentId | None:
+        """Return the owner of a flow."""
+        owners = self._by_slot.get(slot)
+        return owners.get(flow) if owners else None
+
+    def set(self, slot: int, flow: FlowId, owner: AgentId) -> None:
+        """Note the owner of a flow."""
+        self._by_slot.setdefault(slot, {})[flow] = owner
+
+    def remove(self, slot: int, flow: FlowId) -> None:
+        """Forget a flow."""
+        owners = self._by_slot.get(slot)
+        if owners is not None:
+            owners.pop(flow, None)
+            if not owners:
+                del self._by_slot[slot]
+
+    def retain(
+        self, slot: int, owner: AgentId, flows: Collection[FlowId]
+    ) -> None:
+        """Forget those flows of an owner in a slot that are not given."""
+        for flow, known in list(self._by_slot.get(slot, {}).items()):
+            if known == owner and flow not in flows:
+                self.remove(slot, flow)
+
+    def clear(self, slot: int) -> None:
+        """Forget a slot that has another authority."""
+        self._by_slot.pop(slot, None)
+
+    def forget(self, owners: Collection[AgentId]) -> None:
+        """Forget the flows of agents that left."""
+        for slot, flow, owner in list(self):
+            if owner in owners:
+                self.remove(slot, flow)
+
+    def clear_all(self) -> None:
+        """Forget everything."""
+        self._by_slot.clear()
--- /dev/null
+++ b/ibispitch/affinity/effects.py
@@ -0,0 +1,121 @@
+"""Packets as the affinity core sees them, and the effects it asks for."""
+
+import enum
+from typing import Any
+from typing import NamedTuple
+
+from ibispitch.ids import AgentId
+from ibispitch.ids import FlowId
+from ibispitch.wire.frames import FrameFlag
+
+#: Flag of a packet that comes back because the receiver did not adopt it.
+REFUSED_FLAG = 2
+
+#: The upper six bits of the flags hold the low bits of a term.
+TERM_SHIFT = 2
+TERM_MASK = 0x3F
+
+
+class Packet(NamedTuple):
+    """A caller's packet.
+
+    :param flow: flow of the packet.
+    :param hops: how often it was relayed between agents.
+    :param adopt: whether the authority of the slot placed the flow here.
+    :param sender: the agent that relayed it, ``None`` if it came from a
+        balancer or from an address of no known agent.
+    :param balancer: balancer that took it in.
+    :param payload: not interpreted here.
+    :param refused: whether the sender refused to adopt the flow.
+    :param term: low bits of the term of an adoption or a refusal.
+    """
+
+    flow: FlowId
+    hops: int
+    adopt: bool
+    sender: AgentId | None
+    balancer: bytes
+    payload: Any
+    refused: bool = False
+    term: int = 0
+
+    @property
+    def flags(self) -> int:
+        """Flags of the frame that carries the packet.
+
+        >>> packet = Packet(FlowId(b''), 0, True, None, b'', b'', False, 5)
+        >>> packet.flags
+        21
+        >>> packet.with_flags(22)[-2:], packet.with_flags(22).adopt
+        ((True, 5), False)
+        """
+        return (
+            (int(FrameFlag.ADOPT) if self.adopt else 0)
+            | (REFUSED_FLAG if self.refused else 0)
+            | self.term << TERM_SHIFT
+        )
+
+    def with_flags(self, flags: int) -> 'Packet':
+        """Return the packet with the flags of a frame."""
+        return self._replace(
+            adopt=bool(flags & FrameFlag.ADOPT),
+            refused=bool(flags & REFUSED_FLAG),
+            term=flags >> TERM_SHIFT,
+        )
+
+
+class DropReason(enum.Enum):
+    """Why a packet was dropped; used as metric label."""
+
+    DATACENTRE_OUT = 'datacentre_out'
+    HOP_LIMIT = 'hop_limit'
+    NO_HOME = 'no_home'
+    NO_CANDIDATE = 'no_candidate'
+    BUFFER_FULL = 'buffer_full'
+    HELD_TOO_LONG = 'held_too_long'
+    BOUNCED = 'bounced'
+
+
+class Deliver(NamedTuple):
+    """Give a packet to the gate.
+
+    :param is_new: whether the flow was adopted with this packet.
+    """
+
+    packet: Packet
+    is_new: bool
+
+
+class Relay(NamedTuple):
+    """Send a packet to another agent.
+
+    :param packet: with the hops and flags that the frame must carry.
+    :param adopt: the same as ``packet.adopt``.
+    """
+
+    to: AgentId
+    packet: Packet
+    adopt: bool
+
+
+class SendMessage(NamedTuple):
+    """Send a control message to another agent."""
+
+    to: AgentId
+    message: Any
+
+
+class CloseFlow(NamedTuple):
+    """Close a flow whose ownership ended."""
+
+    flow: FlowId
+
+
+class Drop(NamedTuple):
+    """Count a packet that is dropped."""
+
+    packet: Packet
+    reason: DropReason
+
+
+Effect = Deliver | Relay | SendMessage | CloseFlow | Drop
--- a/ibispitch/routing/slots.py
+++ b/ibispitch/routing/slots.py
@@ -87,6 +87,10 @@
         """Return the home of a slot, ``None`` if there are no agents."""
         return self.agents[self.homes[slot]]
 
+    def index_of(self, agent: AgentId) -> int | None:
+        """Return the index of an agent in :attr:`homes`."""
+        return self._index_by_agent.get(agent)
+
     def update(self, agents: Iterable[AgentId]) -> set[int]:
         """Set the agents of the service.
 
--- /dev/null
+++ b/testbed/affinity_network.py
@@ -0,0 +1,525 @@
+"""In-memory agents and balancers, joined by an unreliable network.
+
+Only the cores are run. Views and records reach each host on their own,
+late and with versions left out, as they do through parents and gossip.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+from heapq import heappop
+from heapq import heappush
+from itertools import count
+import random
+from typing import Any
+from typing import NamedTuple
+
+from ibispitch.affinity import AffinityCore
+from ibispitch.affinity import CloseFlow
+from ibispitch.affinity import Deliver
+from ibispitch.affinity import Drop
+from ibispitch.affinity import Packet
+from ibispitch.affinity import PeerInfo
+from ibispitch.affinity import Relay
+from ibispitch.affinity import SendMessage
+from ibispitch.catalogue.documents import Entry
+from ibispitch.ids import Address
+from ibispitch.ids import AgentId
+from ibispitch.ids import BalancerId
+from ibispitch.ids import DatacentreName
+from ibispitch.ids import FlowId
+from ibispitch.ids import service_number
+from ibispitch.ids import ServiceName
+from ibispitch.membership.records import AgentRecord
+from ibispitch.membership.records import MemberState
+from ibispitch.membership.records import ServiceView
+from ibispitch.routing import RoutingCore
+from ibispitch.wire import decode_message
+from ibispitch.wire import encode_message
+from ibispitch.wire.frames import HEADER_END
+
+SERVICE = ServiceName('returns')
+NUMBER = service_number(SERVICE)
+NO_BALANCER = bytes(6)
+MAX_DATAGRAM_BYTES = 1200
+
+TICK_S = 0.1
+LEASE_S = 3.0
+
+#: A pair of agents that reach each other loses no more in a row.
+MAX_CONSECUTIVE_LOSSES = 2
+
+
+class Conditions(NamedTuple):
+    """How the network treats datagrams and views.
+
+    :param loss: probability that a datagram between agents is lost.
+    :param duplication: probability that it comes twice.
+    :param delay_s: usual delay of a datagram.
+    :param late: probability that a datagram takes up to ``late_s``, so that
+        others overtake it.
+    :param late_s: see ``late``.
+    :param view_delay_s: greatest delay of views and records.
+    :param view_skip: probability that a view is left out, as a newer one
+        follows.
+    """
+
+    loss: float = 0.0
+    duplication: float = 0.0
+    delay_s: float = 0.001
+    late: float = 0.0
+    late_s: float = 0.0
+    view_delay_s: float = 1.0
+    view_skip: float = 0.0
+
+
+CALM = Conditions(view_delay_s=0.05)
+ROUGH = Conditions(0.1, 0.1, 0.003, 0.1, 0.6, 2.0, 0.2)
+
+
+class RandomPlacement:
+    """Spreads new flows at random, so that many are exceptions."""
+
+    def __init__(self, rng: random.Random, local_share: float = 0.5):
+        self._rng = rng
+        self._local_share = local_share
+
+    def choose_owner(
+        self, self_id: AgentId, candidates: Sequence[AgentId], now: float
+    ) -> AgentId | None:
+        """Return this agent with the local share, else any candidate."""
+        if self_id in candidates and self._rng.random() < self._local_share:
+            return self_id
+        return self._rng.choice(candidates)
+
+
+class SimulatedAgent:
+    """An agent's core and what happened to its process."""
+
+    def __init__(self, core: AffinityCore, record: AgentRecord):
+        self.core = core
+        self.record = record
+        self.is_alive = True
+        self.is_paused = False
+        self.paused_at = 0.0
+        self.is_drained = False
+        self.inbox: list[Callable[[], None]] = []
+        self.newest_view = 0
+        self.control_bytes = 0
+
+
+class Violation(NamedTuple):
+    """An invariant that did not hold."""
+
+    time: float
+    kind: str
+    flow: str
+    detail: str
+
+
+class AffinityNetwork:
+    """Agents of one service, balancers, and the truth about them.
+
+    :param seed: seed of all random choices.
+    :param conditions: see :class:`Conditions`.
+    :param balancers: number of balancers.
+    :param make_placement: returns the placement of an agent.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        conditions: Conditions = CALM,
+        balancers: int = 3,
+        make_placement: Callable | None = None,
+    ):
+        self.rng = random.Random(seed)
+        self.conditions = conditions
+        self.now = 1000.0
+        self.agents: dict[AgentId, SimulatedAgent] = {}
+        self.balancers = [self._new_balancer() for _ in range(balancers)]
+        self.records: dict[AgentId, AgentRecord] = {}
+        self.datacentres_out: set[DatacentreName] = set()
+        #: Agent that holds each established flow, as first delivered.
+        self.owner_by_flow: dict[FlowId, AgentId] = {}
+        #: Flows that may have two owners, after an unplanned change.
+        self.disputed: set[FlowId] = set()
+        self.violations: list[Violation] = []
+        self.delivered: Counter[FlowId] = Counter()
+        self.delivered_last: dict[FlowId, AgentId] = {}
+        self.drops: Counter = Counter()
+        self.largest_message = 0
+        self.cut_pairs: set[frozenset] = set()
+        self._make_placement = make_placement or (
+            lambda agent: RandomPlacement(self.rng)
+        )
+        self._versions = count(1)
+        self._numbers = count(1)
+        self._queue: list[tuple] = []
+        self._sequence = count()
+        self._losses: Counter[frozenset] = Counter()
+        self._next_tick = self.now
+
+    def _new_balancer(self) -> RoutingCore:
+        core = RoutingCore()
+        core.set_entry(SERVICE, True)
+        return core
+
+    def _at(self, time: float, action: Callable, *args) -> None:
+        heappush(self._queue, (time, next(self._sequence), action, args))
+
+    # Changes of the truth.
+
+    def join(self, agent: str, datacentre: str = 'east') -> AgentId:
+        """Start an agent."""
+        agent_id = AgentId(agent)
+        number = next(self._numbers)
+        address = Address('127.0.0.1', 1000 + number)
+        record = AgentRecord(
+            agent_id=agent_id,
+            service=SERVICE,
+            datacentre=DatacentreName(datacentre),
+            address=address,
+            incarnation=number,
+            sequence=1,
+            state=MemberState.ACTIVE,
+            slots=5,
+            connections=2000,
+            parent=BalancerId('b1'),
+        )
+        own = PeerInfo(agent_id, address, record.datacentre, number)
+        core = AffinityCore(own, NUMBER, self._make_placement(agent_id))
+        self.agents[agent_id] = SimulatedAgent(core, record)
+        self.records[agent_id] = record
+        self.publish()
+        return agent_id
+
+    def _set_state(self, agent: AgentId, state: MemberState) -> None:
+        record = self.records[agent]
+        self.records[agent] = AgentRecord(
+            **{
+                **{
+                    field: getattr(record, field)
+                    for field in AgentRecord.__struct_fields__
+                },
+                'state': state,
+                'sequence': record.sequence + 1,
+            }
+        )
+        self.publish()
+
+    def drain(self, agent: AgentId) -> None:
+        """Let an agent drain; it knows at once."""
+        self.agents[agent].core.set_draining()
+        self.agents[agent].is_drained = True
+        self._set_state(agent, MemberState.DRAINING)
+
+    def leave(self, agent: AgentId) -> None:
+        """End a drained agent: its flows are closed before."""
+        core = self.agents[agent].core
+        for flow in core.flows():
+            self.close_flow(flow, agent)
+        self.agents[agent].is_alive = False
+        self._lose(agent)
+
+    def crash(self, agent: AgentId) -> None:
+        """Kill an agent; its lease lapses later."""
+        self.agents[agent].is_alive = False
+        for flow, owner in list(self.owner_by_flow.items()):
+            if owner == agent:
+                del self.owner_by_flow[flow]
+        record = self.records.get(agent)
+        self._at(self.now + LEASE_S, self._lapse, agent, record)
+
+    def _lapse(self, agent: AgentId, record: AgentRecord) -> None:
+        current = self.records.get(agent)
+        if (
+            current is not None
+            and record is not None
+            and current.incarnation == record.incarnation
+        ):
+            self._lose(agent)
+
+    def _lose(self, agent: AgentId) -> None:
+        self.records.pop(agent, None)
+        self.publish()
+
+    def pause(self, agent: AgentId) -> None:
+        """Stop an agent without ending it; its lease lapses."""
+        paused = self.agents[agent]
+        paused.is_paused = True
+        paused.paused_at = self.now
+        self._at(self.now + LEASE_S, self._lapse_paused, agent, self.now)
+
+    def _lapse_paused(self, agent: AgentId, since: float) -> None:
+        paused = self.agents[agent]
+        if paused.is_paused and paused.paused_at == since:
+            self.disputed.update(paused.core.flows())
+            self._lose(agent)
+
+    def resume(self, agent: AgentId) -> None:
+        """Let a paused agent go on and renew its lease."""
+        resumed = self.agents[agent]
+        resumed.is_paused = False
+        if self.now - resumed.paused_at >= LEASE_S:
+            self.disputed.update(resumed.core.flows())
+            resumed.core.on_paused(self.now)
+            self.records[agent] = resumed.record
+            self.publish()
+        inbox, resumed.inbox = resumed.inbox, []
+        for action in inbox:
+            action()
+
+    def set_datacentre(self, name: str, is_out: bool) -> None:
+        """Take a data centre out of service, or back in."""
+        datacentre = DatacentreName(name)
+        if is_out:
+            self.datacentres_out.add(datacentre)
+            members = {
+                agent
+                for agent, member in self.agents.items()
+                if member.record.datacentre == datacentre
+            }
+            self.disputed.update(
+                flow
+                for flow, owner in self.owner_by_flow.items()
+                if owner in members
+            )
+            for agent in members:
+                self.disputed.update(self.agents[agent].core.flows())
+        else:
+            self.datacentres_out.discard(datacentre)
+        self.publish()
+
+    # Spread of the truth.
+
+    def view(self) -> ServiceView:
+        """Return a view of the present truth."""
+        return ServiceView(
+            version=next(self._versions),
+            entry=Entry(
+                service=SERVICE, owner='o', class_name='c', addresses=[]
+            ),
+            agents=list(self.records.values()),
+            datacentres_out=sorted(self.datacentres_out),
+            balancers=[],
+        )
+
+    def publish(self) -> None:
+        """Send the truth to all hosts, each with its own delay."""
+        view = self.view()
+        for agent in list(self.agents):
+            if self.rng.random() >= self.conditions.view_skip:
+                self._send_view(agent, view)
+        for index in range(len(self.balancers)):
+            if self.rng.random() >= self.conditions.view_skip:
+                delay = self.rng.random() * self.conditions.view_delay_s
+                self._at(self.now + delay, self._set_table, index, view)
+
+    def _send_view(self, agent: AgentId, view: ServiceView) -> None:
+        delay = self.rng.random() * self.conditions.view_delay_s
+        self._at(self.now + delay, self._deliver_view, agent, view)
+
+    def _deliver_view(self, agent: AgentId, view: ServiceView) -> None:
+        self._run(agent, lambda a: a.core.on_view(view, self.now))
+
+    def _set_table(self, index: int, view: ServiceView) -> None:
+        balancer = self.balancers[index]
+        former = getattr(balancer, 'newest_view', None)
+        if former is not None and former.version >= view.version:
+            return
+        listed = {record.agent_id for record in view.agents}
+        for record in former.agents if former else ():
+            if record.agent_id not in listed:
+                balancer.set_agent(
+                    AgentRecord(
+                        **{
+                            **{
+                                field: getattr(record, field)
+                                for field in AgentRecord.__struct_fields__
+                            },
+                            'state': MemberState.LOST,
+                        }
+                    )
+                )
+        for name in {*(former.datacentres_out if former else ())}.union(
+            view.datacentres_out
+        ):
+            balancer.set_datacentre(name, name in view.datacentres_out)
+        for record in view.agents:
+            balancer.set_agent(record)
+        balancer.newest_view = view
+
+    def settle(self) -> None:
+        """Give every host the truth now."""
+        view = self.view()
+        for agent, member in self.agents.items():
+            if member.is_alive and not member.is_paused:
+                self._deliver_view(agent, view)
+        for index in range(len(self.balancers)):
+            self._set_table(index, view)
+
+    # Traffic.
+
+    def send_packet(self, flow: FlowId, balancer: int | None = None) -> None:
+        """Send a packet of a flow through a balancer, any by default."""
+        if balancer is None:
+            balancer = self.rng.randrange(len(self.balancers))
+        address = self.balancers[balancer].route(NUMBER, flow)
+        if address is None:
+            self.drops['no_route'] += 1
+            return
+        packet = Packet(flow, 0, False, None, NO_BALANCER, None)
+        for agent, member in self.agents.items():
+            if member.record.address == address:
+                self._at(
+                    self.now + self._delay(), self._deliver, agent, packet
+                )
+
+    def close_flow(self, flow: FlowId, agent: AgentId) -> None:
+        """End a flow at its owner."""
+        if self.owner_by_flow.get(flow) == agent:
+            del self.owner_by_flow[flow]
+        self._run(agent, lambda a: a.core.flow_closed(flow, self.now))
+
+    def _delay(self) -> float:
+        conditions = self.conditions
+        if conditions.late and self.rng.random() < conditions.late:
+            return self.rng.random() * conditions.late_s
+        return conditions.delay_s * (0.5 + self.rng.random())
+
+    def _transmit(
+        self, sender: AgentId, to: AgentId, action: Callable, *args
+    ) -> None:
+        pair = frozenset((sender, to))
+        if pair in self.cut_pairs:
+            return
+        if (
+            self.rng.random() < self.conditions.loss
+            and self._losses[pair] < MAX_CONSECUTIVE_LOSSES
+        ):
+            self._losses[pair] += 1
+            return
+        self._losses[pair] = 0
+        copies = 1 + (self.rng.random() < self.conditions.duplication)
+        for _ in range(copies):
+            self._at(self.now + self._delay(), action, to, *args)
+
+    def _deliver(self, agent: AgentId, packet: Packet) -> None:
+        self._run(agent, lambda a: a.core.on_packet(packet, self.now))
+
+    def _deliver_message(
+        self, agent: AgentId, sender: AgentId, data: bytes
+    ) -> None:
+        message = decode_message(data)
+        self._run(
+            agent,
+            lambda a: a.core.on_message(
+                a.core.agent_at(self.agents[sender].record.address),
+                message,
+                self.now,
+            ),
+        )
+
+    def _run(self, agent: AgentId, step: Callable) -> None:
+        member = self.agents.get(agent)
+        if member is None or not member.is_alive:
+            return
+        if member.is_paused:
+            member.inbox.append(lambda: self._run(agent, step))
+            return
+        self._apply(agent, step(member))
+
+    def _apply(self, agent: AgentId, effects: Iterable[Any]) -> None:
+        member = self.agents[agent]
+        for effect in effects:
+            if isinstance(effect, Deliver):
+                self._note_delivery(agent, effect)
+            elif isinstance(effect, Relay):
+                self._relay(agent, effect)
+            elif isinstance(effect, SendMessage):
+                data = encode_message(effect.message)
+                size = len(data) + HEADER_END
+                self.largest_message = max(self.largest_message, size)
+                member.control_bytes += size
+                target = self._target(member, effect.to)
+                if target is not None:
+                    self._transmit(
+                        agent, target, self._deliver_message, agent, data
+                    )
+            elif isinstance(effect, CloseFlow):
+                if self.owner_by_flow.get(effect.flow) == agent:
+                    del self.owner_by_flow[effect.flow]
+            elif isinstance(effect, Drop):
+                self.drops[effect.reason.value] += 1
+
+    def _target(self, member: SimulatedAgent, to: AgentId) -> AgentId | None:
+        """Return the agent at the address that the sender knows."""
+        address = member.core.address_of(to)
+        target = self.agents.get(to)
+        if target is None or target.record.address != address:
+            return None
+        return to
+
+    def _relay(self, agent: AgentId, effect: Relay) -> None:
+        target = self._target(self.agents[agent], effect.to)
+        if target is None:
+            self.drops['no_address'] += 1
+            return
+        sender = self.agents[target].core.agent_at(
+            self.agents[agent].record.address
+        )
+        packet = effect.packet._replace(sender=sender)
+        assert packet.with_flags(packet.flags) == packet
+        self._transmit(agent, target, self._deliver, packet)
+
+    def _note_delivery(self, agent: AgentId, effect: Deliver) -> None:
+        flow = effect.packet.flow
+        self.delivered[flow] += 1
+        self.delivered_last[flow] = agent
+        owner = self.owner_by_flow.get(flow)
+        if self.agents[agent].record.datacentre in self.datacentres_out:
+            self.disputed.add(flow)
+        if effect.is_new and self.agents[agent].is_drained:
+            self._violation('adopted while draining', flow, agent)
+        if owner is None:
+            self.owner_by_flow[flow] = agent
+        elif owner != agent:
+            if flow not in self.disputed:
+                self._violation(
+                    'second owner', flow, f'{agent} beside {owner}'
+                )
+            self.owner_by_flow[flow] = agent
+
+    def _violation(self, kind: str, flow: FlowId, detail: str) -> None:
+        self.violations.append(Violation(self.now, kind, flow.hex(), detail))
+
+    # Time and checks.
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while True:
+            if self._queue and self._queue[0][0] <= min(end, self._next_tick):
+                time, _, action, args = heappop(self._queue)
+                self.now = max(self.now, time)
+                action(*args)
+            elif self._next_tick <= end:
+                self.now = self._next_tick
+                self._next_tick += TICK_S
+                for agent in list(self.agents):
+                    member = self.agents[agent]
+                    if member.is_alive and not member.is_paused:
+                        self._run(agent, lambda a: a.core.tick(self.now))
+            else:
+                break
+        self.now = end
+
+    def owners(self, flow: FlowId) -> list[AgentId]:
+        """Return the living agents that own a flow."""
+        return [
+            agent
+            for agent, member in self.agents.items()
+            if member.is_alive and member.core.owns(flow)
+        ]
