--- a/ibispitch/admission/types.py
+++ b/ibispitch/admission/types.py
@@ -58,7 +58,7 @@
 
     Neither ``started`` nor ``finished`` is called for it. When the other
     agent does not run it, the gate asks ``decide`` again with the same
-    request and ``pinned`` set.
+    request.
     """
 
     agent_id: AgentId
@@ -142,6 +142,9 @@
     def tick(self, now: float) -> list[RunId]:
         """Return waiting runs that may start now; each has a slot."""
 
+    def load(self) -> Load:
+        """Return the load to send along with a reply."""
+
 
 class Retries(Protocol):
     """Retry budget as the gate uses it."""
--- a/ibispitch/requests/core.py
+++ b/ibispitch/requests/core.py
@@ -31,6 +31,7 @@
 from ibispitch.requests.records import record_key
 from ibispitch.requests.registry import gate
 from ibispitch.requests.registry import GateSettings
+from ibispitch.requests.runs import entry_point
 from ibispitch.requests.runs import RETRY_AFTER_S
 
 #: Requests of one caller that wait for the same run.
@@ -58,10 +59,10 @@
         self._adopted: dict[bytes, float] = {}
         self._exports = 0
         self._next_expiry = 0.0
-        self._handed_over = False
 
     # Callers
 
+    @entry_point
     def on_caller(
         self, flow: FlowId, datagram: bytes, now: float, relayed: bool = False
     ) -> Sequence[Effect]:
@@ -70,20 +71,18 @@
         :param relayed: whether another agent relayed it because of its Echo
             value; it is not relayed for that reason again.
         """
-        if self._handed_over:
-            return []
         try:
             message = coap.decode(datagram)
         except coap.MalformedError:
             self._on_malformed(flow, datagram, now)
-            return self._drain()
+            return self._drain(now)
         if message.code is Code.EMPTY:
             self._on_empty(flow, message, now)
         elif message.code.is_request():
             self._on_request(flow, message, datagram, now, relayed)
         else:
             self._count('gate_malformed', reason='unexpected')
-        return self._drain()
+        return self._drain(now)
 
     def _on_malformed(self, flow: FlowId, datagram: bytes, now: float) -> None:
         self._count('gate_malformed', reason='decode')
@@ -265,12 +264,11 @@
 
     # Upstream
 
+    @entry_point
     def on_upstream(
         self, flow: FlowId, datagram: bytes, now: float
     ) -> Sequence[Effect]:
         """Handle a datagram that the upstream sent to a flow's socket."""
-        if self._handed_over:
-            return []
         received = self._upstreams.receive(flow, datagram, now)
         if received is not None:
             token, message = received
@@ -281,8 +279,9 @@
                 self._on_answer(job, message, now)
             elif message is not None:
                 self._on_notification(token, message, now)
-        return self._drain()
+        return self._drain(now)
 
+    @entry_point
     def on_upstream_refused(
         self, flow: FlowId, datagram: bytes, now: float
     ) -> Sequence[Effect]:
@@ -297,8 +296,9 @@
             self._finished(job, RunOutcome.UNREACHABLE, now)
             self._release(job, 'late')
             self._not_run(job, RETRY_AFTER_S, 'unreachable', now)
-        return self._drain()
+        return self._drain(now)
 
+    @entry_point
     def on_upstream_lost(self, now: float) -> Sequence[Effect]:
         """Handle that the upstream process is gone.
 
@@ -316,7 +316,7 @@
                 )
                 self._feeds.remove(flow, observation.token)
                 self._upstreams.end(observation.upstream_token, 'late')
-        return self._drain()
+        return self._drain(now)
 
     def _on_run_error(self, job: Job, reason: str, now: float) -> None:
         self._finished(job, RunOutcome.UNREACHABLE, now)
@@ -362,6 +362,7 @@
 
     # Flows
 
+    @entry_point
     def close_flow(self, flow: FlowId, now: float) -> Sequence[Effect]:
         """End a flow whose owner is now another agent.
 
@@ -377,7 +378,7 @@
         if socket is not None:
             socket.closing = True
             self._close_when_unused(flow)
-        return self._drain()
+        return self._drain(now)
 
     def export_flow(
         self, flow: FlowId, now: float
@@ -389,7 +390,7 @@
 
         :returns: the flow, or ``None`` while requests of it wait or run.
         """
-        if self._jobs.of_flow(flow):
+        if self._handed_over or self._jobs.of_flow(flow):
             return None, []
         self._exports += 1
         export = FlowExport(
@@ -404,6 +405,7 @@
         data = msgspec.msgpack.encode(export)
         return data, self.close_flow(flow, now)
 
+    @entry_point
     def adopt_flow(self, data: bytes, now: float) -> Sequence[Effect]:
         """Take over a flow that another agent exported.
 
@@ -413,7 +415,7 @@
         :raises msgspec.DecodeError: if the data is no exported flow.
         """
         export = msgspec.msgpack.decode(data, type=FlowExport)
-        if self._handed_over or export.export_id in self._adopted:
+        if export.export_id in self._adopted:
             return []
         self._adopted[export.export_id] = now + EXPORT_LIFETIME_S
         offset_s = now - export.now
@@ -424,13 +426,13 @@
             if key not in self._records.state.by_request:
                 self._records.add(key, record)
         self._records.count_answers()
-        self._echo.take_over(flow, export.echo_keys, offset_s)
+        self._echo.take_over(flow, export.echo_values, offset_s)
         for observation in export.observations:
             observation.upstream_token = b''
             observation.mids = []
             self._feeds.add(flow, observation)
             self._replay(flow, observation, now)
-        return self._drain()
+        return self._drain(now)
 
     def _replay(
         self, flow: FlowId, observation: Observation, now: float
@@ -472,12 +474,10 @@
 
     # Time
 
+    @entry_point
     def tick(self, now: float) -> Sequence[Effect]:
         """Do what is due; call it at least every 50 ms."""
-        if self._handed_over:
-            return []
-        for run_id in self._admission.tick(now):
-            self._on_ready(run_id, now)
+        self._slot_freed = True
         for kind, key in self._timers.pop_due(now):
             if kind == 'replay':
                 self._on_replay_due(key, now)
@@ -490,7 +490,7 @@
         for flow in self._upstreams.tick(now):
             self._close_when_unused(flow)
         self._expire(now)
-        return self._drain()
+        return self._drain(now)
 
     _job_timers = {
         'deadline': DelegationSide._on_deadline,
@@ -499,15 +499,6 @@
         'cancelled': DelegationSide._on_cancel_end,
     }
 
-    def _on_ready(self, run_id: bytes, now: float) -> None:
-        job = self._jobs.by_run.get(run_id)
-        if job is None or job.state is not JobState.QUEUED:
-            self._admission.finished(run_id, RunOutcome.CANCELLED, 0.0, now)
-        elif now >= job.deadline:
-            self._on_deadline(job, now)
-        else:
-            self._run_here(job, now)
-
     def _expire(self, now: float) -> None:
         if now < self._next_expiry:
             return
@@ -570,7 +561,7 @@
             self._emit(OpenFlow(FlowId(flow)))
         for job in snapshot.jobs:
             self._restore_job(job, now)
-        return self._drain()
+        return self._drain(now)
 
     def _restore_job(self, job: Job, now: float) -> None:
         self._jobs.add(job)
@@ -579,3 +570,5 @@
             self._admission.started(job.run_id, now)
         elif job.state is JobState.QUEUED:
             self._decide(job, now)
+        elif job.state is JobState.DELEGATED:
+            self._run_by_asked[job.asked_as] = job.run_id
--- a/ibispitch/requests/delegation.py
+++ b/ibispitch/requests/delegation.py
@@ -4,7 +4,9 @@
 from collections.abc import Sequence
 
 from aiocoap import Message
+import msgspec
 
+from ibispitch.admission.types import RunId
 from ibispitch.ids import AgentId
 from ibispitch.requests import coap
 from ibispitch.requests import guard
@@ -18,6 +20,7 @@
 from ibispitch.requests.messages import RunReply
 from ibispitch.requests.messages import RunRequest
 from ibispitch.requests.records import DelegatedRunTable
+from ibispitch.requests.runs import entry_point
 from ibispitch.requests.runs import RETRY_AFTER_S
 from ibispitch.requests.runs import RunSide
 
@@ -26,6 +29,8 @@
 #: Times a delegate is asked without an answer before it counts as lost; with
 #: the interval this is the duration of an agent's lease.
 MAX_ASKED = 6
+#: Delegates that are tried for one request.
+MAX_DELEGATIONS = 4
 
 
 class DelegationSide(RunSide):
@@ -35,7 +40,9 @@
         super().__init__(*args, **kwargs)
         self._runs = DelegatedRunTable()
         self._incarnation_by_agent: dict[AgentId, int] = {}
+        self._run_by_asked: dict[RunId, RunId] = {}
 
+    @entry_point
     def on_agents(
         self, incarnation_by_agent: Mapping[AgentId, int], now: float
     ) -> Sequence[Effect]:
@@ -50,33 +57,40 @@
                 and job.delegate not in self._incarnation_by_agent
             ):
                 self._failed(job, 'delegate', now)
-        return self._drain()
+        return self._drain(now)
 
     # Owner
 
     def _run_at(self, job: Job, agent_id: AgentId, now: float) -> None:
         incarnation = self._incarnation_by_agent.get(agent_id)
         if incarnation is None:
-            self._run_pinned(job, now)
+            self._decide_again(job, now)
             return
         job.state, job.delegate = JobState.DELEGATED, agent_id
         job.delegate_incarnation, job.asked = incarnation, 0
         job.started = now
+        job.asked_as = self._new_run_id()
+        self._run_by_asked[job.asked_as] = job.run_id
         self._acknowledge(job)
         self._ask(job, now)
 
-    def _run_pinned(self, job: Job, now: float) -> None:
+    def _leave_delegate(self, job: Job) -> None:
+        self._run_by_asked.pop(job.asked_as, None)
+
+    def _decide_again(self, job: Job, now: float) -> None:
         """Decide again after a delegate has not run the request."""
-        job.pinned = True
-        self._renew(job)
-        self._timers.set(job.deadline, 'deadline', job.run_id)
+        self._leave_delegate(job)
+        job.state, job.delegate = JobState.NEW, None
+        job.delegations += 1
+        job.pinned = job.delegations >= MAX_DELEGATIONS
         self._decide(job, now)
 
     def _ask(self, job: Job, now: float) -> None:
         job.asked += 1
-        self._timers.set(now + ASK_INTERVAL_S, 'ask', job.run_id)
+        job.ask_due = now + ASK_INTERVAL_S
+        self._timers.set(job.ask_due, 'ask', job.run_id)
         request = RunRequest(
-            run_id=job.run_id,
+            run_id=job.asked_as,
             incarnation=job.delegate_incarnation,
             flow=job.flow,
             deadline_ms=max(1, int((job.deadline - now) * 1000)),
@@ -85,7 +99,7 @@
         self._emit(SendRun(job.delegate, request))
 
     def _on_ask_due(self, job: Job, now: float) -> None:
-        if job.state is not JobState.DELEGATED:
+        if job.state is not JobState.DELEGATED or now < job.ask_due:
             return
         if job.asked >= MAX_ASKED:
             self._failed(job, 'delegate', now)
@@ -94,20 +108,21 @@
 
     def _cancel_delegate(self, job: Job) -> None:
         if job.delegate is not None:
-            self._emit(SendRun(job.delegate, RunCancel(job.run_id)))
+            self._emit(SendRun(job.delegate, RunCancel(job.asked_as)))
 
+    @entry_point
     def on_run_reply(
         self, sender: AgentId, reply: RunReply, now: float
     ) -> Sequence[Effect]:
         """Handle what a delegate says about a run."""
-        job = self._jobs.by_run.get(reply.run_id)
+        job = self._jobs.by_run.get(self._run_by_asked.get(reply.run_id))
         if (
             job is None
             or job.state is not JobState.DELEGATED
             or job.delegate != sender
         ):
             self._count('gate_answers_dropped', reason='late')
-            return self._drain()
+            return self._drain(now)
         job.asked = 0
         match reply.outcome:
             case ReplyOutcome.RESULT:
@@ -117,10 +132,10 @@
             ):
                 self._refuse(job, reply.retry_after_s, 'delegate', now)
             case ReplyOutcome.NOT_RUN:
-                self._run_pinned(job, now)
+                self._decide_again(job, now)
             case ReplyOutcome.UNKNOWN:
                 self._failed(job, 'delegate', now)
-        return self._drain()
+        return self._drain(now)
 
     def _on_delegated_result(
         self, job: Job, reply: RunReply, now: float
@@ -135,6 +150,7 @@
 
     # Delegate
 
+    @entry_point
     def on_run_request(
         self, sender: AgentId, request: RunRequest, now: float
     ) -> Sequence[Effect]:
@@ -144,7 +160,7 @@
             running = RunReply(
                 run_id=request.run_id, outcome=ReplyOutcome.RUNNING
             )
-            self._emit(SendRunReply(sender, run.reply or running))
+            self._send_reply(sender, run.reply or running)
         elif (
             request.incarnation not in self._echo.state.keys
             or not self._runs.may_add(request.run_id)
@@ -154,11 +170,11 @@
             unknown = RunReply(
                 run_id=request.run_id, outcome=ReplyOutcome.UNKNOWN
             )
-            self._emit(SendRunReply(sender, unknown))
+            self._send_reply(sender, unknown)
         else:
             self._runs.add(request.run_id, now)
             self._start_delegated(sender, request, now)
-        return self._drain()
+        return self._drain(now)
 
     def _start_delegated(
         self, sender: AgentId, request: RunRequest, now: float
@@ -186,6 +202,7 @@
         job.starts_exchange = coap.part_of(message) == (0, 0)
         self._start(job, now)
 
+    @entry_point
     def on_run_cancel(
         self, sender: AgentId, cancel: RunCancel, now: float
     ) -> Sequence[Effect]:
@@ -207,7 +224,7 @@
                 outcome=ReplyOutcome.NOT_RUN,
                 retry_after_s=RETRY_AFTER_S,
             )
-        return self._drain()
+        return self._drain(now)
 
     def _reply_result(self, job: Job, message: Message, now: float) -> None:
         reply = RunReply(
@@ -232,4 +249,8 @@
         run = self._runs.find(job.run_id)
         if run is not None:
             run.reply = reply
-        self._emit(SendRunReply(job.origin, reply))
+        self._send_reply(job.origin, reply)
+
+    def _send_reply(self, to: AgentId, reply: RunReply) -> None:
+        reply = msgspec.structs.replace(reply, load=self._admission.load())
+        self._emit(SendRunReply(to, reply))
--- a/ibispitch/requests/echo.py
+++ b/ibispitch/requests/echo.py
@@ -45,33 +45,49 @@
     expires: float = 0.0
 
 
-class HeldKey(msgspec.Struct, array_like=True):
-    """Key of one flow that its former owner handed over.
+class HeldValues(msgspec.Struct, array_like=True):
+    """Values of one flow that their issuer or a later owner handed over.
 
+    Two exports of one flow may overlap in time when a flow had two owners,
+    so each names the span of values whose records go with it.
+
+    :param incarnation: incarnation that issued them.
     :param key: key of the flow.
-    :param issued_before_ms: only values issued before this time, on the
-        clock of the issuer, are accepted here; the issuer accepts the rest.
+    :param from_ms: time of the first value, on the clock of the issuer.
+    :param before_ms: time before which the last value was issued.
     :param offset_s: clock of this agent minus clock of the issuer.
-    :param until: time until which a value can be alive.
     """
 
+    incarnation: int
     key: bytes
-    issued_before_ms: int
+    from_ms: int
+    before_ms: int
     offset_s: float
-    until: float
+
+    def holds(self, incarnation: int, issued_ms: int) -> bool:
+        """Tell whether a value is among them."""
+        return (
+            self.incarnation == incarnation
+            and self.from_ms <= issued_ms < self.before_ms
+        )
+
+    @property
+    def until(self) -> float:
+        """Time at which the last value expires, in seconds."""
+        return self.before_ms / 1000 + self.offset_s + ECHO_LIFETIME_S
 
 
 class EchoState(msgspec.Struct):
     """What is handed to a successor.
 
     :param keys: key by incarnation; the values of each are accepted.
-    :param held_keys: keys that other agents handed over, by flow and
-        incarnation.
-    :param moved_ms: time at which a flow was handed over, by flow.
+    :param held: values that other agents handed over, by flow.
+    :param moved_ms: time at which a flow was handed over, by flow; values
+        of this agent issued before are accepted elsewhere.
     """
 
     keys: dict[int, bytes]
-    held_keys: dict[bytes, dict[int, HeldKey]] = {}
+    held: dict[bytes, list[HeldValues]] = {}
     moved_ms: dict[bytes, int] = {}
 
 
@@ -103,75 +119,77 @@
         if len(value) != ECHO_BYTES:
             return EchoCheck(EchoFault.MALFORMED)
         incarnation, issued_ms = _HEAD.unpack_from(value)
-        held = self.state.held_keys.get(flow, {}).get(incarnation)
+        held = [
+            values
+            for values in self.state.held.get(flow, [])
+            if values.incarnation == incarnation
+        ]
         own = incarnation in self.state.keys
-        if not own and held is None:
+        if not own and not held:
             return EchoCheck(EchoFault.OTHER_INCARNATION, incarnation)
-        key = self._flow_key(incarnation, flow) if own else held.key
+        key = self._flow_key(incarnation, flow) if own else held[0].key
         if not hmac.compare_digest(_mac(key, value[:16]), value[16:]):
             return EchoCheck(EchoFault.FORGED, incarnation)
-        if own:
-            moved = issued_ms < self.state.moved_ms.get(flow, 0)
-            offset_s = 0.0
-        else:
-            moved = issued_ms >= held.issued_before_ms
-            offset_s = held.offset_s
-        expires = issued_ms / 1000 + offset_s + ECHO_LIFETIME_S
-        if moved:
-            return EchoCheck(EchoFault.MOVED, incarnation, expires)
+        offsets_s = [
+            values.offset_s
+            for values in held
+            if values.holds(incarnation, issued_ms)
+        ]
+        if own and issued_ms >= self.state.moved_ms.get(flow, 0):
+            offsets_s.append(0.0)
+        if not offsets_s:
+            return EchoCheck(EchoFault.MOVED, incarnation)
+        expires = issued_ms / 1000 + offsets_s[0] + ECHO_LIFETIME_S
         if not now < expires <= now + ECHO_LIFETIME_S:
             return EchoCheck(EchoFault.EXPIRED, incarnation, expires)
         return EchoCheck(None, incarnation, expires)
 
-    def hand_over(self, flow: FlowId, now: float) -> dict[int, HeldKey]:
+    def hand_over(self, flow: FlowId, now: float) -> list[HeldValues]:
         """Give up the values of a flow that were issued until now.
 
-        :returns: the keys for :meth:`take_over`, by incarnation; their
-            offsets are relative to the clock of this agent.
+        :returns: the values for :meth:`take_over`; their offsets are
+            relative to the clock of this agent.
         """
-        moved_ms = int(now * 1000) + 1
-        until = now + ECHO_LIFETIME_S
-        keys = {
-            incarnation: HeldKey(
-                self._flow_key(incarnation, flow), moved_ms, 0.0, until
+        from_ms = self.state.moved_ms.get(flow, 0)
+        # A value issued later in the same millisecond belongs to the new
+        # owner as well.
+        before_ms = int(now * 1000) + 1
+        self.state.moved_ms[flow] = before_ms
+        own = [
+            HeldValues(
+                incarnation,
+                self._flow_key(incarnation, flow),
+                from_ms,
+                before_ms,
+                0.0,
             )
             for incarnation in self.state.keys
-        }
-        self.state.moved_ms[flow] = moved_ms
-        return self.state.held_keys.pop(flow, {}) | keys
+        ]
+        return self.state.held.pop(flow, []) + own
 
     def take_over(
-        self, flow: FlowId, keys: dict[int, HeldKey], offset_s: float
+        self, flow: FlowId, handed: list[HeldValues], offset_s: float
     ) -> None:
         """Accept the values of a flow that another agent gave up.
 
         :param offset_s: clock of this agent minus clock of the other one.
         """
-        held = self.state.held_keys.setdefault(flow, {})
-        for incarnation, key in keys.items():
-            if incarnation in self.state.keys:
-                self.state.moved_ms.pop(flow, None)
-            else:
-                held[incarnation] = HeldKey(
-                    key.key,
-                    key.issued_before_ms,
-                    key.offset_s + offset_s,
-                    key.until + offset_s,
-                )
+        for values in handed:
+            values.offset_s += offset_s
+        self.state.held[flow] = self.state.held.get(flow, []) + handed
 
     def expire(self, now: float) -> None:
-        """Forget keys and moves when no value issued before them lives."""
+        """Forget values and moves when no value issued before them lives."""
         alive_ms = (now - ECHO_LIFETIME_S) * 1000
         moved = self.state.moved_ms
         for flow in [f for f, ms in moved.items() if ms < alive_ms]:
             del moved[flow]
-        held = self.state.held_keys
-        for flow, keys in list(held.items()):
-            kept = {i: key for i, key in keys.items() if key.until > now}
+        for flow, held in list(self.state.held.items()):
+            kept = [values for values in held if values.until > now]
             if kept:
-                held[flow] = kept
+                self.state.held[flow] = kept
             else:
-                del held[flow]
+                del self.state.held[flow]
 
     def _flow_key(self, incarnation: int, flow: FlowId) -> bytes:
         key = self.state.keys[incarnation]
--- a/ibispitch/requests/handover.py
+++ b/ibispitch/requests/handover.py
@@ -5,7 +5,7 @@
 from ibispitch.ids import FlowId
 from ibispitch.requests.callers import CallerState
 from ibispitch.requests.echo import EchoState
-from ibispitch.requests.echo import HeldKey
+from ibispitch.requests.echo import HeldValues
 from ibispitch.requests.feeds import FeedState
 from ibispitch.requests.feeds import Observation
 from ibispitch.requests.jobs import Job
@@ -23,7 +23,7 @@
 
     :param export_id: unique, so that a second copy is recognised.
     :param now: clock of the former owner at the export, in seconds.
-    :param echo_keys: keys of the Echo values that the flow holds.
+    :param echo_values: the Echo values that the new owner accepts.
     :param records: records of its requests.
     """
 
@@ -31,7 +31,7 @@
     flow: FlowId
     now: float
     observations: list[Observation]
-    echo_keys: dict[int, HeldKey]
+    echo_values: list[HeldValues]
     records: dict[bytes, Record]
 
 
--- a/ibispitch/requests/jobs.py
+++ b/ibispitch/requests/jobs.py
@@ -41,7 +41,11 @@
     :param replay: whether it replays a registration for a moved flow.
     :param origin: the agent that delegated it to this one.
     :param delegate: the agent that it is delegated to.
+    :param asked_as: run id that the delegate knows. Each delegation has its
+        own, so that a late answer to an earlier one decides nothing.
     :param asked: how often the delegate was asked without an answer.
+    :param ask_due: time at which it is asked again, in seconds.
+    :param delegations: delegates that have not run it.
     :param token: token towards the upstream.
     :param deadline_ms: value of Deadline-Ms as sent to the upstream.
     :param may_have_run: whether an earlier attempt may have run.
@@ -65,7 +69,10 @@
     origin: AgentId | None = None
     delegate: AgentId | None = None
     delegate_incarnation: int = 0
+    asked_as: RunId = RunId(b'')
     asked: int = 0
+    ask_due: float = 0.0
+    delegations: int = 0
     state: JobState = JobState.NEW
     token: bytes = b''
     started: float = 0.0
--- a/ibispitch/requests/runs.py
+++ b/ibispitch/requests/runs.py
@@ -1,6 +1,7 @@
 """Runs of requests: admission, the upstream, retries and final answers."""
 
 from collections.abc import Sequence
+import functools
 import random
 
 from aiocoap import Message
@@ -47,6 +48,22 @@
 DELEGATED_IDLE_S = 120.0
 
 
+def entry_point(method):
+    """Make a method do nothing once the state was handed over.
+
+    The successor answers for the records from then on, so a run here would
+    be a second one.
+    """
+
+    @functools.wraps(method)
+    def call(self, *args, **kwargs):
+        if self._handed_over:
+            return []
+        return method(self, *args, **kwargs)
+
+    return call
+
+
 class RunSide:
     """Takes jobs from admission to their final answer.
 
@@ -77,11 +94,17 @@
         self._timers = Timers()
         self._run_by_token: dict[bytes, RunId] = {}
         self._next_run = 0
+        self._handed_over = False
+        self._slot_freed = False
 
     def _emit(self, effect: Effect) -> None:
         self._effects.append(effect)
 
-    def _drain(self) -> Sequence[Effect]:
+    def _drain(self, now: float) -> Sequence[Effect]:
+        while self._slot_freed:
+            self._slot_freed = False
+            for run_id in self._admission.tick(now):
+                self._on_ready(run_id, now)
         effects, self._effects = self._effects, []
         return effects
 
@@ -292,6 +315,7 @@
 
     def _renew(self, job: Job) -> None:
         """Give a job a new run id for its next attempt."""
+        self._leave_delegate(job)
         self._jobs.remove(job)
         job.run_id = self._new_run_id()
         job.state, job.delegate, job.asked = JobState.NEW, None, 0
@@ -360,6 +384,7 @@
         )
 
     def _finished(self, job: Job, outcome: RunOutcome, now: float) -> None:
+        self._slot_freed = True
         self._admission.finished(job.run_id, outcome, now - job.started, now)
 
     def _release(self, job: Job, reason: str) -> None:
@@ -372,6 +397,7 @@
         job.token = b''
 
     def _end(self, job: Job) -> None:
+        self._leave_delegate(job)
         self._jobs.remove(job)
         socket = self._upstreams.state.sockets.get(job.flow)
         if socket is not None and socket.closing:
@@ -393,6 +419,15 @@
         job.may_have_run = True
         self._give_up(job, 'expired', now)
 
+    def _on_ready(self, run_id: RunId, now: float) -> None:
+        job = self._jobs.by_run.get(run_id)
+        if job is None or job.state is not JobState.QUEUED:
+            self._admission.finished(run_id, RunOutcome.CANCELLED, 0.0, now)
+        elif now >= job.deadline:
+            self._on_deadline(job, now)
+        else:
+            self._run_here(job, now)
+
     def _on_queue_end(self, job: Job, now: float) -> None:
         if job.state is JobState.QUEUED:
             self._finished(job, RunOutcome.CANCELLED, now)
@@ -410,6 +445,9 @@
     def _cancel_delegate(self, job: Job) -> None:
         raise NotImplementedError
 
+    def _leave_delegate(self, job: Job) -> None:
+        raise NotImplementedError
+
     def _cancel_upstream(self, job: Job, now: float) -> None:
         message = coap.decode(job.datagram)
         request_id = coap.opaque_option(message, coap.REQUEST_ID)
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -6,6 +6,7 @@
 from aiocoap.numbers.codes import Code
 from aiocoap.numbers.types import Type
 
+from ibispitch.admission.types import Load
 from ibispitch.admission.types import Refuse
 from ibispitch.admission.types import RunHere
 from ibispitch.admission.types import Wait
@@ -55,6 +56,9 @@
         if run_id in self.waiting:
             self.waiting.remove(run_id)
 
+    def load(self):
+        return Load(0, len(self.running), self.slots, len(self.waiting))
+
     def tick(self, now):
         ready = []
         while self.waiting and len(self.running) < self.slots:
