--- a/ibispitch/admission/types.py
+++ b/ibispitch/admission/types.py
@@ -145,6 +145,9 @@
     def tick(self, now: float) -> list[RunId]:
         """Return waiting runs that may start now; each has a slot."""
 
+    def load(self) -> Load:
+        """Return the load to send along with a reply."""
+
 
 class Retries(Protocol):
     """Retry budget as the gate uses it."""
