Add the administration API

Cause: owners and operators had no way to edit the catalogue over HTTP, and nothing showed the versions in force and the loads of the fleet.

Change: make_app returns an aiohttp application with health, entries, data centres, fleet state and a metrics hook. Edits need a bearer token of the settings; tokens are bound to owners or to the operator, and without any token no edit is accepted. TokenSettings has a name that is recorded with edits.

--- /dev/null
+++ b/ibispitch/admin/__init__.py
@@ -0,0 +1,26 @@
+"""HTTP administration API that every balancer serves.
+
+The slice keeps no state: entries come from the catalogue in force, edits go
+to the store, and the state of other processes is asked for on demand.
+``docs/admin.md`` lists the paths and errors.
+"""
+
+from ibispitch.admin.app import make_app
+from ibispitch.admin.state import AgentLoad
+from ibispitch.admin.state import AgentView
+from ibispitch.admin.state import BalancerView
+from ibispitch.admin.state import FleetState
+from ibispitch.admin.state import Health
+from ibispitch.admin.state import LocalState
+from ibispitch.admin.state import StateProvider
+
+__all__ = [
+    'AgentLoad',
+    'AgentView',
+    'BalancerView',
+    'FleetState',
+    'Health',
+    'LocalState',
+    'StateProvider',
+    'make_app',
+]
--- a/ibispitch/settings/programs.py
+++ b/ibispitch/settings/programs.py
@@ -99,11 +99,13 @@
     :param token: the secret, at least 16 characters.
     :param operator: whether it may edit every entry and data centre.
     :param owners: owners whose entries it may edit.
+    :param name: recorded with each edit; by default the owners.
     """
 
     token: Annotated[str, msgspec.Meta(min_length=16)]
     operator: bool = False
     owners: list[Name] = []
+    name: str = ''
 
 
 class BalancerSettings(
--- /dev/null
+++ b/tests/admin/test_app.py
@@ -0,0 +1,250 @@
+"""Requests that must not succeed, and how that is said."""
+
+import asyncio
+from pathlib import Path
+import re
+
+import aiohttp
+from aiohttp import web
+import pytest
+
+from ibispitch.admin import Health
+from ibispitch.admin import make_app
+from ibispitch.admin.errors import ApiFault
+from ibispitch.admin.errors import STATUS_BY_FAULT
+from ibispitch.admin.state import FAN_OUT
+from ibispitch.catalogue.errors import EditFault
+from ibispitch.membership.records import MemberState
+from testbed.store import Faults
+from tests.admin.conftest import agent_record
+from tests.admin.conftest import balancer_record
+from tests.admin.conftest import ENTRY
+from tests.admin.conftest import FakeProvider
+from tests.admin.conftest import OMAHEKE
+from tests.admin.conftest import OPERATOR
+from tests.admin.conftest import serve
+
+PATH = '/v1/entries/returns'
+
+
+async def in_force(call, version):
+    while (await call('GET', PATH))[1].get('version', 0) < version:
+        await asyncio.sleep(0.005)
+
+
+def test_documented_status():
+    """Guards against an error kind without a documented status."""
+    text = (Path(__file__).parents[2] / 'docs' / 'admin.md').read_text()
+    rows = re.findall(r'^\| `(\w+)` \| (\d+) \|', text, re.MULTILINE)
+    documented = {fault: int(status) for fault, status in rows}
+    assert documented == STATUS_BY_FAULT
+    faults = {fault.value for kind in (ApiFault, EditFault) for fault in kind}
+    assert documented.keys() == faults
+
+
+@pytest.mark.parametrize(
+    ('method', 'path'),
+    [
+        ('PUT', PATH),
+        ('PATCH', PATH),
+        ('DELETE', PATH),
+        ('POST', '/v1/datacentres/tema/out'),
+        ('POST', '/v1/datacentres/tema/in'),
+    ],
+)
+@pytest.mark.parametrize(
+    'authorization',
+    ['', f'Bearer {OPERATOR}x', OPERATOR, f'Basic {OPERATOR}', 'Bearer \xff'],
+)
+async def test_edit_without_valid_token(
+    call, server, method, path, authorization
+):
+    """Guards against an edit by anyone who reaches the address."""
+    status, body = await call(method, path, ENTRY, Authorization=authorization)
+    assert (status, body['error']['fault']) == (401, 'unauthenticated')
+    assert not server.core.history
+
+
+async def test_no_token_configured_means_no_edits(store, provider, server):
+    """Guards against a balancer that takes an empty token as valid."""
+    runner, address = await serve(make_app(provider, store, 'test'))
+    async with aiohttp.request(
+        'DELETE',
+        f'http://{address}{PATH}',
+        headers={'Authorization': 'Bearer '},
+    ) as response:
+        body = await response.json()
+    assert response.status == 403
+    assert body['error']['fault'] == 'writes_disabled'
+    assert not server.core.history
+    await runner.cleanup()
+
+
+async def test_owner_token_on_another_owners_entry(call, server):
+    """Guards against one owner who edits the service of another."""
+    asante = ENTRY | {'owner': 'asante'}
+    status, _ = await call('PUT', PATH, asante, OPERATOR)
+    assert status == 200
+    attempts = [
+        ('PUT', PATH, ENTRY),
+        ('PATCH', PATH, {'owner': 'omaheke'}),
+        ('DELETE', PATH, None),
+        ('POST', '/v1/datacentres/tema/out', None),
+    ]
+    for method, path, body in attempts:
+        status, answer = await call(method, path, body, OMAHEKE)
+        assert (status, answer['error']['fault']) == (403, 'forbidden')
+    assert len(server.core.history) == 2  # the entry and the address guard
+
+
+async def test_edits_with_versions(call):
+    """Guards against an edit of a version that was never seen."""
+    status, first = await call('PUT', PATH, ENTRY, OMAHEKE)
+    assert status == 200
+    version = str(first['version'])
+    status, second = await call(
+        'PATCH', PATH, {'ramp_s': 3}, OMAHEKE, **{'If-Match': version}
+    )
+    assert status == 200
+    status, answer = await call(
+        'PATCH', PATH, {'ramp_s': 4}, OPERATOR, **{'If-Match': f'"{version}"'}
+    )
+    assert (status, answer['error']['fault']) == (409, 'conflict')
+    assert answer['error']['other']['operator'] == 'omaheke'
+    assert answer['error']['other']['edit_id'] == second['edit_id']
+    await in_force(call, second['version'])
+    _, entry = await call('GET', PATH)
+    assert entry['entry']['ramp_s'] == 3
+    assert entry['edit_ids'] == [first['edit_id'], second['edit_id']]
+    await call('POST', '/v1/datacentres/tema/out', None, OPERATOR)
+    assert (await call('DELETE', PATH, None, OMAHEKE))[0] == 200
+    status, answer = await call('DELETE', PATH, None, OMAHEKE)
+    assert (status, answer['error']['fault']) == (404, 'not_found')
+
+
+async def test_store_failures(call, server):
+    """Guards against a lost edit reported as made, or the reverse."""
+    server.set_faults(Faults(lose_answers=1))
+    assert (await call('PUT', PATH, ENTRY, OPERATOR))[0] == 200
+    server.set_faults(Faults(lose_answers=9))
+    status, answer = await call('PATCH', PATH, {'ramp_s': 2}, OPERATOR)
+    assert (status, answer['error']['fault']) == (504, 'outcome_unknown')
+    assert answer['error']['edit_id'] in answer['error']['remedy']
+    await server.stop()
+    status, answer = await call('PATCH', PATH, {'ramp_s': 5}, OPERATOR)
+    assert (status, answer['error']['fault']) == (503, 'store_unavailable')
+    assert (await call('GET', '/v1/entries'))[0] == 200
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'body', 'headers', 'expected'),
+    [
+        ('PUT', PATH, b'[' * 60000, {}, (400, 'bad_request')),
+        ('PUT', PATH, b'x' * 200_000, {}, (413, 'too_large')),
+        ('PUT', PATH, ENTRY, {'If-Match': '*'}, (400, 'bad_request')),
+        ('PUT', PATH, {'owner': 'x'}, {}, (400, 'invalid')),
+        ('PUT', PATH, ENTRY | {'service': 'b'}, {}, (400, 'invalid')),
+        ('PUT', '/v1/entries/a%2Fb', ENTRY, {}, (400, 'invalid')),
+        ('POST', '/v1/datacentres/A/out', None, {}, (400, 'invalid')),
+        ('POST', PATH, ENTRY, {}, (405, 'method_not_allowed')),
+        ('GET', '/v2/entries', None, {}, (404, 'no_such_path')),
+        ('GET', PATH, None, {}, (404, 'not_found')),
+    ],
+)
+async def test_bad_requests(call, method, path, body, headers, expected):
+    """Guards against untyped errors, and crashes on hostile bodies."""
+    status, answer = await call(method, path, body, OPERATOR, **headers)
+    assert (status, answer['error']['fault']) == expected
+    assert answer['error']['remedy']
+
+
+async def test_health(call, provider):
+    """Guards against a leaving balancer that still attracts packets."""
+    assert (await call('GET', '/healthz'))[0] == 200
+    provider.health_now = Health(False, 'leaving')
+    status, answer = await call('GET', '/healthz')
+    assert (status, answer['reason']) == (503, 'leaving')
+
+
+async def test_state_of_a_partly_broken_fleet(call, provider, store):
+    """Guards against one silent process that hides the state of all."""
+
+    async def silent(_):
+        await asyncio.sleep(5)
+
+    async def load(_):
+        return web.json_response(
+            {'flows': 3, 'in_flight': 1, 'queued': 0, 'limit': 5.0}
+        )
+
+    async def garbage(_):
+        return web.Response(text='{"flows": "many"}')
+
+    apps = []
+    for handler in (silent, load, garbage):
+        app = web.Application()
+        app.router.add_get('/v1/state', handler)
+        apps.append(await serve(app))
+    other = FakeProvider('b2')
+    other_runner, other_address = await serve(make_app(other, store, 'test'))
+    silent_address, load_address, garbage_address = (a for _, a in apps)
+    provider.balancer_records += [
+        balancer_record('b2', other_address),
+        balancer_record('b3', '127.0.0.1:1'),
+        balancer_record('b4', '127.0.0.1:1', MemberState.LOST),
+    ]
+    provider.agent_records += [
+        agent_record('a1', silent_address),
+        agent_record('a2', load_address),
+        agent_record('a3', garbage_address),
+        agent_record('a4', load_address, 'bench'),
+    ]
+    _, accepted = await call('PUT', PATH, ENTRY, OPERATOR)
+    await in_force(call, accepted['version'])
+    status, answer = await call('GET', '/v1/state?service=returns')
+    assert status == 200
+    assert {b['balancer_id']: b['reply'] for b in answer['balancers']} == {
+        'b1': 'ok',
+        'b2': 'ok',
+        'b3': 'unreachable',
+        'b4': 'not_asked',
+    }
+    assert answer['balancers'][0]['differs'] == {}
+    assert answer['balancers'][1]['differs'] == {'entries/returns': 0}
+    replies = [(a['agent_id'], a['reply']) for a in answer['agents']]
+    assert replies == [('a1', 'silent'), ('a2', 'ok'), ('a3', 'malformed')]
+    assert answer['agents'][1]['load']['flows'] == 3
+    for runner, _ in [*apps, (other_runner, '')]:
+        await runner.cleanup()
+
+
+async def test_fan_out_is_bounded(call, provider):
+    """Guards against thousands of connections, and against no end."""
+    open_now = most = 0
+    delay_s = 0.02
+
+    async def slow(_):
+        nonlocal open_now, most
+        open_now += 1
+        most = max(most, open_now)
+        await asyncio.sleep(delay_s)
+        open_now -= 1
+        return web.json_response(
+            {'flows': 0, 'in_flight': 0, 'queued': 0, 'limit': 1.0}
+        )
+
+    app = web.Application()
+    app.router.add_get('/v1/state', slow)
+    runner, address = await serve(app)
+    provider.agent_records += [
+        agent_record(f'a{number}', address) for number in range(200)
+    ]
+    _, answer = await call('GET', '/v1/state')
+    assert {agent['reply'] for agent in answer['agents']} == {'ok'}
+    assert most == FAN_OUT
+    delay_s = 5
+    async with asyncio.timeout(3):
+        _, answer = await call('GET', '/v1/state')
+    replies = {agent['reply'] for agent in answer['agents']}
+    assert replies == {'silent', 'not_asked'}
+    await runner.cleanup()
