--- a/ibispitch/admin/__init__.py
+++ b/ibispitch/admin/__init__.py
@@ -6,6 +6,9 @@
 """
 
 from ibispitch.admin.app import make_app
+from ibispitch.admin.client import AdminClient
+from ibispitch.admin.client import HttpEditor
+from ibispitch.admin.errors import ApiError
 from ibispitch.admin.state import AgentLoad
 from ibispitch.admin.state import AgentView
 from ibispitch.admin.state import BalancerView
@@ -15,11 +18,14 @@
 from ibispitch.admin.state import StateProvider
 
 __all__ = [
+    'AdminClient',
     'AgentLoad',
     'AgentView',
+    'ApiError',
     'BalancerView',
     'FleetState',
     'Health',
+    'HttpEditor',
     'LocalState',
     'StateProvider',
     'make_app',
--- a/ibispitch/admin/errors.py
+++ b/ibispitch/admin/errors.py
@@ -88,18 +88,6 @@
     )
 
 
-def to_edit_error(error: ApiError) -> EditError:
-    """Return the edit error of an API error, for clients of the API."""
-    try:
-        fault = EditFault(error.fault)
-    except ValueError:
-        is_refusal = STATUS_BY_FAULT.get(error.fault) in (401, 403)
-        fault = EditFault.FORBIDDEN if is_refusal else EditFault.INVALID
-    return EditError(
-        fault, error.message, error.remedy, error.other, error.edit_id
-    )
-
-
 def error_response(error: ApiError) -> web.Response:
     """Return the HTTP answer for an error."""
     headers = (
--- a/tests/admin/conftest.py
+++ b/tests/admin/conftest.py
@@ -13,8 +13,6 @@
 from ibispitch.membership.records import BalancerRecord
 from ibispitch.membership.records import MemberState
 from ibispitch.settings.programs import TokenSettings
-from ibispitch.store import StoreClient
-from testbed.store import StoreServer
 
 OPERATOR = 'operator-token-0001'
 OMAHEKE = 'omaheke-token-00001'
@@ -103,18 +101,6 @@
     return FleetQuery(session, timeout_s=0.3, deadline_s=1.0)
 
 
-@pytest.fixture
-async def server():
-    async with StoreServer() as server:
-        yield server
-
-
-@pytest.fixture
-async def store(server):
-    async with StoreClient([server.address], timeout_s=0.4) as store:
-        yield store
-
-
 @pytest.fixture
 def provider():
     return FakeProvider()
--- a/tests/catalogue/conftest.py
+++ b/tests/catalogue/conftest.py
@@ -4,8 +4,6 @@
 from ibispitch.catalogue.documents import Entry
 from ibispitch.catalogue.editor import Actor
 from ibispitch.catalogue.editor import CatalogueEditor
-from ibispitch.store import StoreClient
-from testbed.store import StoreServer
 
 
 def make_entry(service='returns', port=5683, **fields):
@@ -14,18 +12,6 @@
     return Entry(service=service, addresses=[address], **(defaults | fields))
 
 
-@pytest.fixture
-async def server():
-    async with StoreServer() as server:
-        yield server
-
-
-@pytest.fixture
-async def store(server):
-    async with StoreClient([server.address], timeout_s=0.4) as store:
-        yield store
-
-
 @pytest.fixture
 def make_editor(store, monkeypatch):
     monkeypatch.setattr(editor_module, 'SETTLE_PAUSE_S', 0.01)
--- a/tests/store/test_client.py
+++ b/tests/store/test_client.py
@@ -15,29 +15,17 @@
 from testbed.store import StoreServer
 
 
-@pytest.fixture
-async def server():
-    async with StoreServer() as server:
-        yield server
-
-
-@pytest.fixture
-async def client(server):
-    async with StoreClient([server.address], timeout_s=0.5) as client:
-        yield client
-
-
 @pytest.mark.parametrize('is_hanging', [False, True])
 async def test_lost_answer_is_not_reported_as_failure(
-    server, client, is_hanging
+    server, store, is_hanging
 ):
     """Guards against treating a write that took effect as not done."""
     server.set_faults(Faults(lose_answers=1, lose_by_hanging=is_hanging))
     with pytest.raises(StoreError) as raised:
-        await client.put('k', b'v')
+        await store.put('k', b'v')
     assert raised.value.fault is StoreFault.TIMEOUT
     assert raised.value.may_have_taken_effect
-    assert (await client.get('k')).value == b'v'
+    assert (await store.get('k')).value == b'v'
 
 
 async def test_write_is_not_sent_twice(server):
@@ -68,31 +56,31 @@
             assert await client.get('k') is None
 
 
-async def test_store_down(server, client):
+async def test_store_down(server, store):
     """Guards against an outage that is reported as a lost answer."""
     await server.stop()
     with pytest.raises(StoreError) as raised:
-        await client.put('k', b'v')
+        await store.put('k', b'v')
     assert raised.value.fault is StoreFault.UNAVAILABLE
     assert not raised.value.may_have_taken_effect
 
 
-async def test_malformed_answer(server, client):
+async def test_malformed_answer(server, store):
     """Guards against a crash on an answer of another HTTP server."""
     server.set_faults(Faults(malformed_answers=2))
     with pytest.raises(StoreError) as raised:
-        await client.get('k')
+        await store.get('k')
     assert raised.value.fault is StoreFault.MALFORMED
     with pytest.raises(StoreError) as raised:
-        await client.put('k', b'v')
+        await store.put('k', b'v')
     assert raised.value.may_have_taken_effect
 
 
-async def test_transaction_compares(client):
+async def test_transaction_compares(store):
     """Guards against a write whose condition does not hold."""
-    first = await client.put('k', b'v')
+    first = await store.put('k', b'v')
     stale = Compare.on_mod_revision('k', first - 1)
-    result = await client.txn([stale], [Put('k', b'w')], [Read('k')])
+    result = await store.txn([stale], [Put('k', b'w')], [Read('k')])
     assert not result.succeeded
     assert result.read['k'].value == b'v'
     for key, value, expected in [
@@ -101,19 +89,19 @@
         ('absent', b'', False),
     ]:
         compare = Compare.on_value(key, value)
-        result = await client.txn([compare], [Put(key, b'w')])
+        result = await store.txn([compare], [Put(key, b'w')])
         assert result.succeeded is expected
     absent = Compare.on_mod_revision('new', 0)
-    assert (await client.txn([absent], [Put('new', b'1')])).succeeded
-    assert not (await client.txn([absent], [Put('new', b'2')])).succeeded
+    assert (await store.txn([absent], [Put('new', b'1')])).succeeded
+    assert not (await store.txn([absent], [Put('new', b'2')])).succeeded
 
 
-async def test_range_reads_all_pages(client):
+async def test_range_reads_all_pages(store):
     """Guards against keys lost behind the page limit."""
     for number in range(PAGE_KEYS + 1):
-        await client.put(f'p/{number:04}', b'')
-    await client.put('q', b'')
-    result = await client.range('p/')
+        await store.put(f'p/{number:04}', b'')
+    await store.put('q', b'')
+    result = await store.range('p/')
     assert [item.key for item in result.items] == [
         f'p/{number:04}' for number in range(PAGE_KEYS + 1)
     ]
@@ -142,56 +130,56 @@
         assert raised.value.fault is StoreFault.REJECTED
 
 
-async def test_watch_reports_each_change_once(server, client):
+async def test_watch_reports_each_change_once(server, store):
     """Guards against changes lost or repeated over a broken watch."""
-    first = await client.put('w/a', b'1')
-    await client.put('x', b'outside')
+    first = await store.put('w/a', b'1')
+    await store.put('x', b'outside')
     seen = []
     start = first
     for change in (b'2', b'3'):
         with pytest.raises(StoreError) as raised:
-            async for batch in client.watch('w/', start):
+            async for batch in store.watch('w/', start):
                 start = batch.revision + 1 if batch.events else start
                 seen.extend(event.value for event in batch.events)
                 if batch.events and seen[-1] != change:
-                    await client.put('w/a', change)
+                    await store.put('w/a', change)
                 elif batch.events:
                     server.break_watches()
                 elif seen:
-                    await client.put('w/a', change)
+                    await store.put('w/a', change)
         assert raised.value.fault is StoreFault.UNAVAILABLE
     assert seen == [b'1', b'2', b'3']
 
 
-async def test_watch_reports_lapsed_lease_as_deletion(client):
+async def test_watch_reports_lapsed_lease_as_deletion(store):
     """Guards against an end of a lease that a watch does not show."""
-    lease = await client.lease_grant(10)
-    await client.put('w/a', b'1', lease)
-    watch = client.watch('w/', 0)
+    lease = await store.lease_grant(10)
+    await store.put('w/a', b'1', lease)
+    watch = store.watch('w/', 0)
     assert not (await anext(watch)).events
-    await client.lease_revoke(lease)
+    await store.lease_revoke(lease)
     batch = await anext(watch)
     assert [(e.key, e.value) for e in batch.events] == [('w/a', None)]
     await watch.aclose()
 
 
-async def test_watch_reports_compaction(server, client):
+async def test_watch_reports_compaction(server, store):
     """Guards against a gap in the changes after the history was compacted."""
-    first = await client.put('w/a', b'1')
-    await client.put('w/a', b'2')
-    await client.put('w/a', b'3')
+    first = await store.put('w/a', b'1')
+    await store.put('w/a', b'2')
+    await store.put('w/a', b'3')
     server.core.compact()
     with pytest.raises(StoreError) as raised:
-        async for _ in client.watch('w/', first + 1):
+        async for _ in store.watch('w/', first + 1):
             pass
     assert raised.value.fault is StoreFault.COMPACTED
     assert raised.value.compact_revision == server.core.revision
 
 
-async def test_silent_watch_is_reported(client):
+async def test_silent_watch_is_reported(store):
     """Guards against a watch that waits forever on a dead connection."""
     with pytest.raises(StoreError) as raised:
         async with asyncio.timeout(5):
-            async for _ in client.watch('w/', 0, idle_timeout_s=0.1):
+            async for _ in store.watch('w/', 0, idle_timeout_s=0.1):
                 pass
     assert raised.value.fault is StoreFault.TIMEOUT
