Tell admission which delegates have declined a request

Cause: admission chooses another delegate only if it knows who declined; the gate counted delegations without their names.

Change: the gate keeps the agents that declined and passes them on.

--- a/ibispitch/requests/delegation.py
+++ b/ibispitch/requests/delegation.py
@@ -64,7 +64,7 @@
     def _run_at(self, job: Job, agent_id: AgentId, now: float) -> None:
         incarnation = self._incarnation_by_agent.get(agent_id)
         if incarnation is None:
-            self._decide_again(job, now)
+            self._decide_again(job, agent_id, now)
             return
         job.state, job.delegate = JobState.DELEGATED, agent_id
         job.delegate_incarnation, job.asked = incarnation, 0
@@ -77,12 +77,12 @@
     def _leave_delegate(self, job: Job) -> None:
         self._run_by_asked.pop(job.asked_as, None)
 
-    def _decide_again(self, job: Job, now: float) -> None:
+    def _decide_again(self, job: Job, declined: AgentId, now: float) -> None:
         """Decide again after a delegate has not run the request."""
         self._leave_delegate(job)
         job.state, job.delegate = JobState.NEW, None
-        job.delegations += 1
-        job.pinned = job.delegations >= MAX_DELEGATIONS
+        job.declined.append(declined)
+        job.pinned = len(job.declined) >= MAX_DELEGATIONS
         self._decide(job, now)
 
     def _ask(self, job: Job, now: float) -> None:
@@ -132,7 +132,7 @@
             ):
                 self._refuse(job, reply.retry_after_s, 'delegate', now)
             case ReplyOutcome.NOT_RUN:
-                self._decide_again(job, now)
+                self._decide_again(job, sender, now)
             case ReplyOutcome.UNKNOWN:
                 self._failed(job, 'delegate', now)
         return self._drain(now)
