Measure the packet path and shorten the way of answers

The flow opener was unpaced, so that its own bursts were lost.

Change: answers under the signing key are checked and sent from slices of the datagram; other frames take the general decoder. Openers are paced at 6,000 flows/s each.

--- a/ibispitch/balancer/forwarder.py
+++ b/ibispitch/balancer/forwarder.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from hashlib import blake2s
+from hmac import compare_digest
 import socket
+from typing import NamedTuple
 
 from ibispitch.catalogue.documents import Entry
 from ibispitch.ids import Address
@@ -52,6 +54,29 @@
     return header[:PREFIX_BYTES]
 
 
+#: Magic, version and kind of an answer.
+REPLY_START = MAGIC + bytes([VERSION, FrameKind.REPLY])
+#: Places of the fields in the header after the MAC.
+SERVICE_NUMBER = slice(6, 14)
+FLOW = slice(14, 20)
+DESTINATION = slice(26, 32)
+
+
+class BoundService(NamedTuple):
+    """A socket on an address of a service.
+
+    :param number: number of the service as in the header.
+    """
+
+    socket: DatagramSocket
+    number: bytes
+
+
+def number_bytes(number: ServiceNumber) -> bytes:
+    """Return a service number as in the header."""
+    return number.to_bytes(8, 'big')
+
+
 class Forwarder:
     """Forwards callers' packets to agents and answers to callers.
 
@@ -75,11 +100,10 @@
         self._data = data
         self._route = route
         self._binds_host = binds_host
-        self._socket_by_destination: dict[bytes, DatagramSocket] = {}
-        self._number_by_destination: dict[bytes, ServiceNumber] = {}
+        self._service_by_destination: dict[bytes, BoundService] = {}
         self._packets = metrics.counts('balancer.packets')
         self._rejected = metrics.counts('wire.rejected')
-        self._socket = DatagramSocket(self._on_frame, data)
+        self._socket = DatagramSocket(self._frame_handler(), data)
         self.last_packet = 0.0
         self.taken_in = 0
         self.sent_back = 0
@@ -93,13 +117,13 @@
             for entry in entries
             for address in entry.addresses
         }
-        for destination in list(self._socket_by_destination):
-            number = self._number_by_destination[destination]
-            if number_by_destination.get(destination) != number:
-                self._socket_by_destination.pop(destination).close()
-        self._number_by_destination = number_by_destination
+        for destination, service in list(self._service_by_destination.items()):
+            number = number_by_destination.get(destination)
+            if number is None or number_bytes(number) != service.number:
+                service.socket.close()
+                del self._service_by_destination[destination]
         for destination, number in number_by_destination.items():
-            if destination not in self._socket_by_destination:
+            if destination not in self._service_by_destination:
                 self._bind(destination, number)
 
     def _bind(self, destination: bytes, number: ServiceNumber) -> None:
@@ -107,7 +131,7 @@
         if self._binds_host:
             address = Address(self._data.ip, address.port)
         try:
-            self._socket_by_destination[destination] = DatagramSocket(
+            bound = DatagramSocket(
                 self._packet_handler(number, destination), address
             )
         except OSError as error:
@@ -118,6 +142,10 @@
                 reason=str(error),
                 remedy='give the host this address or set service_bind',
             )
+            return
+        self._service_by_destination[destination] = BoundService(
+            bound, number_bytes(number)
+        )
 
     def _packet_handler(self, number: ServiceNumber, destination: bytes):
         """Return the handler of a service socket.
@@ -156,7 +184,44 @@
 
         return on_packet
 
-    def _on_frame(self, data: bytes, _: tuple[str, int]) -> None:
+    def _frame_handler(self):
+        """Return the handler of answers from agents.
+
+        Answers under the signing key take a short way with few objects;
+        all others, also those under an older key, are decoded in full.
+        """
+        key = self._keyring.signing_key
+        service_by_destination = self._service_by_destination
+        inet_ntoa = socket.inet_ntoa
+        packets = self._packets
+        blocked = (('result', 'blocked'),)
+
+        def on_frame(data: bytes, _: tuple[str, int]) -> None:
+            body = data[MAC_BYTES:]
+            mac = blake2s(body, key=key, digest_size=MAC_BYTES).digest()
+            if (
+                not compare_digest(mac, data[:MAC_BYTES])
+                or body[: len(REPLY_START)] != REPLY_START
+                or len(body) < HEADER.size
+            ):
+                self._on_other_frame(data)
+                return
+            service = service_by_destination.get(body[DESTINATION])
+            if service is None or body[SERVICE_NUMBER] != service.number:
+                packets[(('result', 'no_service'),)] += 1
+                return
+            flow = body[FLOW]
+            caller = inet_ntoa(flow[:4]), flow[4] << 8 | flow[5]
+            try:
+                service.socket.sendto(body[HEADER.size :], caller)
+            except OSError:
+                packets[blocked] += 1
+                return
+            self.sent_back += 1
+
+        return on_frame
+
+    def _on_other_frame(self, data: bytes) -> None:
         try:
             frame = decode_frame(self._keyring, data)
         except WireError as error:
@@ -166,17 +231,16 @@
             fault = WireFault.BAD_KIND.value
             self._rejected[(('fault', fault),)] += 1
             return
-        service = self._socket_by_destination.get(frame.destination)
-        number = self._number_by_destination.get(frame.destination)
-        if service is None or number != frame.service:
+        service = self._service_by_destination.get(frame.destination)
+        if service is None or service.number != number_bytes(frame.service):
             self._packets[(('result', 'no_service'),)] += 1
             return
         self.sent_back += 1
-        service.send(frame.payload, flow_address(frame.flow))
+        service.socket.send(frame.payload, flow_address(frame.flow))
 
     def close(self) -> None:
         """Close all sockets."""
         self._socket.close()
-        for service in self._socket_by_destination.values():
-            service.close()
-        self._socket_by_destination.clear()
+        for service in self._service_by_destination.values():
+            service.socket.close()
+        self._service_by_destination.clear()
--- a/testbed/datapath.py
+++ b/testbed/datapath.py
@@ -24,6 +24,8 @@
 PAYLOAD_BYTES = 200
 BATCH = 50
 PING_INTERVAL_S = 0.0005
+#: Flows that one process opens a second.
+OPEN_RATE_PER_S = 6000
 
 
 def open_socket(bind: Address) -> socket.socket:
@@ -80,7 +82,10 @@
     """
     datagram = b'x' * PAYLOAD_BYTES
     start = time.monotonic()
-    for number in range(first, first + count):
+    for done, number in enumerate(range(first, first + count)):
+        if done % BATCH == 0:
+            ahead_s = done / OPEN_RATE_PER_S - (time.monotonic() - start)
+            time.sleep(max(0.0, ahead_s))
         ip = f'127.{100 + (number >> 16)}.{number >> 8 & 255}.{number & 255}'
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as opened:
             opened.bind((ip, 0))
--- a/testbed/deployment.py
+++ b/testbed/deployment.py
@@ -94,7 +94,7 @@
         self.supervisor = Supervisor(folder)
         self.ramp_s = ramp_s
         self._network = network
-        self._key = secrets.token_hex(16)
+        self.shared_key = secrets.token_hex(16)
         self.balancer_ips = {
             f'balancer-{index}': f'127.{network}.2.{index + 1}'
             for index in range(balancers)
@@ -133,7 +133,7 @@
 
     def _common(self) -> dict:
         return {
-            'shared_keys': [self._key],
+            'shared_keys': [self.shared_key],
             'seeds': [
                 f'{ip}:{CONTROL_PORT}' for ip in self.balancer_ips.values()
             ],
--- a/testbed/scenario.py
+++ b/testbed/scenario.py
@@ -41,6 +41,7 @@
 FEED_SILENCE_S = 8.0
 READY_TIMEOUT_S = 20.0
 READY_CHECK_S = 0.1
+CONVERGE_S = 1.5
 CALLER_PORT = 4000
 MAX_LATENCY_US = 60_000_000
 
@@ -119,7 +120,7 @@
         )
 
     async def start(self) -> None:
-        """Start all processes, write the catalogue, wait until all serve.
+        """Start all processes, write the catalogue, wait until all agree.
 
         :raises TimeoutError: if a process does not become ready.
         """
@@ -130,6 +131,8 @@
             self.deployment.start()
             for host in self.deployment.hosts:
                 await self.wait_ready(host)
+        # Views of the last agents reach all balancers by gossip.
+        await asyncio.sleep(CONVERGE_S)
         self.spray.balancers = list(self.deployment.balancer_ips.values())
 
     async def _write_entries(self) -> None:
