Report a store that sets up no watch as unavailable

Cause: a store that accepts connections but does not answer was reported only after the idle timeout of 60 s, and as silent instead of unavailable. Cancelled writes (HTTP 408, 499) were reported as refused, although they may have taken effect.

Change: setting up a watch has the timeout of a call. 408 and 499 leave a write in doubt. Errors of watches are counted in one place.

Tests: the new case of test_silent_watch_is_reported times out without the change; store, catalogue, admin and ctl tests pass.

Conclusion: a reader learns of an unanswering store within the call timeout.

--- a/ibispitch/store/client.py
+++ b/ibispitch/store/client.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
 import json
@@ -35,6 +36,7 @@
 MAX_DETAIL_CHARACTERS = 200
 #: gRPC status OUT_OF_RANGE, which the store gives for compacted revisions.
 OUT_OF_RANGE = 11
+CANCELLED_STATUSES = (408, 499)
 
 ANSWER_ERRORS = (
     KeyError,
@@ -215,43 +217,53 @@
             'range_end': messages.encode(messages.prefix_end(prefix)),
             'start_revision': str(start_revision),
         }
-        timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=self._timeout_s, sock_read=idle_timeout_s
-        )
+        timeout = aiohttp.ClientTimeout(total=None, sock_read=idle_timeout_s)
         endpoint = self._endpoints[self._preferred]
         try:
-            async with self._client().post(
-                f'http://{endpoint}/v3/watch',
-                data=json.dumps({'create_request': create}),
-                timeout=timeout,
-            ) as response:
+            response = await self._before_deadline(
+                endpoint,
+                self._client().post(
+                    f'http://{endpoint}/v3/watch',
+                    data=json.dumps({'create_request': create}),
+                    timeout=timeout,
+                ),
+            )
+            async with response:
                 if response.status != 200:
-                    _raise_refusal(
-                        response.status, await response.text(), False
+                    text = await self._before_deadline(
+                        endpoint, response.text()
                     )
-                async for line in _lines(response.content):
+                    _raise_refusal(response.status, text, False)
+                lines = _lines(response.content)
+                line = await self._before_deadline(
+                    endpoint, anext(lines, None)
+                )
+                while line is not None:
                     batch = _parse(line, _watch_line, False)
                     self.calls['/v3/watch', 'batch'] += 1
                     yield batch
+                    line = await anext(lines, None)
             detail = f'{endpoint} ended the watch; watch again'
             raise StoreError(StoreFault.UNAVAILABLE, detail)
         except TimeoutError as error:
-            self._move_on(endpoint)
-            raise StoreError(
-                StoreFault.TIMEOUT,
-                f'the watch at {endpoint} was silent; watch again',
+            detail = f'the watch at {endpoint} was silent; watch again'
+            raise self._broken_watch(
+                endpoint, StoreError(StoreFault.TIMEOUT, detail)
             ) from error
         except (aiohttp.ClientError, OSError) as error:
-            self._move_on(endpoint)
-            raise StoreError(
-                StoreFault.UNAVAILABLE,
-                f'the watch at {endpoint} broke ({error}); watch again',
+            detail = f'the watch at {endpoint} broke ({error}); watch again'
+            raise self._broken_watch(
+                endpoint, StoreError(StoreFault.UNAVAILABLE, detail)
             ) from error
         except StoreError as error:
-            if error.fault is StoreFault.UNAVAILABLE:
-                self._move_on(endpoint)
-            self.calls['/v3/watch', error.fault.value] += 1
-            raise
+            raise self._broken_watch(endpoint, error) from error.__cause__
+
+    def _broken_watch(self, endpoint: str, error: StoreError) -> StoreError:
+        """Count an error of a watch and choose where to watch again."""
+        if error.fault in (StoreFault.UNAVAILABLE, StoreFault.TIMEOUT):
+            self._move_on(endpoint)
+        self.calls['/v3/watch', error.fault.value] += 1
+        return error
 
     def _client(self) -> aiohttp.ClientSession:
         if self._session is None or self._session.closed:
@@ -260,6 +272,20 @@
             )
         return self._session
 
+    async def _before_deadline(self, endpoint: str, step: Awaitable[T]) -> T:
+        """Await a step of setting up a watch.
+
+        The idle timeout is for established watches only. An endpoint that
+        does not even set one up is out of service.
+        """
+        try:
+            return await asyncio.wait_for(step, self._timeout_s)
+        except TimeoutError as error:
+            raise StoreError(
+                StoreFault.UNAVAILABLE,
+                f'{endpoint} set up no watch within {self._timeout_s:g} s',
+            ) from error
+
     def _move_on(self, endpoint: str) -> None:
         """Prefer another endpoint than the one that failed."""
         if self._endpoints[self._preferred] == endpoint:
@@ -357,8 +383,9 @@
 def _raise_refusal(status: int, text: str, is_write: bool) -> None:
     """Raise the error for an answer with an HTTP error status.
 
-    A 5xx status is no proof that a write did not take effect: the store
-    also uses it when its own replication timed out.
+    These statuses are no proof that a write did not take effect: the store
+    gives 5xx also when its own replication timed out, and 408 or 499 when
+    the call was cancelled on the way.
     """
     try:
         answer = json.loads(text)
@@ -366,7 +393,7 @@
     except ANSWER_ERRORS:
         code, detail = 0, text
     detail = f'HTTP {status}: {detail[:MAX_DETAIL_CHARACTERS]}'
-    if status >= 500:
+    if status >= 500 or status in CANCELLED_STATUSES:
         raise StoreError(
             StoreFault.TIMEOUT if is_write else StoreFault.UNAVAILABLE,
             detail,
--- a/testbed/store.py
+++ b/testbed/store.py
@@ -412,6 +412,8 @@
         if self.faults.down:
             return _drop(request)
         create = (await request.json())['create_request']
+        if self.faults.delay_s:
+            await asyncio.sleep(self.faults.delay_s)
         key = b64decode(create['key'])
         end = b64decode(create['range_end']) if 'range_end' in create else None
         start = int(create.get('start_revision', 0)) or self.core.revision + 1
--- a/tests/store/test_client.py
+++ b/tests/store/test_client.py
@@ -176,10 +176,16 @@
     assert raised.value.compact_revision == server.core.revision
 
 
-async def test_silent_watch_is_reported(store):
+@pytest.mark.parametrize(
+    ('delay_s', 'fault'),
+    [(0, StoreFault.TIMEOUT), (5, StoreFault.UNAVAILABLE)],
+)
+async def test_silent_watch_is_reported(server, store, delay_s, fault):
     """Guards against a watch that waits forever on a dead connection."""
+    server.set_faults(Faults(delay_s=delay_s))
+    idle_timeout_s = 2 * delay_s or 0.1
     with pytest.raises(StoreError) as raised:
-        async with asyncio.timeout(5):
-            async for _ in store.watch('w/', 0, idle_timeout_s=0.1):
+        async with asyncio.timeout(1):
+            async for _ in store.watch('w/', 0, idle_timeout_s):
                 pass
-    assert raised.value.fault is StoreFault.TIMEOUT
+    assert raised.value.fault is fault
