--- a/ibispitch/store/client.py
+++ b/ibispitch/store/client.py
@@ -279,7 +279,9 @@
         does not even set one up is out of service.
         """
         try:
-            return await asyncio.wait_for(step, self._timeout_s)
+            # asyncio.wait_for of Python 3.11 can lose a cancellation.
+            async with asyncio.timeout(self._timeout_s):
+                return await step
         except TimeoutError as error:
             raise StoreError(
                 StoreFault.UNAVAILABLE,
--- a/testbed/store.py
+++ b/testbed/store.py
@@ -46,6 +46,8 @@
     :param stale_by: revisions by which plain reads lag behind.
     :param malformed_answers: how many of the next calls are answered by
         text that is not JSON.
+    :param error_status: HTTP status with which every call is refused, 0 for
+        none.
     """
 
     down: bool = False
@@ -55,6 +57,7 @@
     lose_by_hanging: bool = False
     stale_by: int = 0
     malformed_answers: int = 0
+    error_status: int = 0
 
 
 class Stored(NamedTuple):
@@ -300,6 +303,8 @@
             if self.faults.down:
                 return _drop(request)
             body = await request.json()
+            if self.faults.error_status:
+                return web.Response(status=self.faults.error_status)
             if self.faults.delay_s:
                 await asyncio.sleep(self.faults.delay_s)
             if is_write and self.faults.lose_requests > 0:
