Test membership with random faults, and watch agents of an earlier self

Cause: leases and membership had no test under faults.

Change: a Hypothesis state machine crashes, restarts, pauses and cuts off balancers and agents over the in-memory network and checks versions and views at each step. Lease decisions moved into MembershipCore, so that the test runs the same code as the server.

Conclusion: a balancer now watches agents that name it as parent but have no lease.

--- a/ibispitch/membership/core.py
+++ b/ibispitch/membership/core.py
@@ -18,10 +18,16 @@
 from ibispitch.membership.keys import item_record
 from ibispitch.membership.keys import Record
 from ibispitch.membership.keys import record_item
+from ibispitch.membership.leases import LeaseTable
 from ibispitch.membership.messages import Ack
+from ibispitch.membership.messages import Announce
 from ibispitch.membership.messages import Join
+from ibispitch.membership.messages import LeaseGranted
+from ibispitch.membership.messages import LeaseRefused
+from ibispitch.membership.messages import Leave
 from ibispitch.membership.messages import Ping
 from ibispitch.membership.messages import PingRequest
+from ibispitch.membership.messages import Renew
 from ibispitch.membership.messages import Suspicion
 from ibispitch.membership.messages import SWIM_MESSAGES
 from ibispitch.membership.orphans import OrphanTable
@@ -73,6 +79,12 @@
     item: Item
 
 
+class LeaseLapsed(NamedTuple):
+    """An agent did not renew its lease here."""
+
+    record: AgentRecord
+
+
 class Resumed(NamedTuple):
     """The process did not run for ``pause_s`` seconds."""
 
@@ -85,6 +97,7 @@
     | BalancerChanged
     | AgentChanged
     | CatalogueChanged
+    | LeaseLapsed
     | Resumed
 )
 
@@ -111,6 +124,7 @@
         self.spread = SpreadCore(record.control_address, rng)
         self.balancers: dict[BalancerId, BalancerRecord] = {}
         self.catalogue: dict[str, Item] = {}
+        self.leases = LeaseTable(record.balancer_id)
         #: Whether a later process with the same identifier was seen.
         self.is_superseded = False
         self._rng = rng
@@ -173,6 +187,9 @@
         if now >= self._join_due:
             effects += self._join(now)
         effects += self._apply(self.spread.tick(now), now)
+        for record in self.leases.tick(now):
+            effects.append(LeaseLapsed(record))
+            effects += self._publish(record, now)
         for record in self._orphans.retire(now):
             effects += self._publish(record, now, rumour=False)
         return effects + self._orphan_changes(now)
@@ -198,9 +215,26 @@
         """Change the state of this balancer, for example to LEAVING."""
         return self._renew(self.record.sequence, now, state)
 
-    def publish_agent(self, record: AgentRecord, now: float) -> list[Effect]:
-        """Publish the record of an agent that leases here."""
-        return self._publish(record, now)
+    def on_agent_message(
+        self, message: Announce | Renew | Leave, now: float
+    ) -> tuple[LeaseGranted | LeaseRefused | None, list[Effect]]:
+        """Handle a request of an agent for a lease here.
+
+        :param message: the request.
+        :param now: monotonic time in seconds.
+        :returns: the answer, ``None`` to a leave, and effects to carry out.
+        """
+        effects = self._check_pause(now)
+        if isinstance(message, Renew):
+            return self.leases.renew(message, now).message, effects
+        known = self.agents.get(message.record.agent_id)
+        if isinstance(message, Announce):
+            answer, record = self.leases.announce(message.record, known, now)
+        else:
+            answer, record = None, self.leases.leave(message.record, known)
+        if record is not None:
+            effects += self._publish(record, now)
+        return answer, effects
 
     def publish_document(
         self, key: str, mod_revision: int, value: bytes, now: float
@@ -328,7 +362,16 @@
             self._id_by_address.pop(record.control_address, None)
 
     def _orphan_changes(self, now: float) -> list[Effect]:
-        return [AgentChanged(record) for record in self._orphans.changes(now)]
+        effects: list[Effect] = []
+        for record in self._orphans.changes(now):
+            renewed = self.leases.on_record(record, now)
+            if renewed is None:
+                effects.append(AgentChanged(record))
+            else:
+                # The lease proves that the agent lives, so the loss that
+                # another balancer published is not acted upon.
+                effects += self._publish(renewed, now)
+        return effects
 
     def _on_balancer(
         self, record: BalancerRecord, now: float, sender: Address | None
--- a/ibispitch/membership/leases.py
+++ b/ibispitch/membership/leases.py
@@ -18,6 +18,8 @@
 
 LEASE_S = 3.0
 RENEW_INTERVAL_S = 1.0
+#: Time for the agents of a lost parent to announce themselves elsewhere.
+PARENT_LOST_S = 5.0
 #: A parent that did not run for this time has renewals waiting in its
 #: sockets, so its leases cannot be judged by their age.
 PARENT_PAUSE_S = 1.0
@@ -100,15 +102,23 @@
         )
 
     def on_record(self, record: AgentRecord, now: float) -> AgentRecord | None:
-        """Compare a record that another balancer published with the lease.
+        """Compare a record in spread with the lease.
+
+        A record that names this balancer as parent without a lease is from
+        before its restart. Nobody else would notice the loss of that agent,
+        so it is watched as if it had a lease.
 
         :returns: a record to publish because the lease proves that the
             agent is not lost.
         """
         lease = self._lease_by_id.get(record.agent_id)
+        is_own = record.parent == self._self_id
+        if lease is None and is_own and record.state.is_present:
+            at = now + PARENT_LOST_S - LEASE_S
+            self._lease_by_id[record.agent_id] = _Lease(record, at)
+            return None
         if lease is None or record.version <= lease.record.version:
             return None
-        is_own = record.parent == self._self_id
         if not is_own or record.incarnation != lease.record.incarnation:
             del self._lease_by_id[record.agent_id]
             return None
--- a/ibispitch/membership/orphans.py
+++ b/ibispitch/membership/orphans.py
@@ -13,12 +13,11 @@
 
 from ibispitch.ids import AgentId
 from ibispitch.ids import BalancerId
+from ibispitch.membership.leases import PARENT_LOST_S
 from ibispitch.membership.records import AgentRecord
 from ibispitch.membership.records import BalancerRecord
 from ibispitch.membership.records import MemberState
 
-#: Time for the agents of a lost parent to announce themselves elsewhere.
-PARENT_LOST_S = 5.0
 #: Records of lost agents become tombstones after this time; a partition
 #: that lasts longer costs its agents one announcement.
 RETIRE_S = 3600.0
--- a/ibispitch/membership/server.py
+++ b/ibispitch/membership/server.py
@@ -16,14 +16,14 @@
 from ibispitch.ids import FlowId
 from ibispitch.ids import ServiceName
 from ibispitch.ids import ServiceNumber
-from ibispitch.membership.core import AgentChanged
 from ibispitch.membership.core import BalancerChanged
 from ibispitch.membership.core import CatalogueChanged
+from ibispitch.membership.core import LeaseLapsed
 from ibispitch.membership.core import MembershipCore
 from ibispitch.membership.core import Resumed
-from ibispitch.membership.leases import LeaseTable
 from ibispitch.membership.messages import Join
 from ibispitch.membership.messages import PeerHello
+from ibispitch.membership.records import AgentRecord
 from ibispitch.membership.records import BalancerRecord
 from ibispitch.membership.records import MemberState
 from ibispitch.membership.sessions import AgentSession
@@ -95,7 +95,6 @@
         wall: Callable[[], float] = time.time,
     ):
         self.core = MembershipCore(record, seeds, rng or random.Random())
-        self.leases = LeaseTable(record.balancer_id)
         self.catalogue = catalogue
         self._keyring = keyring
         self._metrics = metrics
@@ -172,18 +171,7 @@
     async def _tick_forever(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            now = self._clock()
-            self._run(self.core.tick(now))
-            for record in self.leases.tick(now):
-                log(
-                    Severity.WARNING,
-                    'membership.lease_lapsed',
-                    agent=record.agent_id,
-                )
-                self._run(self.core.publish_agent(record, now))
-                session = self._session_by_agent.pop(record.agent_id, None)
-                if session is not None:
-                    session.stream.abort()
+            self._run(self.core.tick(self._clock()))
 
     def _run(self, effects: list) -> None:
         for effect in effects:
@@ -213,14 +201,9 @@
             item = change.item
             if not self.catalogue.apply(item.key, item.version[0], item.value):
                 return
-        elif isinstance(change, AgentChanged):
-            now = self._clock()
-            renewed = self.leases.on_record(change.record, now)
-            if renewed is not None:
-                # The lease proves that the agent lives, so the loss that
-                # another balancer published is not acted upon.
-                self._run(self.core.publish_agent(renewed, now))
-                return
+        elif isinstance(change, LeaseLapsed):
+            self._on_lapse(change.record)
+            return
         elif isinstance(change, BalancerChanged):
             self._note_balancer(change.record)
         elif isinstance(change, Resumed):
@@ -230,6 +213,13 @@
             loop = asyncio.get_running_loop()
             self._view_timer = loop.call_later(VIEW_DELAY_S, self._push_views)
 
+    def _on_lapse(self, record: AgentRecord) -> None:
+        agent_id = record.agent_id
+        log(Severity.WARNING, 'membership.lease_lapsed', agent=agent_id)
+        session = self._session_by_agent.pop(agent_id, None)
+        if session is not None:
+            session.stream.abort()
+
     def _note_balancer(self, record: BalancerRecord) -> None:
         log(
             Severity.INFO,
@@ -333,14 +323,11 @@
                 self._run(self.core.on_message(sender, message, now))
 
     async def _serve_agent(self, stream: MessageStream, first: Any) -> None:
-        session = AgentSession(stream, self.leases, self.core.agents)
+        session = AgentSession(stream, self.core)
         message = first
         try:
             while message is not None:
-                record = session.on_message(message, self._clock())
-                if record is not None:
-                    now = self._clock()
-                    self._run(self.core.publish_agent(record, now))
+                self._run(session.on_message(message, self._clock()))
                 if session.was_granted:
                     self._adopt(session)
                 message = await stream.receive()
--- /dev/null
+++ b/tests/membership/test_state_machine.py
@@ -0,0 +1,164 @@
+"""Faults in any order over balancers and agents."""
+
+from hypothesis import Phase
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+import pytest
+
+from ibispitch.membership.records import MemberState
+from tests.membership.fleet import Fleet
+from tests.simulation import Network
+from tests.simulation import start_fleet
+
+BALANCERS = 4
+AGENTS = 3
+balancer = st.integers(0, BALANCERS - 1)
+agent = st.integers(0, AGENTS - 1)
+
+
+class Membership(RuleBasedStateMachine):
+    """Guards against versions that revert, members that are lost for ever
+    or too late, and views that get older; ``Fleet`` checks versions and
+    views at each step.
+    """
+
+    @initialize(seed=st.integers(0, 1000))
+    def start(self, seed):
+        self.fleet = Fleet(BALANCERS, AGENTS, seed)
+        self.revision = 0
+        self.fleet.network.advance(8)
+        self.fleet.check_agreement()
+
+    @rule(seconds=st.sampled_from([0.1, 0.7, 2.0, 3.1, 7.0]))
+    def advance(self, seconds):
+        self.fleet.network.advance(seconds)
+
+    @rule(loss=st.sampled_from([0.0, 0.1, 0.4]))
+    def lose(self, loss):
+        self.fleet.network.loss = loss
+
+    @rule(number=balancer)
+    def crash_balancer(self, number):
+        self.fleet.balancers[number].is_crashed = True
+
+    @rule(number=balancer)
+    def restart_balancer(self, number):
+        self.fleet.restart_balancer(number)
+
+    @rule(number=agent)
+    def crash_agent(self, number):
+        self.fleet.agents[number].is_crashed = True
+
+    @rule(number=agent)
+    def restart_agent(self, number):
+        self.fleet.restart_agent(number)
+
+    @rule(number=st.integers(0, BALANCERS + AGENTS - 1))
+    def pause_or_resume(self, number):
+        node = (self.fleet.balancers + self.fleet.agents)[number]
+        if node.is_paused:
+            self.fleet.network.resume(node)
+        else:
+            node.is_paused = True
+
+    @rule(sides=st.lists(st.integers(0, 1), min_size=7, max_size=7))
+    def partition(self, sides):
+        nodes = self.fleet.balancers + self.fleet.agents
+        self.fleet.network.side_by_address = {
+            node.address: side for node, side in zip(nodes, sides, strict=True)
+        }
+
+    @rule(number=balancer, size=st.sampled_from([10, 5000]))
+    def edit(self, number, size):
+        node = self.fleet.balancers[number]
+        if not node.is_running:
+            return
+        self.revision += 1
+        value = b'%d' % self.revision * size
+        effects = node.core.publish_document(
+            'entries/bench', self.revision, value, self.fleet.network.now
+        )
+        self.fleet.network.run(node, effects)
+
+    @rule()
+    def settle(self):
+        self.fleet.settle()
+        self.fleet.check_agreement()
+
+    def teardown(self):
+        if hasattr(self, 'fleet'):
+            self.settle()
+
+
+# Shrinking replays hours of simulated time, so it is left out.
+Membership.TestCase.settings = settings(
+    max_examples=40,
+    stateful_step_count=25,
+    deadline=None,
+    phases=[Phase.explicit, Phase.reuse, Phase.generate],
+)
+TestMembership = Membership.TestCase
+
+
+def test_dead_members_are_lost_in_time():
+    """A dead balancer or agent must not be used for longer than stated."""
+    fleet = Fleet(5, 3, 1)
+    fleet.network.advance(20)
+    observer = fleet.balancers[0].core
+    fleet.agents[0].is_crashed = True
+    fleet.network.advance(4.5)
+    assert observer.agents['a0'].state is MemberState.LOST
+    fleet.balancers[3].is_crashed = True
+    fleet.network.advance(8.5)
+    assert observer.balancers['b3'].state is MemberState.LOST
+    fleet.check_agreement()
+
+
+def test_agent_of_a_lost_parent_is_lost():
+    """An agent that dies with its parent must not stay in the tables."""
+    fleet = Fleet(5, 3, 1)
+    fleet.network.advance(20)
+    observer = fleet.balancers[0].core
+    agent = next(
+        node
+        for node in fleet.agents
+        if observer.agents[node.address].parent != 'b0'
+    )
+    parent = observer.agents[agent.address].parent
+    agent.is_crashed = True
+    fleet.balancers[int(parent[1:])].is_crashed = True
+    fleet.network.advance(8.5 + 5.5)
+    assert observer.agents[agent.address].state is MemberState.LOST
+
+
+def test_paused_agent_may_not_act_before_its_new_view():
+    """An agent that others replaced during its pause must not adopt."""
+    fleet = Fleet(3, 1, 1)
+    fleet.network.advance(10)
+    node = fleet.agents[0]
+    assert node.core.holder.may_act
+    node.is_paused = True
+    fleet.network.advance(5)
+    now = fleet.network.now
+    node.core.holder.check_pause(now)
+    assert not node.core.holder.may_act
+    fleet.network.resume(node)
+    fleet.network.advance(3)
+    assert node.core.holder.may_act
+    fleet.check_agreement()
+
+
+@pytest.mark.parametrize('count', [8, 32, 128, 512])
+def test_control_traffic_per_node(count):
+    """Control traffic must not grow with the number of nodes."""
+    network = Network(1)
+    nodes = start_fleet(network, count)
+    network.advance(300)
+    for node in nodes:
+        node.sent = node.stream_sent = 0
+    network.advance(30)
+    sent = [(node.sent + node.stream_sent) / 30 for node in nodes]
+    assert max(sent) < 4000
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -93,22 +93,34 @@
 
     def _arrive(self, sender, to, data):
         node = self.node_by_address.get(to)
-        side = self.side_by_address
-        if node is None or node.is_crashed:
-            return
-        if side.get(sender.address) != side.get(to):
-            return
-        if node.is_paused:
-            node.backlog.append((sender, data))
-            return
+        if node is not None and self.is_reachable(sender, node):
+            self.deliver(node, self._receive, node, sender, data)
+
+    def _receive(self, node, sender, data):
         message = decode_message(data)
         self.run(node, node.core.on_message(sender.address, message, self.now))
 
+    def is_reachable(self, sender, node):
+        side = self.side_by_address
+        return not node.is_crashed and (
+            side.get(sender.address) == side.get(node.address)
+        )
+
+    def deliver(self, node, action, *arguments):
+        """Act now, or after the pause of the receiver."""
+        if node.is_paused:
+            node.backlog.append((action, arguments))
+        elif not node.is_crashed:
+            action(*arguments)
+
+    def post(self, delay, node, action, *arguments):
+        self._push(delay, self.deliver, node, action, *arguments)
+
     def resume(self, node):
         node.is_paused = False
         backlog, node.backlog = node.backlog[-200:], []
-        for sender, data in backlog:
-            self._arrive(sender, node.address, data)
+        for action, arguments in backlog:
+            action(*arguments)
 
     def advance(self, seconds):
         until = self.now + seconds
