Settle conflicts with agents that left and void adoptions after a pause

Cause: random runs showed a flow with two owners when one party of a conflict crashed, a flow adopted twice from a packet that had waited out a pause, and a slot that stayed PENDING on an agent whose data centre is out.

Change: the remaining party of a conflict becomes the directory entry; adoptions held during a pause lose their flag; agents out of service are never awaited.

--- a/ibispitch/affinity/conflicts.py
+++ b/ibispitch/affinity/conflicts.py
@@ -6,20 +6,13 @@
 from ibispitch.ids import AgentId
 from ibispitch.ids import FlowId
 
-#: The owners are asked to settle a conflict for this long.
-SETTLE_S = 5.0
-
 
 class Conflict(NamedTuple):
-    """Two agents that reported the same flow.
-
-    :param until: time at which it is given up, in seconds.
-    """
+    """Two agents that reported the same flow."""
 
     slot: int
     first: AgentId
     second: AgentId
-    until: float
 
     def other(self, owner: AgentId) -> AgentId | None:
         """Return the rival of an owner."""
@@ -45,29 +38,32 @@
             del self.by_flow[flow]
         return winner
 
-    def drop_slots(self, slots: Collection[int]) -> None:
-        """Forget the conflicts in slots of another authority."""
-        self._drop(lambda conflict: conflict.slot in slots)
-
-    def forget(self, agents: Collection[AgentId]) -> None:
-        """Forget the conflicts with agents that left."""
-        self._drop(
-            lambda conflict: (
-                conflict.first in agents or conflict.second in agents
-            )
-        )
-
-    def expire(self, now: float) -> int:
-        """Give up old conflicts; return how many."""
-        before = len(self.by_flow)
-        self._drop(lambda conflict: conflict.until <= now)
-        return before - len(self.by_flow)
-
-    def _drop(self, is_over) -> None:
-        if not self.by_flow:
-            return
-        self.by_flow = {
-            flow: conflict
-            for flow, conflict in self.by_flow.items()
-            if not is_over(conflict)
-        }
+    def drop_slot(self, slot: int) -> None:
+        """Forget the conflicts in a slot of another authority."""
+        if self.by_flow:
+            self.by_flow = {
+                flow: conflict
+                for flow, conflict in self.by_flow.items()
+                if conflict.slot != slot
+            }
+
+    def forget(
+        self, agents: Collection[AgentId]
+    ) -> list[tuple[int, FlowId, AgentId]]:
+        """Settle the conflicts with agents that left.
+
+        :returns: slot, flow and remaining owner of each of them that has
+            one.
+        """
+        settled = []
+        for flow, conflict in list(self.by_flow.items()):
+            owners = [
+                owner
+                for owner in (conflict.first, conflict.second)
+                if owner not in agents
+            ]
+            if len(owners) == 2:
+                continue
+            del self.by_flow[flow]
+            settled.extend((conflict.slot, flow, owner) for owner in owners)
+        return settled
--- a/ibispitch/affinity/core.py
+++ b/ibispitch/affinity/core.py
@@ -258,7 +258,9 @@
         if self._is_out:
             self._drop(packet, DropReason.DATACENTRE_OUT)
         elif self._is_paused or self._is_exported:
-            self._hold(packet, slot, until)
+            # During the pause the authority may have placed the flow
+            # elsewhere, so that the adoption is void.
+            self._hold(packet._replace(adopt=False), slot, until)
         elif packet.flow in self._flows:
             self._flows.heard[packet.flow] = now
             self._effects.append(Deliver(packet, False))
@@ -441,6 +443,7 @@
     ) -> None:
         """Claim a flow towards another owner, as the authority asks."""
         if message.flow not in self._flows:
+            self._transfer.send(sender, FlowReleased(message.flow))
             return
         rival = message.rival
         if self._peers.hint(rival):
@@ -457,6 +460,7 @@
         """Close the own copy of a flow if the other one survives."""
         flow = message.flow
         if flow not in self._flows:
+            self._transfer.send(sender, FlowReleased(flow))
             return
         own = self._flows.version[flow], self._self_id
         if own > (message.view_version, sender):
@@ -492,7 +496,6 @@
             for batch in batches(flows, MAX_MESSAGE_FLOWS):
                 self._transfer.send(agent, FlowReleased(pack_flows(batch)))
         conflicts = self._transfer.conflicts
-        self.counts['unsettled_conflicts'] += conflicts.expire(now)
         for flow, conflict in list(conflicts.by_flow.items()):
             rival = self._peers.by_id.get(conflict.second)
             if conflict.first != self._self_id and rival is not None:
--- a/ibispitch/affinity/peers.py
+++ b/ibispitch/affinity/peers.py
@@ -191,7 +191,10 @@
         if peer is None or (
             info is not None and peer.info.incarnation < info.incarnation
         ):
-            if info is None or info.datacentre in self._datacentres_out:
+            if info is None:
+                return False
+            if info.datacentre in self._datacentres_out:
+                self._out[agent] = info
                 return False
             self._gone.pop(agent, None)
             self.by_id[agent] = Peer(info, peer is not None and peer.in_view)
--- a/ibispitch/affinity/transfer.py
+++ b/ibispitch/affinity/transfer.py
@@ -13,7 +13,6 @@
 
 from ibispitch.affinity.conflicts import Conflict
 from ibispitch.affinity.conflicts import Conflicts
-from ibispitch.affinity.conflicts import SETTLE_S
 from ibispitch.affinity.directory import Directory
 from ibispitch.affinity.effects import SendMessage
 from ibispitch.affinity.flows import OwnedFlows
@@ -195,7 +194,9 @@
         if not agents:
             return
         self.directory.forget(agents)
-        self.conflicts.forget(agents)
+        for slot, flow, owner in self.conflicts.forget(agents):
+            if owner != self._self_id:
+                self.directory.set(slot, flow, owner)
         for agent in agents:
             self.changed.update(self.slots.give_up(agent))
 
@@ -223,7 +224,7 @@
         # The directory need not be handed over: each owner lists its own
         # flows to the puller, and the hints name all owners to it.
         self.directory.clear(slot)
-        self.conflicts.drop_slots([slot])
+        self.conflicts.drop_slot(slot)
         self._contested.pop(slot, None)
         self.changed.add(slot)
 
@@ -278,7 +279,7 @@
 
     def _refuse(self, puller: AgentId, slots: list[int], now: float) -> None:
         own = [s for s in slots if self.slots.state[s] is not SlotState.OTHER]
-        if own:
+        if own and self.peers.is_reachable(puller):
             # The puller has not promised these slots to this agent.
             self.slots.wait_for(own, puller)
             self._pull(own, now, only=puller)
@@ -319,7 +320,7 @@
         for flow in flows:
             by_slot[slot_of(self._number, flow)].append(flow)
         for slot in slots:
-            self._learn(sender, slot, by_slot[slot], now)
+            self._learn(sender, slot, by_slot[slot])
             self.slots.answered(slot, sender)
             self.changed.add(slot)
 
@@ -339,9 +340,7 @@
         del self._parts[key]
         return [flow for part in parts.values() for flow in part]
 
-    def _learn(
-        self, owner: AgentId, slot: int, flows: list[FlowId], now: float
-    ) -> None:
+    def _learn(self, owner: AgentId, slot: int, flows: list[FlowId]) -> None:
         """Note the complete list of a peer's flows in a slot."""
         awaited = self.slots.awaited[slot]
         if awaited[owner]:
@@ -356,9 +355,7 @@
                 self.directory.set(slot, flow, owner)
                 continue
             self.counts['conflicts'] += 1
-            self.conflicts.add(
-                flow, Conflict(slot, known, owner, now + SETTLE_S)
-            )
+            self.conflicts.add(flow, Conflict(slot, known, owner))
 
     def on_held(self, _: AgentId, held: SlotHeld, now: float) -> None:
         """Learn that a peer has promised slots under a later term."""
--- a/testbed/affinity_network.py
+++ b/testbed/affinity_network.py
@@ -160,6 +160,7 @@
         self._sequence = count()
         self._losses: Counter[frozenset] = Counter()
         self._next_tick = self.now
+        self._back_everywhere: dict[DatacentreName, float] = {}
 
     def _new_balancer(self) -> RoutingCore:
         core = RoutingCore()
@@ -290,6 +291,9 @@
                 self.disputed.update(self.agents[agent].core.flows())
         else:
             self.datacentres_out.discard(datacentre)
+            self._back_everywhere[datacentre] = (
+                self.now + 2 * self.conditions.view_delay_s
+            )
         self.publish()
 
     # Spread of the truth.
@@ -307,22 +311,34 @@
         )
 
     def publish(self) -> None:
-        """Send the truth to all hosts, each with its own delay."""
+        """Send the truth to all hosts, each with its own delay.
+
+        A host that misses a view gets a newer one after the greatest delay.
+        """
         view = self.view()
-        for agent in list(self.agents):
+        hosts = [*self.agents, *range(len(self.balancers))]
+        for host in hosts:
             if self.rng.random() >= self.conditions.view_skip:
-                self._send_view(agent, view)
-        for index in range(len(self.balancers)):
-            if self.rng.random() >= self.conditions.view_skip:
-                delay = self.rng.random() * self.conditions.view_delay_s
-                self._at(self.now + delay, self._set_table, index, view)
+                self._send_view(host, view)
+            else:
+                self._at(
+                    self.now + self.conditions.view_delay_s,
+                    lambda host: self._send_view(host, self.view()),
+                    host,
+                )
 
-    def _send_view(self, agent: AgentId, view: ServiceView) -> None:
+    def _send_view(self, host: AgentId | int, view: ServiceView) -> None:
         delay = self.rng.random() * self.conditions.view_delay_s
-        self._at(self.now + delay, self._deliver_view, agent, view)
+        action = (
+            self._set_table if isinstance(host, int) else self._deliver_view
+        )
+        self._at(self.now + delay, action, host, view)
 
     def _deliver_view(self, agent: AgentId, view: ServiceView) -> None:
-        self._run(agent, lambda a: a.core.on_view(view, self.now))
+        # A view that waits during a pause is older than the renewal of the
+        # lease, before which the program takes no view.
+        if not self.agents[agent].is_paused:
+            self._run(agent, lambda a: a.core.on_view(view, self.now))
 
     def _set_table(self, index: int, view: ServiceView) -> None:
         balancer = self.balancers[index]
@@ -479,7 +495,7 @@
         self.delivered[flow] += 1
         self.delivered_last[flow] = agent
         owner = self.owner_by_flow.get(flow)
-        if self.agents[agent].record.datacentre in self.datacentres_out:
+        if self._is_in_doubt(self.agents[agent].record.datacentre):
             self.disputed.add(flow)
         if effect.is_new and self.agents[agent].is_drained:
             self._violation('adopted while draining', flow, agent)
@@ -492,6 +508,13 @@
                 )
             self.owner_by_flow[flow] = agent
 
+    def _is_in_doubt(self, datacentre: DatacentreName) -> bool:
+        """Tell whether some host may have the data centre out."""
+        return (
+            datacentre in self.datacentres_out
+            or self.now < self._back_everywhere.get(datacentre, 0.0)
+        )
+
     def _violation(self, kind: str, flow: FlowId, detail: str) -> None:
         self.violations.append(Violation(self.now, kind, flow.hex(), detail))
 
