Offer slots whose promise is to an agent that is gone

Cause: a random run left a flow without owner for good: a home had the authority under an early term, the others had promised the slot to a later holder that crashed, and they kept dropping the home's adoptions. Another run cut a peer off that was paused for 2.8 s, less than its lease.

Change: such slots are offered to the home, which pulls them again; promises to a restarted agent are void; a peer is cut off after 4 s instead of 3 s.

--- a/ibispitch/affinity/messages.py
+++ b/ibispitch/affinity/messages.py
@@ -105,7 +105,8 @@
 class SlotOffer(msgspec.Struct, array_like=True, frozen=True):
     """Asks the home of slots to pull them.
 
-    Sent by an authority that is not the home, and in answer to a
+    Sent by an authority that is not the home, by an agent that promised
+    the slots to an agent that is gone, and in answer to a
     :class:`SlotQuery` for the slots that the sender has no authority over.
     """
 
--- a/ibispitch/affinity/peers.py
+++ b/ibispitch/affinity/peers.py
@@ -17,8 +17,10 @@
 from ibispitch.membership.records import ServiceView
 from ibispitch.routing.slots import agent_hash
 
-#: A peer of the view that owes an answer for this long is cut off.
-CUT_OFF_S = 3.0
+#: A peer of the view that owes an answer for this long is cut off. A peer
+#: may be paused for just less than its lease of 3 s without being lost, and
+#: the first pulls or their answers may be lost too.
+CUT_OFF_S = 4.0
 
 #: The same for a peer outside the view; five probes. It is shorter, since
 #: most such peers are dead and unknown flows wait for their answer.
@@ -76,6 +78,8 @@
         #: Incarnation of peers that stopped answering, so that hints of
         #: agents with older views do not bring them back.
         self._gone: dict[AgentId, int] = {}
+        #: Peers that were replaced by a later incarnation.
+        self.restarted: set[AgentId] = set()
 
     def reachable(self) -> list[AgentId]:
         """Return the peers that are not cut off."""
@@ -171,13 +175,18 @@
         self._gone.pop(record.agent_id, None)
         peer = self.by_id.get(record.agent_id)
         if peer is None or peer.info.incarnation < info.incarnation:
-            self.by_id[record.agent_id] = Peer(info, True)
+            self._replace(info, True)
             return True
         if not peer.in_view:
             peer.in_view = True
             peer.waiting_since = None
         return False
 
+    def _replace(self, info: PeerInfo, in_view: bool) -> None:
+        if info.agent_id in self.by_id:
+            self.restarted.add(info.agent_id)
+        self.by_id[info.agent_id] = Peer(info, in_view)
+
     def heard(self, agent: AgentId, info: PeerInfo | None) -> bool:
         """Note a message of an agent.
 
@@ -197,7 +206,7 @@
                 self._out[agent] = info
                 return False
             self._gone.pop(agent, None)
-            self.by_id[agent] = Peer(info, peer is not None and peer.in_view)
+            self._replace(info, peer is not None and peer.in_view)
             self._index()
             return True
         returned = peer.is_cut_off
--- a/ibispitch/affinity/slots.py
+++ b/ibispitch/affinity/slots.py
@@ -109,6 +109,12 @@
         self.awaited.pop(slot, None)
         return True
 
+    def void(self, holder: AgentId) -> None:
+        """Drop the promises to an agent that restarted without them."""
+        for slot in range(SLOT_COUNT):
+            if self.holder[slot] == holder:
+                self.holder[slot] = None
+
     def abandon(self) -> None:
         """Give up all own slots; terms stay, so that they never decrease."""
         for slot in self.own():
--- a/ibispitch/affinity/transfer.py
+++ b/ibispitch/affinity/transfer.py
@@ -49,7 +49,7 @@
 #: Peers that are cut off are asked this often whether they are back.
 CUT_OFF_PROBE_INTERVAL_S = 1.0
 
-#: An authority that is not the home offers its slots this often.
+#: Slots are offered to their homes this often.
 OFFER_INTERVAL_S = 0.5
 
 #: A home that has promised its slots to another agent checks this often
@@ -168,6 +168,9 @@
 
     def appeared(self, peer: AgentId, now: float) -> None:
         """Ask a new or returned peer for its flows in the own slots."""
+        if peer in self.peers.restarted:
+            self.peers.restarted.discard(peer)
+            self.slots.void(peer)
         slots = self.slots.own()
         self.slots.wait_for(slots, peer)
         self._pull(slots, now, only=peer)
@@ -449,17 +452,26 @@
                 self.peers.asked(agent, now)
 
     def _send_offers(self) -> None:
+        """Offer slots to their homes.
+
+        These are slots of this agent whose home is another one, and slots
+        that are promised to an agent that is gone. The home may have the
+        authority since before that promise, and not know the flows that
+        this agent adopted under it.
+        """
         by_home: dict[AgentId, list[int]] = defaultdict(list)
-        for slot in self.slots.own():
-            home = self.table.home(slot)
-            if (
-                home != self._self_id
-                and self.slots.state[slot] is SlotState.AUTHORITATIVE
-                and self.peers.is_reachable(home)
-            ):
-                by_home[home].append(slot)
+        for slot, state in enumerate(self.slots.state):
+            is_offered = (
+                state is SlotState.AUTHORITATIVE
+                if state is not SlotState.OTHER
+                else self.slots.term[slot]
+                and not self.peers.is_reachable(self.slots.holder[slot])
+            )
+            if is_offered:
+                by_home[self.table.home(slot)].append(slot)
         for home, slots in by_home.items():
-            self.send(home, self._offer(slots))
+            if home != self._self_id and self.peers.is_reachable(home):
+                self.send(home, self._offer(slots))
 
     def _check_holders(self, now: float) -> None:
         by_holder: dict[AgentId, list[int]] = defaultdict(list)
--- a/testbed/affinity_network.py
+++ b/testbed/affinity_network.py
@@ -394,7 +394,9 @@
                 )
 
     def close_flow(self, flow: FlowId, agent: AgentId) -> None:
-        """End a flow at its owner."""
+        """End a flow at its owner, if that is running."""
+        if self.agents[agent].is_paused:
+            return
         if self.owner_by_flow.get(flow) == agent:
             del self.owner_by_flow[flow]
         self._run(agent, lambda a: a.core.flow_closed(flow, self.now))
