Hand affinity state to a successor, and test with a state machine

Change: export and restore of flows, promises, directory and peers. A Hypothesis state machine runs joins, drains, crashes, pauses, cuts, replacements and data centres out over a lossy network.

--- a/ibispitch/affinity/core.py
+++ b/ibispitch/affinity/core.py
@@ -33,6 +33,8 @@
 from ibispitch.affinity.messages import SlotQuery
 from ibispitch.affinity.messages import unpack_flows
 from ibispitch.affinity.slots import SlotState
+from ibispitch.affinity.snapshot import export_state
+from ibispitch.affinity.snapshot import restore_state
 from ibispitch.affinity.transfer import SlotTransfer
 from ibispitch.affinity.transfer import Timer
 from ibispitch.ids import Address
@@ -159,6 +161,10 @@
             self._view is not None and view.version <= self._view.version
         ):
             return []
+        self._take_view(view, now)
+        return self._finish(now)
+
+    def _take_view(self, view: ServiceView, now: float) -> None:
         is_resumed = self._is_paused
         self._view = view
         self._is_paused = False
@@ -177,7 +183,6 @@
         if self._is_out:
             self._close_all()
         self._transfer.changed.update(self._held.slots())
-        return self._finish(now)
 
     def _close_all(self) -> None:
         """Give up all flows and slots, as the data centre is out."""
@@ -198,6 +203,42 @@
         """
         self._is_paused = True
 
+    def export(self, now: float) -> list[Any]:
+        """Return the state for a successor process, and stop acting.
+
+        :returns: control messages for :meth:`restore`. Packets that come
+            later are held; see :meth:`take_held`.
+        """
+        self._is_exported = True
+        state = list(
+            export_state(self._flows, self._releases, self._transfer, now)
+        )
+        return [*state, self._view] if self._view else state
+
+    def restore(self, messages: list[Any], now: float) -> list[Effect]:
+        """Take over the state of a predecessor with the same agent id."""
+        unsettled = restore_state(
+            messages,
+            self._number,
+            self._flows,
+            self._releases,
+            self._transfer,
+            now,
+        )
+        for message in messages:
+            if isinstance(message, ServiceView):
+                self._take_view(message, now)
+        self._transfer.start(unsettled, now)
+        return self._finish(now)
+
+    def take_held(self) -> list[Packet]:
+        """Remove and return the held packets, to send them again."""
+        return [
+            held.packet
+            for slot in self._held.slots()
+            for held in self._held.take(slot)
+        ]
+
     def on_packet(self, packet: Packet, now: float) -> list[Effect]:
         """Decide on a packet from a balancer or another agent."""
         heard = self._flows.heard
--- a/ibispitch/affinity/flows.py
+++ b/ibispitch/affinity/flows.py
@@ -71,6 +71,10 @@
         """Tell whether the flow ended or was refused a moment ago."""
         return self._refused_until.get(flow, now) > now
 
+    def refused(self, now: float) -> list[FlowId]:
+        """Return the flows that ended or were refused a moment ago."""
+        return [f for f, until in self._refused_until.items() if until > now]
+
     def expire_refusals(self, now: float) -> None:
         """Forget refusals that are over."""
         over = [f for f, until in self._refused_until.items() if until <= now]
@@ -116,6 +120,11 @@
         for flow in flows:
             attempts.pop(flow, None)
 
+    def unconfirmed(self) -> Iterator[tuple[AgentId, list[FlowId]]]:
+        """Return the agents and the flows whose ends they must learn."""
+        for agent, attempts in self._attempts.items():
+            yield agent, list(attempts)
+
     def due(self, limit: int) -> Iterator[tuple[AgentId, list[FlowId]]]:
         """Return what is to be sent now, each flow at most ``limit`` times."""
         for agent, attempts in list(self._attempts.items()):
--- a/ibispitch/affinity/peers.py
+++ b/ibispitch/affinity/peers.py
@@ -214,6 +214,17 @@
         peer.waiting_since = None
         return returned
 
+    def restore(self, peers: list[tuple[PeerInfo, bool]], now: float) -> None:
+        """Take over the peers of a predecessor process.
+
+        :param peers: peers, and whether the view lists them.
+        """
+        for info, in_view in peers:
+            peer = Peer(info, in_view)
+            peer.waiting_since = None if in_view else now
+            self.by_id[info.agent_id] = peer
+        self._index()
+
     def hint(self, info: PeerInfo) -> bool:
         """Note an agent that another one named; true if it is new."""
         if info.datacentre in self._datacentres_out:
--- a/testbed/affinity_network.py
+++ b/testbed/affinity_network.py
@@ -15,6 +15,8 @@
 from typing import Any
 from typing import NamedTuple
 
+import msgspec
+
 from ibispitch.affinity import AffinityCore
 from ibispitch.affinity import CloseFlow
 from ibispitch.affinity import Deliver
@@ -47,6 +49,9 @@
 TICK_S = 0.1
 LEASE_S = 3.0
 
+#: Claims of flows that were adopted twice are settled after this time.
+SETTLE_S = 8.0
+
 #: A pair of agents that reach each other loses no more in a row.
 MAX_CONSECUTIVE_LOSSES = 2
 
@@ -125,6 +130,7 @@
     :param conditions: see :class:`Conditions`.
     :param balancers: number of balancers.
     :param make_placement: returns the placement of an agent.
+    :param make_core: makes the core of an agent, or a baseline.
     """
 
     def __init__(
@@ -133,6 +139,7 @@
         conditions: Conditions = CALM,
         balancers: int = 3,
         make_placement: Callable | None = None,
+        make_core: Callable = AffinityCore,
     ):
         self.rng = random.Random(seed)
         self.conditions = conditions
@@ -154,12 +161,14 @@
         self._make_placement = make_placement or (
             lambda agent: RandomPlacement(self.rng)
         )
+        self._make_core = make_core
         self._versions = count(1)
         self._numbers = count(1)
         self._queue: list[tuple] = []
         self._sequence = count()
         self._losses: Counter[frozenset] = Counter()
         self._next_tick = self.now
+        self._healed_everywhere = 0.0
         self._back_everywhere: dict[DatacentreName, float] = {}
 
     def _new_balancer(self) -> RoutingCore:
@@ -190,7 +199,7 @@
             parent=BalancerId('b1'),
         )
         own = PeerInfo(agent_id, address, record.datacentre, number)
-        core = AffinityCore(own, NUMBER, self._make_placement(agent_id))
+        core = self._make_core(own, NUMBER, self._make_placement(agent_id))
         self.agents[agent_id] = SimulatedAgent(core, record)
         self.records[agent_id] = record
         self.publish()
@@ -198,15 +207,8 @@
 
     def _set_state(self, agent: AgentId, state: MemberState) -> None:
         record = self.records[agent]
-        self.records[agent] = AgentRecord(
-            **{
-                **{
-                    field: getattr(record, field)
-                    for field in AgentRecord.__struct_fields__
-                },
-                'state': state,
-                'sequence': record.sequence + 1,
-            }
+        self.records[agent] = msgspec.structs.replace(
+            record, state=state, sequence=record.sequence + 1
         )
         self.publish()
 
@@ -224,6 +226,30 @@
         self.agents[agent].is_alive = False
         self._lose(agent)
 
+    def replace(self, agent: AgentId) -> None:
+        """Replace a process by its successor, which takes its state."""
+        former = self.agents[agent]
+        messages = [
+            decode_message(encode_message(message))
+            for message in former.core.export(self.now)
+        ]
+        record = msgspec.structs.replace(
+            former.record,
+            incarnation=next(self._numbers),
+            state=self.records[agent].state,
+        )
+        own = PeerInfo(
+            agent, record.address, record.datacentre, record.incarnation
+        )
+        core = self._make_core(own, NUMBER, self._make_placement(agent))
+        held = former.core.take_held()
+        former.core, former.record = core, record
+        self.records[agent] = record
+        self._apply(agent, core.restore(messages, self.now))
+        for packet in held:
+            self._deliver(agent, packet)
+        self.publish()
+
     def crash(self, agent: AgentId) -> None:
         """Kill an agent; its lease lapses later."""
         self.agents[agent].is_alive = False
@@ -296,6 +322,20 @@
             )
         self.publish()
 
+    def cut_off(self, agent: AgentId) -> None:
+        """Cut an agent off from all other agents, not from balancers."""
+        self.cut_pairs.update(
+            frozenset((agent, other))
+            for other in self.agents
+            if other != agent
+        )
+
+    def heal(self) -> None:
+        """Let all agents reach each other again."""
+        if self.cut_pairs:
+            self.cut_pairs.clear()
+            self._healed_everywhere = self.now + SETTLE_S
+
     # Spread of the truth.
 
     def view(self) -> ServiceView:
@@ -349,15 +389,7 @@
         for record in former.agents if former else ():
             if record.agent_id not in listed:
                 balancer.set_agent(
-                    AgentRecord(
-                        **{
-                            **{
-                                field: getattr(record, field)
-                                for field in AgentRecord.__struct_fields__
-                            },
-                            'state': MemberState.LOST,
-                        }
-                    )
+                    msgspec.structs.replace(record, state=MemberState.LOST)
                 )
         for name in {*(former.datacentres_out if former else ())}.union(
             view.datacentres_out
@@ -511,9 +543,11 @@
             self.owner_by_flow[flow] = agent
 
     def _is_in_doubt(self, datacentre: DatacentreName) -> bool:
-        """Tell whether some host may have the data centre out."""
+        """Tell whether agents may be cut off, or the data centre out."""
         return (
-            datacentre in self.datacentres_out
+            bool(self.cut_pairs)
+            or self.now < self._healed_everywhere
+            or datacentre in self.datacentres_out
             or self.now < self._back_everywhere.get(datacentre, 0.0)
         )
 
@@ -541,6 +575,54 @@
                 break
         self.now = end
 
+    def check_quiet(self, flows: Sequence[FlowId]) -> list[Violation]:
+        """Let the network calm down, and check each flow at each balancer.
+
+        :param flows: flows to send packets of.
+        :returns: what did not hold: one owner of each flow, which gets each
+            packet exactly once.
+        """
+        for member_id, member in self.agents.items():
+            if member.is_alive and member.is_paused:
+                self.resume(member_id)
+        self.heal()
+        self.conditions = CALM
+        for seconds in (SETTLE_S, SETTLE_S):
+            self.settle()
+            self.run(seconds)
+        for flow in flows:
+            self.send_packet(flow)
+        self.run(2.0)
+        for flow in flows:
+            self._check_flow(flow)
+        return self.violations
+
+    def _check_flow(self, flow: FlowId) -> None:
+        owners = self.owners(flow)
+        if len(owners) != 1:
+            self._violation('owners when quiet', flow, str(owners))
+            return
+        for index in range(len(self.balancers)):
+            before = self.delivered[flow]
+            self.send_packet(flow, index)
+            self.run(0.05)
+            if (
+                self.delivered[flow] != before + 1
+                or self.delivered_last[flow] != owners[0]
+            ):
+                self._violation('not delivered when quiet', flow, owners[0])
+
+    def check_owners(self) -> list[Violation]:
+        """Check that no undisputed flow has two owners now."""
+        holders: Counter[FlowId] = Counter()
+        for member in self.agents.values():
+            if member.is_alive and not member.is_paused:
+                holders.update(member.core.flows())
+        for flow, number in holders.items():
+            if number > 1 and flow not in self.disputed:
+                self._violation('two owners', flow, str(self.owners(flow)))
+        return self.violations
+
     def owners(self, flow: FlowId) -> list[AgentId]:
         """Return the living agents that own a flow."""
         return [
