--- a/ibispitch/affinity/core.py
+++ b/ibispitch/affinity/core.py
@@ -33,6 +33,8 @@
 from ibispitch.affinity.messages import SlotQuery
 from ibispitch.affinity.messages import unpack_flows
 from ibispitch.affinity.slots import SlotState
+from ibispitch.affinity.snapshot import export_state
+from ibispitch.affinity.snapshot import restore_state
 from ibispitch.affinity.transfer import SlotTransfer
 from ibispitch.affinity.transfer import Timer
 from ibispitch.ids import Address
@@ -159,6 +161,10 @@
             self._view is not None and view.version <= self._view.version
         ):
             return []
+        self._take_view(view, now)
+        return self._finish(now)
+
+    def _take_view(self, view: ServiceView, now: float) -> None:
         is_resumed = self._is_paused
         self._view = view
         self._is_paused = False
@@ -177,7 +183,6 @@
         if self._is_out:
             self._close_all()
         self._transfer.changed.update(self._held.slots())
-        return self._finish(now)
 
     def _close_all(self) -> None:
         """Give up all flows and slots, as the data centre is out."""
@@ -198,6 +203,42 @@
         """
         self._is_paused = True
 
+    def export(self, now: float) -> list[Any]:
+        """Return the state for a successor process, and stop acting.
+
+        :returns: control messages for :meth:`restore`. Packets that come
+            later are held; see :meth:`take_held`.
+        """
+        self._is_exported = True
+        state = list(
+            export_state(self._flows, self._releases, self._transfer, now)
+        )
+        return [*state, self._view] if self._view else state
+
+    def restore(self, messages: list[Any], now: float) -> list[Effect]:
+        """Take over the state of a predecessor with the same agent id."""
+        unsettled = restore_state(
+            messages,
+            self._number,
+            self._flows,
+            self._releases,
+            self._transfer,
+            now,
+        )
+        for message in messages:
+            if isinstance(message, ServiceView):
+                self._take_view(message, now)
+        self._transfer.start(unsettled, now)
+        return self._finish(now)
+
+    def take_held(self) -> list[Packet]:
+        """Remove and return the held packets, to send them again."""
+        return [
+            held.packet
+            for slot in self._held.slots()
+            for held in self._held.take(slot)
+        ]
+
     def on_packet(self, packet: Packet, now: float) -> list[Effect]:
         """Decide on a packet from a balancer or another agent."""
         heard = self._flows.heard
@@ -258,7 +299,9 @@
         if self._is_out:
             self._drop(packet, DropReason.DATACENTRE_OUT)
         elif self._is_paused or self._is_exported:
-            self._hold(packet, slot, until)
+            # During the pause the authority may have placed the flow
+            # elsewhere, so that the adoption is void.
+            self._hold(packet._replace(adopt=False), slot, until)
         elif packet.flow in self._flows:
             self._flows.heard[packet.flow] = now
             self._effects.append(Deliver(packet, False))
@@ -441,6 +484,7 @@
     ) -> None:
         """Claim a flow towards another owner, as the authority asks."""
         if message.flow not in self._flows:
+            self._transfer.send(sender, FlowReleased(message.flow))
             return
         rival = message.rival
         if self._peers.hint(rival):
@@ -457,6 +501,7 @@
         """Close the own copy of a flow if the other one survives."""
         flow = message.flow
         if flow not in self._flows:
+            self._transfer.send(sender, FlowReleased(flow))
             return
         own = self._flows.version[flow], self._self_id
         if own > (message.view_version, sender):
@@ -492,7 +537,6 @@
             for batch in batches(flows, MAX_MESSAGE_FLOWS):
                 self._transfer.send(agent, FlowReleased(pack_flows(batch)))
         conflicts = self._transfer.conflicts
-        self.counts['unsettled_conflicts'] += conflicts.expire(now)
         for flow, conflict in list(conflicts.by_flow.items()):
             rival = self._peers.by_id.get(conflict.second)
             if conflict.first != self._self_id and rival is not None:
--- a/ibispitch/affinity/transfer.py
+++ b/ibispitch/affinity/transfer.py
@@ -13,7 +13,6 @@
 
 from ibispitch.affinity.conflicts import Conflict
 from ibispitch.affinity.conflicts import Conflicts
-from ibispitch.affinity.conflicts import SETTLE_S
 from ibispitch.affinity.directory import Directory
 from ibispitch.affinity.effects import SendMessage
 from ibispitch.affinity.flows import OwnedFlows
@@ -50,7 +49,7 @@
 #: Peers that are cut off are asked this often whether they are back.
 CUT_OFF_PROBE_INTERVAL_S = 1.0
 
-#: An authority that is not the home offers its slots this often.
+#: Slots are offered to their homes this often.
 OFFER_INTERVAL_S = 0.5
 
 #: A home that has promised its slots to another agent checks this often
@@ -169,6 +168,9 @@
 
     def appeared(self, peer: AgentId, now: float) -> None:
         """Ask a new or returned peer for its flows in the own slots."""
+        if peer in self.peers.restarted:
+            self.peers.restarted.discard(peer)
+            self.slots.void(peer)
         slots = self.slots.own()
         self.slots.wait_for(slots, peer)
         self._pull(slots, now, only=peer)
@@ -195,7 +197,9 @@
         if not agents:
             return
         self.directory.forget(agents)
-        self.conflicts.forget(agents)
+        for slot, flow, owner in self.conflicts.forget(agents):
+            if owner != self._self_id:
+                self.directory.set(slot, flow, owner)
         for agent in agents:
             self.changed.update(self.slots.give_up(agent))
 
@@ -223,7 +227,7 @@
         # The directory need not be handed over: each owner lists its own
         # flows to the puller, and the hints name all owners to it.
         self.directory.clear(slot)
-        self.conflicts.drop_slots([slot])
+        self.conflicts.drop_slot(slot)
         self._contested.pop(slot, None)
         self.changed.add(slot)
 
@@ -278,7 +282,7 @@
 
     def _refuse(self, puller: AgentId, slots: list[int], now: float) -> None:
         own = [s for s in slots if self.slots.state[s] is not SlotState.OTHER]
-        if own:
+        if own and self.peers.is_reachable(puller):
             # The puller has not promised these slots to this agent.
             self.slots.wait_for(own, puller)
             self._pull(own, now, only=puller)
@@ -319,7 +323,7 @@
         for flow in flows:
             by_slot[slot_of(self._number, flow)].append(flow)
         for slot in slots:
-            self._learn(sender, slot, by_slot[slot], now)
+            self._learn(sender, slot, by_slot[slot])
             self.slots.answered(slot, sender)
             self.changed.add(slot)
 
@@ -339,9 +343,7 @@
         del self._parts[key]
         return [flow for part in parts.values() for flow in part]
 
-    def _learn(
-        self, owner: AgentId, slot: int, flows: list[FlowId], now: float
-    ) -> None:
+    def _learn(self, owner: AgentId, slot: int, flows: list[FlowId]) -> None:
         """Note the complete list of a peer's flows in a slot."""
         awaited = self.slots.awaited[slot]
         if awaited[owner]:
@@ -356,9 +358,7 @@
                 self.directory.set(slot, flow, owner)
                 continue
             self.counts['conflicts'] += 1
-            self.conflicts.add(
-                flow, Conflict(slot, known, owner, now + SETTLE_S)
-            )
+            self.conflicts.add(flow, Conflict(slot, known, owner))
 
     def on_held(self, _: AgentId, held: SlotHeld, now: float) -> None:
         """Learn that a peer has promised slots under a later term."""
@@ -452,17 +452,26 @@
                 self.peers.asked(agent, now)
 
     def _send_offers(self) -> None:
+        """Offer slots to their homes.
+
+        These are slots of this agent whose home is another one, and slots
+        that are promised to an agent that is gone. The home may have the
+        authority since before that promise, and not know the flows that
+        this agent adopted under it.
+        """
         by_home: dict[AgentId, list[int]] = defaultdict(list)
-        for slot in self.slots.own():
-            home = self.table.home(slot)
-            if (
-                home != self._self_id
-                and self.slots.state[slot] is SlotState.AUTHORITATIVE
-                and self.peers.is_reachable(home)
-            ):
-                by_home[home].append(slot)
+        for slot, state in enumerate(self.slots.state):
+            is_offered = (
+                state is SlotState.AUTHORITATIVE
+                if state is not SlotState.OTHER
+                else self.slots.term[slot]
+                and not self.peers.is_reachable(self.slots.holder[slot])
+            )
+            if is_offered:
+                by_home[self.table.home(slot)].append(slot)
         for home, slots in by_home.items():
-            self.send(home, self._offer(slots))
+            if home != self._self_id and self.peers.is_reachable(home):
+                self.send(home, self._offer(slots))
 
     def _check_holders(self, now: float) -> None:
         by_holder: dict[AgentId, list[int]] = defaultdict(list)
