Name the delegates that declined in the question to admission

Admission keeps no memory of the delegates that it chose, so the gate names those that have not run a request.

--- a/ibispitch/admission/types.py
+++ b/ibispitch/admission/types.py
@@ -35,6 +35,8 @@
         ``RunHere`` and ``Refuse`` are allowed.
     :param exchange: whether it continues an exchange whose first part was
         admitted; refusing it wastes the work that was done.
+    :param declined: agents that were asked for this request and said that
+        they have not run it.
     """
 
     run_id: RunId
@@ -44,6 +46,7 @@
     pinned: bool = False
     delegated: bool = False
     exchange: bool = False
+    declined: tuple[AgentId, ...] = ()
 
 
 class RunHere(msgspec.Struct, frozen=True):
@@ -57,8 +60,8 @@
     """Delegate the request to another agent.
 
     Neither ``started`` nor ``finished`` is called for it. When the other
-    agent does not run it, the gate asks ``decide`` again with the same
-    request.
+    agent does not run it, the gate asks ``decide`` again for the request
+    with that agent in ``declined``, or with ``pinned`` set.
     """
 
     agent_id: AgentId
--- a/ibispitch/requests/delegation.py
+++ b/ibispitch/requests/delegation.py
@@ -64,6 +64,7 @@
     def _run_at(self, job: Job, agent_id: AgentId, now: float) -> None:
         incarnation = self._incarnation_by_agent.get(agent_id)
         if incarnation is None:
+            job.delegate = agent_id
             self._decide_again(job, now)
             return
         job.state, job.delegate = JobState.DELEGATED, agent_id
@@ -80,9 +81,9 @@
     def _decide_again(self, job: Job, now: float) -> None:
         """Decide again after a delegate has not run the request."""
         self._leave_delegate(job)
+        job.declined.append(job.delegate)
         job.state, job.delegate = JobState.NEW, None
-        job.delegations += 1
-        job.pinned = job.delegations >= MAX_DELEGATIONS
+        job.pinned = len(job.declined) >= MAX_DELEGATIONS
         self._decide(job, now)
 
     def _ask(self, job: Job, now: float) -> None:
--- a/ibispitch/requests/jobs.py
+++ b/ibispitch/requests/jobs.py
@@ -45,7 +45,7 @@
         own, so that a late answer to an earlier one decides nothing.
     :param asked: how often the delegate was asked without an answer.
     :param ask_due: time at which it is asked again, in seconds.
-    :param delegations: delegates that have not run it.
+    :param declined: delegates that have not run it.
     :param token: token towards the upstream.
     :param deadline_ms: value of Deadline-Ms as sent to the upstream.
     :param may_have_run: whether an earlier attempt may have run.
@@ -72,7 +72,7 @@
     asked_as: RunId = RunId(b'')
     asked: int = 0
     ask_due: float = 0.0
-    delegations: int = 0
+    declined: list[AgentId] = []
     state: JobState = JobState.NEW
     token: bytes = b''
     started: float = 0.0
--- a/ibispitch/requests/runs.py
+++ b/ibispitch/requests/runs.py
@@ -158,6 +158,7 @@
             pinned=job.pinned,
             delegated=job.origin is not None,
             exchange=not job.starts_exchange,
+            declined=tuple(job.declined),
         )
 
     def _queue(self, job: Job, until: float, now: float) -> None:
