Index records by flow and expire them by due time

Expiry and the export of a flow scanned all records, up to 200,000 of them each second and for each moved flow. Records now have an index by flow and due times.

--- a/ibispitch/requests/core.py
+++ b/ibispitch/requests/core.py
@@ -12,6 +12,7 @@
 from ibispitch.admission.types import Retries
 from ibispitch.admission.types import RunOutcome
 from ibispitch.ids import AgentId
+from ibispitch.ids import FLOW_ID_BYTES
 from ibispitch.ids import FlowId
 from ibispitch.ids import RequestId
 from ibispitch.requests import coap
@@ -420,13 +421,17 @@
         self._adopted[export.export_id] = now + EXPORT_LIFETIME_S
         offset_s = now - export.now
         flow = export.flow
-        for key, record in export.records.items():
+        for record in export.records.values():
             record.expires += offset_s
             record.deadline += offset_s
-            if key not in self._records.state.by_request:
-                self._records.add(key, record)
-        self._records.count_answers()
-        self._echo.take_over(flow, export.echo_values, offset_s)
+        # Without its records an Echo value would admit a second run.
+        if all(
+            self._records.find(key, now) or self._records.add(key, record)
+            for key, record in export.records.items()
+        ):
+            self._echo.take_over(flow, export.echo_values, offset_s)
+        else:
+            self._count('gate_records_lost')
         for observation in export.observations:
             observation.upstream_token = b''
             observation.mids = []
@@ -458,7 +463,7 @@
         self._timers.set(now + max(after_s, RETRY_AFTER_S), 'replay', key)
 
     def _on_replay_due(self, key: bytes, now: float) -> None:
-        flow, token = FlowId(key[:6]), key[6:]
+        flow, token = FlowId(key[:FLOW_ID_BYTES]), key[FLOW_ID_BYTES:]
         observation = self._feeds.of_flow(flow).get(token)
         if observation is not None and not observation.upstream_token:
             self._replay(flow, observation, now)
@@ -546,8 +551,7 @@
         keys = list((snapshot.echo.keys | self._echo.state.keys).items())
         snapshot.echo.keys = dict(keys[-MAX_INCARNATIONS:])
         self._echo.state = snapshot.echo
-        self._records.state = snapshot.records
-        self._records.recount()
+        self._records.restore(snapshot.records)
         self._runs.state = snapshot.runs
         self._callers.state = snapshot.callers
         self._callers.timers.load(snapshot.caller_timers)
--- a/ibispitch/requests/guard.py
+++ b/ibispitch/requests/guard.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ibispitch.admission.types import RunId
+from ibispitch.ids import FLOW_ID_BYTES
 from ibispitch.ids import FlowId
 from ibispitch.ids import RequestId
 from ibispitch.requests import coap
@@ -180,7 +181,9 @@
         if part.run_id is not None:
             return Join(part.run_id)
         if part.answer is None:
-            return self._unknown(FlowId(key[:6]), 'answer_dropped', now)
+            return self._unknown(
+                FlowId(key[:FLOW_ID_BYTES]), 'answer_dropped', now
+            )
         return Answer(coap.decode(part.answer), 'repeated')
 
     def _unknown(self, flow: FlowId, reason: str, now: float) -> Answer:
--- a/ibispitch/requests/records.py
+++ b/ibispitch/requests/records.py
@@ -3,9 +3,11 @@
 import msgspec
 
 from ibispitch.admission.types import RunId
+from ibispitch.ids import FLOW_ID_BYTES
 from ibispitch.ids import FlowId
 from ibispitch.ids import RequestId
 from ibispitch.requests.messages import RunReply
+from ibispitch.requests.timers import Timers
 
 #: Records that an agent keeps. A request beyond them is not admitted.
 MAX_RECORDS = 200_000
@@ -18,6 +20,10 @@
 #: Owners whose oldest acceptable run is remembered.
 MAX_FLOORS = 65_536
 
+#: Time in seconds after which an expired record is looked at again when a
+#: run of it has not ended.
+RECHECK_S = 1.0
+
 UNSET = (-1, -1)
 
 
@@ -59,6 +65,11 @@
             part.run_id is None for part in self.parts.values()
         )
 
+    @property
+    def answer_bytes(self) -> int:
+        """Bytes of the answers that are kept."""
+        return sum(len(part.answer or b'') for part in self.parts.values())
+
 
 class RecordState(msgspec.Struct):
     """What is handed to a successor."""
@@ -83,7 +94,8 @@
         self.state = RecordState({}, 0)
         self._max_records = max_records
         self._max_answer_bytes = max_answer_bytes
-        self._next_expiry = float('inf')
+        self._keys_by_flow: dict[bytes, set[bytes]] = {}
+        self._timers = Timers()
 
     def find(self, key: bytes, now: float) -> Record | None:
         """Return the record of a request that has not expired."""
@@ -100,7 +112,8 @@
         if len(self.state.by_request) >= self._max_records:
             return False
         self.state.by_request[key] = record
-        self._next_expiry = min(self._next_expiry, record.expires)
+        self.state.answer_bytes += record.answer_bytes
+        self._index(key, record)
         return True
 
     def set_answer(self, part: Part, answer: bytes) -> None:
@@ -112,47 +125,41 @@
 
     def take_flow(self, flow: FlowId) -> dict[bytes, Record]:
         """Remove and return the records of a flow."""
-        taken = {
-            key: record
-            for key, record in self.state.by_request.items()
-            if key.startswith(flow)
-        }
-        for key in taken:
-            self._remove(key)
-        return taken
+        keys = sorted(self._keys_by_flow.get(flow, ()))
+        return {key: self._remove(key) for key in keys}
 
     def expire(self, now: float) -> None:
         """Remove the records whose Echo value has expired."""
-        if now < self._next_expiry:
-            return
-        records = self.state.by_request
-        for key in [k for k, r in records.items() if r.is_over(now)]:
-            self._remove(key)
-        self.recount()
-
-    def recount(self) -> None:
-        """Recompute the next expiry after records were replaced."""
-        self._next_expiry = min(
-            (record.expires for record in self.state.by_request.values()),
-            default=float('inf'),
-        )
-        # A scan is linear in the number of records, so it runs at most once
-        # a second.
-        self._next_expiry += 1.0
-
-    def count_answers(self) -> None:
-        """Recompute the bytes of answers after records were added."""
-        self.state.answer_bytes = sum(
-            len(part.answer or b'')
-            for record in self.state.by_request.values()
-            for part in record.parts.values()
-        )
-
-    def _remove(self, key: bytes) -> None:
+        for (key,) in self._timers.pop_due(now):
+            record = self.state.by_request.get(key)
+            if record is None:
+                continue
+            if record.is_over(now):
+                self._remove(key)
+            else:
+                due = max(record.expires, now + RECHECK_S)
+                self._timers.set(due, key)
+
+    def restore(self, state: RecordState) -> None:
+        """Take over the records of a predecessor."""
+        self.state = state
+        for key, record in state.by_request.items():
+            self._index(key, record)
+
+    def _index(self, key: bytes, record: Record) -> None:
+        flow = key[:FLOW_ID_BYTES]
+        self._keys_by_flow.setdefault(flow, set()).add(key)
+        self._timers.set(record.expires, key)
+
+    def _remove(self, key: bytes) -> Record:
         record = self.state.by_request.pop(key)
-        self.state.answer_bytes -= sum(
-            len(part.answer or b'') for part in record.parts.values()
-        )
+        self.state.answer_bytes -= record.answer_bytes
+        flow = key[:FLOW_ID_BYTES]
+        keys = self._keys_by_flow[flow]
+        keys.discard(key)
+        if not keys:
+            del self._keys_by_flow[flow]
+        return record
 
     def _drop_answers(self) -> None:
         # A refusal has a few bytes and must stay true, so only answers of
