--- a/tests/requests/loopback.py
+++ b/tests/requests/loopback.py
@@ -26,13 +26,13 @@
 class LoopbackAgent:
     """Sockets and loop around one gate."""
 
-    def __init__(self, gate, upstream_address):
+    def __init__(self, gate, upstream_address, callers=None):
         self.gate = gate
         self.upstream_address = upstream_address
         self.loop = asyncio.get_running_loop()
         self.counts = []
         self.sockets = {}
-        self.callers = self._open(('127.0.0.1', 0))
+        self.callers = callers or self._open(('127.0.0.1', 0))
         self.address = self.callers.getsockname()
         self.loop.add_reader(self.callers, self._on_callers)
         self.ticker = asyncio.create_task(self._tick())
@@ -44,10 +44,10 @@
         return opened
 
     def _on_callers(self):
-        datagram, address = self.callers.recvfrom(65536)
-        self.do(
-            self.gate.on_caller(flow_id(address), datagram, self.loop.time())
-        )
+        with contextlib.suppress(BlockingIOError, ConnectionRefusedError):
+            datagram, address = self.callers.recvfrom(65536)
+            now = self.loop.time()
+            self.do(self.gate.on_caller(flow_id(address), datagram, now))
 
     def _on_upstream(self, flow):
         with contextlib.suppress(ConnectionRefusedError):
@@ -73,13 +73,23 @@
                 case CloseFlow(flow):
                     self._close(self.sockets.pop(flow))
                 case ToUpstream(flow, datagram):
-                    self.sockets[flow].send(datagram)
+                    self._send_upstream(flow, datagram)
                 case _:
                     self.counts.append(effect)
 
+    def _send_upstream(self, flow, datagram):
+        opened = self.sockets[flow]
+        with contextlib.suppress(ConnectionRefusedError):
+            opened.send(datagram)
+        # On loopback the refusal of this datagram is reported at once.
+        if opened.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            now = self.loop.time()
+            self.do(self.gate.on_upstream_refused(flow, datagram, now))
+
     def _close(self, opened):
-        self.loop.remove_reader(opened)
-        opened.close()
+        if opened.fileno() >= 0:
+            self.loop.remove_reader(opened)
+            opened.close()
 
     def stop(self):
         self.ticker.cancel()
