Keep the exchanges of requests that are not answered yet

The bound on remembered datagrams could drop one whose request still ran, so its answer was lost; and a message id used again while the first request ran could get that one's answer.

--- a/ibispitch/caller/session.py
+++ b/ibispitch/caller/session.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Sequence
 import os
+import random
 
 import aiocoap
 from aiocoap import Message
@@ -28,7 +29,7 @@
 #: Time in seconds without a notification after which a feed is registered
 #: again.
 FEED_SILENCE_S = 30.0
-#: Time in seconds between two attempts to register a feed.
+#: Mean time in seconds between two attempts to register a feed.
 FEED_RETRY_S = 1.0
 
 
@@ -151,7 +152,9 @@
                 pass
             finally:
                 _drop(pending)
-            await asyncio.sleep(FEED_RETRY_S)
+            # Spread, so that the feeds of a lost agent do not all come back
+            # at the same time.
+            await asyncio.sleep(FEED_RETRY_S * random.uniform(0.5, 1.5))
 
     def _send(self, message: Message) -> aiocoap.interfaces.Request:
         message.remote = aiocoap.message.UndecidedRemote(
--- a/ibispitch/requests/callers.py
+++ b/ibispitch/requests/callers.py
@@ -18,7 +18,9 @@
 #: Time in seconds for which a repeated datagram is recognised. It exceeds
 #: the 45 s in which RFC 7252 repeats a confirmable message.
 EXCHANGE_LIFETIME_S = 60.0
-MAX_EXCHANGES = 20_000
+#: Answered datagrams that are remembered. Those without an answer are as many
+#: as the callers that wait for a run.
+MAX_ANSWERED = 20_000
 #: Time in seconds until the first repetition; it doubles each time.
 ACK_TIMEOUT_S = 2.0
 MAX_RETRANSMIT = 4
@@ -33,8 +35,7 @@
 class Exchange(msgspec.Struct, array_like=True):
     """A request datagram of a caller.
 
-    :param content: hash of the datagram; another request may reuse the
-        message id.
+    :param at: time of the datagram, or of its answer, in seconds.
     :param acknowledged: whether an empty acknowledgement was sent.
     :param response: the answer as sent, ``None`` before.
     """
@@ -42,9 +43,8 @@
     flow: FlowId
     mid: int
     token: bytes
-    content: bytes
     confirmable: bool
-    received: float
+    at: float
     acknowledged: bool = False
     response: bytes | None = None
 
@@ -66,7 +66,8 @@
 class CallerState(msgspec.Struct):
     """What is handed to a successor."""
 
-    exchanges: dict[bytes, Exchange] = {}
+    pending: dict[bytes, Exchange] = {}
+    answered: dict[bytes, Exchange] = {}
     outgoing: dict[bytes, Outgoing] = {}
     next_mid: dict[bytes, int] = {}
 
@@ -84,7 +85,7 @@
     """
 
     def __init__(self, emit: Callable[[Effect], None], rng: random.Random):
-        self.state = CallerState({}, {}, {})
+        self.state = CallerState({}, {}, {}, {})
         self.timers = Timers()
         self._emit = emit
         self._rng = rng
@@ -97,23 +98,19 @@
         :returns: key of its exchange, ``None`` if it is a repetition that
             was dealt with here.
         """
-        key = message_key(flow, message.mid)
+        # A caller that restarted may use a message id for another request
+        # while the first one runs.
         content = blake2s(datagram, digest_size=8).digest()
-        known = self.state.exchanges.get(key)
-        if (
-            known is not None
-            and known.content == content
-            and now - known.received < EXCHANGE_LIFETIME_S
-        ):
+        key = message_key(flow, message.mid) + content
+        self._expire(now)
+        known = self.state.pending.get(key) or self.state.answered.get(key)
+        if known is not None:
             self._repeat(known)
             return None
-        self.state.exchanges.pop(key, None)
-        self._expire(now)
-        self.state.exchanges[key] = Exchange(
+        self.state.pending[key] = Exchange(
             flow,
             message.mid,
             message.token,
-            content,
             message.mtype is Type.CON,
             now,
         )
@@ -122,16 +119,15 @@
 
     def forget(self, key: bytes) -> None:
         """Forget an exchange that another agent answers."""
-        self.state.exchanges.pop(key, None)
+        self.state.pending.pop(key, None)
 
     def acknowledge(self, key: bytes) -> None:
         """Acknowledge a confirmable request whose answer takes time."""
-        exchange = self.state.exchanges.get(key)
+        exchange = self.state.pending.get(key)
         if (
             exchange is None
             or not exchange.confirmable
             or exchange.acknowledged
-            or exchange.response is not None
         ):
             return
         exchange.acknowledged = True
@@ -139,9 +135,11 @@
 
     def answer(self, key: bytes, response: Message, now: float) -> None:
         """Answer a request; only the first answer is sent."""
-        exchange = self.state.exchanges.get(key)
-        if exchange is None or exchange.response is not None:
+        exchange = self.state.pending.pop(key, None)
+        if exchange is None:
             return
+        exchange.at = now
+        self.state.answered[key] = exchange
         flow = exchange.flow
         if exchange.confirmable and not exchange.acknowledged:
             exchange.response = coap.encode(
@@ -241,13 +239,13 @@
             self._send(exchange.flow, exchange.response)
 
     def _expire(self, now: float) -> None:
-        exchanges = self.state.exchanges
-        while exchanges:
-            key, oldest = next(iter(exchanges.items()))
-            fresh = now - oldest.received < EXCHANGE_LIFETIME_S
-            if fresh and len(exchanges) < MAX_EXCHANGES:
+        answered = self.state.answered
+        while answered:
+            key, oldest = next(iter(answered.items()))
+            fresh = now - oldest.at < EXCHANGE_LIFETIME_S
+            if fresh and len(answered) < MAX_ANSWERED:
                 return
-            del exchanges[key]
+            del answered[key]
 
     def _take_mid(self, flow: FlowId) -> int:
         mid = self.state.next_mid.get(flow)
--- a/ibispitch/requests/core.py
+++ b/ibispitch/requests/core.py
@@ -217,8 +217,10 @@
     def _join(self, run_id: bytes, key: bytes, now: float) -> None:
         self._count('gate_repeated_requests')
         job = self._jobs.by_run[run_id]
-        if len(job.waiters) < MAX_WAITERS:
-            job.waiters.append(key)
+        if len(job.waiters) >= MAX_WAITERS:
+            self._callers.forget(key)
+            return
+        job.waiters.append(key)
         if job.state is not JobState.RUNNING:
             self._callers.acknowledge(key)
 
--- a/ibispitch/requests/runs.py
+++ b/ibispitch/requests/runs.py
@@ -181,6 +181,8 @@
             return
         message = coap.decode(job.datagram)
         message.opt.echo = None
+        # A run ends with an answer, also if the caller wants none.
+        message.opt.no_response = None
         job.deadline_ms = self._deadline_ms(job, now)
         coap.set_uint_option(message, coap.DEADLINE_MS, job.deadline_ms)
         known = self._feeds.of_flow(job.flow).get(job.observe)
--- a/tests/requests/test_requests_core.py
+++ b/tests/requests/test_requests_core.py
@@ -213,6 +213,19 @@
     assert counted(copy, 'gate_answers_dropped') == [{'reason': 'duplicated'}]
 
 
+def test_reused_message_id():
+    """A restarted caller must not get the answer to its old request."""
+    gate = make_gate()
+    old = request(Code.GET, ('status',), token=b'old')
+    new = request(Code.GET, ('status',), token=b'new')
+    (first,) = to_upstream(gate.on_caller(FLOW, old, 0.0))
+    (second,) = to_upstream(gate.on_caller(FLOW, new, 0.1))
+    (answer,) = to_caller(gate.on_upstream(FLOW, respond(second), 0.2))
+    assert answer.token == b'new'
+    (answer,) = to_caller(gate.on_upstream(FLOW, respond(first), 0.3))
+    assert answer.token == b'old'
+
+
 def test_early_acknowledgement_and_separate_answer():
     """A caller must not repeat a request that waits or runs."""
     gate = make_gate()
--- a/tests/requests/test_requests_machine.py
+++ b/tests/requests/test_requests_machine.py
@@ -90,10 +90,10 @@
     world = walk(CoapGate, seed)
     assert world.runs
     for gate in world.gates.values():
-        assert all(
-            job.deadline >= world.now - 10
-            for job in gate._jobs.by_run.values()
-        )
+        jobs = gate._jobs.by_run.values()
+        assert all(job.deadline >= world.now - 10 for job in jobs)
+        waiters = {key for job in jobs for key in job.waiters}
+        assert gate._callers.state.pending.keys() <= waiters
 
 
 def test_long_walks_catch_the_naive_gate():
