--- a/tests/requests/loopback.py
+++ b/tests/requests/loopback.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import socket
 
 from ibispitch.ids import flow_address
@@ -30,6 +31,7 @@
         self.gate = gate
         self.upstream_address = upstream_address
         self.loop = asyncio.get_running_loop()
+        self.fates = itertools.repeat((0.0,))
         self.counts = []
         self.sockets = {}
         self.callers = callers or self._open(('127.0.0.1', 0))
@@ -43,11 +45,29 @@
         opened.bind(bind)
         return opened
 
+    def disturb(self, rng, loss=0.0):
+        """Lose, copy and reorder what passes between gate and callers."""
+
+        def fates():
+            while True:
+                copies = 0 if rng.random() < loss else rng.choice((1, 1, 2))
+                yield [rng.choice((0.0, 0.01, 0.03)) for _ in range(copies)]
+
+        self.fates = fates()
+
     def _on_callers(self):
         with contextlib.suppress(BlockingIOError, ConnectionRefusedError):
             datagram, address = self.callers.recvfrom(65536)
-            now = self.loop.time()
-            self.do(self.gate.on_caller(flow_id(address), datagram, now))
+            for delay_s in next(self.fates):
+                self.loop.call_later(delay_s, self._take, address, datagram)
+
+    def _take(self, address, datagram):
+        now = self.loop.time()
+        self.do(self.gate.on_caller(flow_id(address), datagram, now))
+
+    def _give(self, flow, datagram):
+        if self.callers.fileno() >= 0:
+            self.callers.sendto(datagram, tuple(flow_address(flow)))
 
     def _on_upstream(self, flow):
         with contextlib.suppress(ConnectionRefusedError):
@@ -63,7 +83,10 @@
         for effect in effects:
             match effect:
                 case ToCaller(flow, datagram):
-                    self.callers.sendto(datagram, tuple(flow_address(flow)))
+                    for delay_s in next(self.fates):
+                        self.loop.call_later(
+                            delay_s, self._give, flow, datagram
+                        )
                 case OpenFlow(flow):
                     self.sockets[flow] = self._open(('127.0.0.1', 0))
                     self.sockets[flow].connect(self.upstream_address)
