--- a/tests/requests/loopback.py
+++ b/tests/requests/loopback.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import socket
 
 from ibispitch.ids import flow_address
@@ -26,13 +27,14 @@
 class LoopbackAgent:
     """Sockets and loop around one gate."""
 
-    def __init__(self, gate, upstream_address):
+    def __init__(self, gate, upstream_address, callers=None):
         self.gate = gate
         self.upstream_address = upstream_address
         self.loop = asyncio.get_running_loop()
+        self.fates = itertools.repeat((0.0,))
         self.counts = []
         self.sockets = {}
-        self.callers = self._open(('127.0.0.1', 0))
+        self.callers = callers or self._open(('127.0.0.1', 0))
         self.address = self.callers.getsockname()
         self.loop.add_reader(self.callers, self._on_callers)
         self.ticker = asyncio.create_task(self._tick())
@@ -43,11 +45,29 @@
         opened.bind(bind)
         return opened
 
+    def disturb(self, rng, loss=0.0):
+        """Lose, copy and reorder what passes between gate and callers."""
+
+        def fates():
+            while True:
+                copies = 0 if rng.random() < loss else rng.choice((1, 1, 2))
+                yield [rng.choice((0.0, 0.01, 0.03)) for _ in range(copies)]
+
+        self.fates = fates()
+
     def _on_callers(self):
-        datagram, address = self.callers.recvfrom(65536)
-        self.do(
-            self.gate.on_caller(flow_id(address), datagram, self.loop.time())
-        )
+        with contextlib.suppress(BlockingIOError, ConnectionRefusedError):
+            datagram, address = self.callers.recvfrom(65536)
+            for delay_s in next(self.fates):
+                self.loop.call_later(delay_s, self._take, address, datagram)
+
+    def _take(self, address, datagram):
+        now = self.loop.time()
+        self.do(self.gate.on_caller(flow_id(address), datagram, now))
+
+    def _give(self, flow, datagram):
+        if self.callers.fileno() >= 0:
+            self.callers.sendto(datagram, tuple(flow_address(flow)))
 
     def _on_upstream(self, flow):
         with contextlib.suppress(ConnectionRefusedError):
@@ -63,7 +83,10 @@
         for effect in effects:
             match effect:
                 case ToCaller(flow, datagram):
-                    self.callers.sendto(datagram, tuple(flow_address(flow)))
+                    for delay_s in next(self.fates):
+                        self.loop.call_later(
+                            delay_s, self._give, flow, datagram
+                        )
                 case OpenFlow(flow):
                     self.sockets[flow] = self._open(('127.0.0.1', 0))
                     self.sockets[flow].connect(self.upstream_address)
@@ -73,13 +96,23 @@
                 case CloseFlow(flow):
                     self._close(self.sockets.pop(flow))
                 case ToUpstream(flow, datagram):
-                    self.sockets[flow].send(datagram)
+                    self._send_upstream(flow, datagram)
                 case _:
                     self.counts.append(effect)
 
+    def _send_upstream(self, flow, datagram):
+        opened = self.sockets[flow]
+        with contextlib.suppress(ConnectionRefusedError):
+            opened.send(datagram)
+        # On loopback the refusal of this datagram is reported at once.
+        if opened.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            now = self.loop.time()
+            self.do(self.gate.on_upstream_refused(flow, datagram, now))
+
     def _close(self, opened):
-        self.loop.remove_reader(opened)
-        opened.close()
+        if opened.fileno() >= 0:
+            self.loop.remove_reader(opened)
+            opened.close()
 
     def stop(self):
         self.ticker.cancel()
