Ask up to five uncertain peers before a refusal

Cause: loads are reported every 500 ms, longer than a request runs, so a refusal after one probe often came while another peer was idle.

Change: up to five peers are asked, the least known one first, unless their load is newer than 20 ms.

--- a/ibispitch/admission/core.py
+++ b/ibispitch/admission/core.py
@@ -34,9 +34,9 @@
 WAIT_MARGIN = 2.0
 MIN_WAIT_S = 0.02
 #: Peers that are asked to run a request before it is refused.
-MAX_DELEGATIONS = 3
+MAX_DELEGATIONS = 5
 #: A load newer than this is not asked for again before a refusal.
-PROBE_AGE_S = 0.05
+PROBE_AGE_S = 0.02
 
 MIN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_S = 30.0
@@ -281,15 +281,11 @@
     def _probe(
         self, declined: Collection[AgentId], now: float
     ) -> AgentId | None:
-        """Return the peer whose load is known least, if any is uncertain.
-
-        One such peer is asked for a request.
-        """
-        if declined:
-            return None
+        """Return the peer whose load is known least, if any is uncertain."""
         age_by_id = {
             agent_id: load.age_s if load else self.loads.max_age_s
             for agent_id in self.loads.peers
+            if agent_id not in declined
             for load in [self.loads.load(agent_id, now)]
         }
         oldest = max(age_by_id, key=lambda key: age_by_id[key], default=None)
