--- a/ibispitch/ctl/entries.py
+++ b/ibispitch/ctl/entries.py
@@ -9,12 +9,12 @@
 from ibispitch.catalogue.checks import parse_entry
 from ibispitch.catalogue.errors import EditError
 from ibispitch.catalogue.errors import EditFault
-from ibispitch.ctl.options import entry_fields
 from ibispitch.ctl.options import entry_options
 from ibispitch.ctl.options import examples
 from ibispitch.ctl.options import FIELDS
+from ibispitch.ctl.options import given_fields
 from ibispitch.ctl.options import output_option
-from ibispitch.ctl.options import put
+from ibispitch.ctl.options import to_document
 from ibispitch.ctl.options import version_option
 from ibispitch.ctl.session import Session
 from ibispitch.ctl.session import to_table
@@ -125,7 +125,7 @@
     Options override the file. Fields that neither gives get their default.
     """
     document = _read_document(file) if file else {}
-    given = entry_fields(fields)
+    given = to_document(given_fields(fields))
     limits = document.get('limits')
     if isinstance(limits, dict) and 'limits' in given:
         given['limits'] = limits | given['limits']
@@ -173,9 +173,10 @@
     **fields: Any,
 ) -> None:
     """Change some fields of an entry; --address replaces all addresses."""
-    changes = entry_fields(fields)
-    for path in unset:
-        put(changes, path, None)
+    given = given_fields(fields)
+    if given.keys() & set(unset):
+        raise click.UsageError('--unset names a field that is set as well')
+    changes = to_document(given | dict.fromkeys(unset))
     if not changes:
         raise click.UsageError('nothing to change; give at least one option')
     session.edit(lambda editor: editor.edit(service, changes, expected))
--- a/ibispitch/ctl/options.py
+++ b/ibispitch/ctl/options.py
@@ -70,28 +70,35 @@
     return command
 
 
-def entry_fields(values: dict[str, Any]) -> dict[str, Any]:
-    """Return the part of an entry document that options give.
+def given_fields(values: dict[str, Any]) -> dict[str, Any]:
+    """Return the values that options give, by path in the entry.
 
     :param values: parameters of a command with :func:`entry_options`.
 
-    >>> entry_fields({'field_flows': 5, 'field_address': ()})
-    {'limits': {'flows': 5}}
+    >>> given_fields({'field_flows': 5, 'field_address': ()})
+    {'limits.flows': 5}
     """
-    document: dict[str, Any] = {}
-    for name, (path, _) in FIELDS.items():
-        value = values.get(_parameter(name))
-        if value not in (None, ()):
-            put(document, path, value)
-    return document
+    found = (
+        (path, values.get(_parameter(name)))
+        for name, (path, _) in FIELDS.items()
+    )
+    return {path: value for path, value in found if value not in (None, ())}
+
 
+def to_document(value_by_path: dict[str, Any]) -> dict[str, Any]:
+    """Return the part of an entry document with these values.
 
-def put(document: dict, path: str, value: Any) -> None:
-    """Set a dotted path in a document."""
-    *parents, last = path.split('.')
-    for parent in parents:
-        document = document.setdefault(parent, {})
-    document[last] = list(value) if isinstance(value, tuple) else value
+    >>> to_document({'limits.flows': 5, 'addresses': ('127.0.0.1:1',)})
+    {'limits': {'flows': 5}, 'addresses': ['127.0.0.1:1']}
+    """
+    document: dict[str, Any] = {}
+    for path, value in value_by_path.items():
+        *parents, last = path.split('.')
+        part = document
+        for parent in parents:
+            part = part.setdefault(parent, {})
+        part[last] = list(value) if isinstance(value, tuple) else value
+    return document
 
 
 def _parameter(name: str) -> str:
