--- a/ibispitch/agent/limited.py
+++ b/ibispitch/agent/limited.py
@@ -4,6 +4,7 @@
 
 from ibispitch.admission.core import AdmissionCore
 from ibispitch.admission.types import Decision
+from ibispitch.admission.types import Load
 from ibispitch.admission.types import Refuse
 from ibispitch.admission.types import RequestInfo
 from ibispitch.admission.types import RunId
@@ -49,7 +50,12 @@
 
     def decide(self, request: RequestInfo, now: float) -> Decision:
         """Decide on a run; see :meth:`AdmissionCore.decide`."""
-        is_counted = request.delegated or request.exchange or request.pinned
+        is_counted = (
+            request.delegated
+            or request.exchange
+            or request.pinned
+            or request.declined
+        )
         if not is_counted and not self._limits.allow(
             self._labels.owner, self._labels.class_name, now
         ):
@@ -69,3 +75,7 @@
     def tick(self, now: float) -> list[RunId]:
         """Return waiting runs that may start now."""
         return self._admission.tick(now)
+
+    def load(self) -> Load:
+        """Return the load to send along with a reply."""
+        return self._admission.load()
--- a/ibispitch/requests/core.py
+++ b/ibispitch/requests/core.py
@@ -12,6 +12,7 @@
 from ibispitch.admission.types import Retries
 from ibispitch.admission.types import RunOutcome
 from ibispitch.ids import AgentId
+from ibispitch.ids import FLOW_ID_BYTES
 from ibispitch.ids import FlowId
 from ibispitch.ids import RequestId
 from ibispitch.requests import coap
@@ -31,6 +32,7 @@
 from ibispitch.requests.records import record_key
 from ibispitch.requests.registry import gate
 from ibispitch.requests.registry import GateSettings
+from ibispitch.requests.runs import entry_point
 from ibispitch.requests.runs import RETRY_AFTER_S
 
 #: Requests of one caller that wait for the same run.
@@ -58,10 +60,10 @@
         self._adopted: dict[bytes, float] = {}
         self._exports = 0
         self._next_expiry = 0.0
-        self._handed_over = False
 
     # Callers
 
+    @entry_point
     def on_caller(
         self, flow: FlowId, datagram: bytes, now: float, relayed: bool = False
     ) -> Sequence[Effect]:
@@ -70,20 +72,18 @@
         :param relayed: whether another agent relayed it because of its Echo
             value; it is not relayed for that reason again.
         """
-        if self._handed_over:
-            return []
         try:
             message = coap.decode(datagram)
         except coap.MalformedError:
             self._on_malformed(flow, datagram, now)
-            return self._drain()
+            return self._drain(now)
         if message.code is Code.EMPTY:
             self._on_empty(flow, message, now)
         elif message.code.is_request():
             self._on_request(flow, message, datagram, now, relayed)
         else:
             self._count('gate_malformed', reason='unexpected')
-        return self._drain()
+        return self._drain(now)
 
     def _on_malformed(self, flow: FlowId, datagram: bytes, now: float) -> None:
         self._count('gate_malformed', reason='decode')
@@ -217,8 +217,10 @@
     def _join(self, run_id: bytes, key: bytes, now: float) -> None:
         self._count('gate_repeated_requests')
         job = self._jobs.by_run[run_id]
-        if len(job.waiters) < MAX_WAITERS:
-            job.waiters.append(key)
+        if len(job.waiters) >= MAX_WAITERS:
+            self._callers.forget(key)
+            return
+        job.waiters.append(key)
         if job.state is not JobState.RUNNING:
             self._callers.acknowledge(key)
 
@@ -265,12 +267,11 @@
 
     # Upstream
 
+    @entry_point
     def on_upstream(
         self, flow: FlowId, datagram: bytes, now: float
     ) -> Sequence[Effect]:
         """Handle a datagram that the upstream sent to a flow's socket."""
-        if self._handed_over:
-            return []
         received = self._upstreams.receive(flow, datagram, now)
         if received is not None:
             token, message = received
@@ -281,8 +282,9 @@
                 self._on_answer(job, message, now)
             elif message is not None:
                 self._on_notification(token, message, now)
-        return self._drain()
+        return self._drain(now)
 
+    @entry_point
     def on_upstream_refused(
         self, flow: FlowId, datagram: bytes, now: float
     ) -> Sequence[Effect]:
@@ -297,8 +299,9 @@
             self._finished(job, RunOutcome.UNREACHABLE, now)
             self._release(job, 'late')
             self._not_run(job, RETRY_AFTER_S, 'unreachable', now)
-        return self._drain()
+        return self._drain(now)
 
+    @entry_point
     def on_upstream_lost(self, now: float) -> Sequence[Effect]:
         """Handle that the upstream process is gone.
 
@@ -316,7 +319,7 @@
                 )
                 self._feeds.remove(flow, observation.token)
                 self._upstreams.end(observation.upstream_token, 'late')
-        return self._drain()
+        return self._drain(now)
 
     def _on_run_error(self, job: Job, reason: str, now: float) -> None:
         self._finished(job, RunOutcome.UNREACHABLE, now)
@@ -362,6 +365,7 @@
 
     # Flows
 
+    @entry_point
     def close_flow(self, flow: FlowId, now: float) -> Sequence[Effect]:
         """End a flow whose owner is now another agent.
 
@@ -377,7 +381,7 @@
         if socket is not None:
             socket.closing = True
             self._close_when_unused(flow)
-        return self._drain()
+        return self._drain(now)
 
     def export_flow(
         self, flow: FlowId, now: float
@@ -389,7 +393,7 @@
 
         :returns: the flow, or ``None`` while requests of it wait or run.
         """
-        if self._jobs.of_flow(flow):
+        if self._handed_over or self._jobs.of_flow(flow):
             return None, []
         self._exports += 1
         export = FlowExport(
@@ -404,6 +408,7 @@
         data = msgspec.msgpack.encode(export)
         return data, self.close_flow(flow, now)
 
+    @entry_point
     def adopt_flow(self, data: bytes, now: float) -> Sequence[Effect]:
         """Take over a flow that another agent exported.
 
@@ -413,24 +418,28 @@
         :raises msgspec.DecodeError: if the data is no exported flow.
         """
         export = msgspec.msgpack.decode(data, type=FlowExport)
-        if self._handed_over or export.export_id in self._adopted:
+        if export.export_id in self._adopted:
             return []
         self._adopted[export.export_id] = now + EXPORT_LIFETIME_S
         offset_s = now - export.now
         flow = export.flow
-        for key, record in export.records.items():
+        for record in export.records.values():
             record.expires += offset_s
             record.deadline += offset_s
-            if key not in self._records.state.by_request:
-                self._records.add(key, record)
-        self._records.count_answers()
-        self._echo.take_over(flow, export.echo_keys, offset_s)
+        # Without its records an Echo value would admit a second run.
+        if all(
+            self._records.find(key, now) or self._records.add(key, record)
+            for key, record in export.records.items()
+        ):
+            self._echo.take_over(flow, export.echo_values, offset_s)
+        else:
+            self._count('gate_records_lost')
         for observation in export.observations:
             observation.upstream_token = b''
             observation.mids = []
             self._feeds.add(flow, observation)
             self._replay(flow, observation, now)
-        return self._drain()
+        return self._drain(now)
 
     def _replay(
         self, flow: FlowId, observation: Observation, now: float
@@ -456,7 +465,7 @@
         self._timers.set(now + max(after_s, RETRY_AFTER_S), 'replay', key)
 
     def _on_replay_due(self, key: bytes, now: float) -> None:
-        flow, token = FlowId(key[:6]), key[6:]
+        flow, token = FlowId(key[:FLOW_ID_BYTES]), key[FLOW_ID_BYTES:]
         observation = self._feeds.of_flow(flow).get(token)
         if observation is not None and not observation.upstream_token:
             self._replay(flow, observation, now)
@@ -472,12 +481,10 @@
 
     # Time
 
+    @entry_point
     def tick(self, now: float) -> Sequence[Effect]:
         """Do what is due; call it at least every 50 ms."""
-        if self._handed_over:
-            return []
-        for run_id in self._admission.tick(now):
-            self._on_ready(run_id, now)
+        self._slot_freed = True
         for kind, key in self._timers.pop_due(now):
             if kind == 'replay':
                 self._on_replay_due(key, now)
@@ -490,7 +497,7 @@
         for flow in self._upstreams.tick(now):
             self._close_when_unused(flow)
         self._expire(now)
-        return self._drain()
+        return self._drain(now)
 
     _job_timers = {
         'deadline': DelegationSide._on_deadline,
@@ -499,15 +506,6 @@
         'cancelled': DelegationSide._on_cancel_end,
     }
 
-    def _on_ready(self, run_id: bytes, now: float) -> None:
-        job = self._jobs.by_run.get(run_id)
-        if job is None or job.state is not JobState.QUEUED:
-            self._admission.finished(run_id, RunOutcome.CANCELLED, 0.0, now)
-        elif now >= job.deadline:
-            self._on_deadline(job, now)
-        else:
-            self._run_here(job, now)
-
     def _expire(self, now: float) -> None:
         if now < self._next_expiry:
             return
@@ -555,8 +553,7 @@
         keys = list((snapshot.echo.keys | self._echo.state.keys).items())
         snapshot.echo.keys = dict(keys[-MAX_INCARNATIONS:])
         self._echo.state = snapshot.echo
-        self._records.state = snapshot.records
-        self._records.recount()
+        self._records.restore(snapshot.records)
         self._runs.state = snapshot.runs
         self._callers.state = snapshot.callers
         self._callers.timers.load(snapshot.caller_timers)
@@ -570,7 +567,7 @@
             self._emit(OpenFlow(FlowId(flow)))
         for job in snapshot.jobs:
             self._restore_job(job, now)
-        return self._drain()
+        return self._drain(now)
 
     def _restore_job(self, job: Job, now: float) -> None:
         self._jobs.add(job)
@@ -579,3 +576,5 @@
             self._admission.started(job.run_id, now)
         elif job.state is JobState.QUEUED:
             self._decide(job, now)
+        elif job.state is JobState.DELEGATED:
+            self._run_by_asked[job.asked_as] = job.run_id
