--- a/ibispitch/admission/types.py
+++ b/ibispitch/admission/types.py
@@ -35,6 +35,8 @@
         ``RunHere`` and ``Refuse`` are allowed.
     :param exchange: whether it continues an exchange whose first part was
         admitted; refusing it wastes the work that was done.
+    :param declined: agents that were asked for this request and said that
+        they have not run it.
     """
 
     run_id: RunId
@@ -44,6 +46,7 @@
     pinned: bool = False
     delegated: bool = False
     exchange: bool = False
+    declined: tuple[AgentId, ...] = ()
 
 
 class RunHere(msgspec.Struct, frozen=True):
@@ -57,8 +60,8 @@
     """Delegate the request to another agent.
 
     Neither ``started`` nor ``finished`` is called for it. When the other
-    agent does not run it, the gate asks ``decide`` again with the same
-    request and ``pinned`` set.
+    agent does not run it, the gate asks ``decide`` again for the request
+    with that agent in ``declined``, or with ``pinned`` set.
     """
 
     agent_id: AgentId
@@ -89,9 +92,9 @@
 class RunOutcome(enum.Enum):
     """How a run at the own upstream ended.
 
-    COMPLETED is any answer but 5.03, also a 4.xx. SHED is 5.03 by the
-    upstream. TIMED_OUT means no answer until the deadline or the last
-    retransmission. UNREACHABLE is a reset or a refused socket. CANCELLED
+    COMPLETED is any answer but 5.03 and 5.04, also a 4.xx. SHED is 5.03 by
+    the upstream. TIMED_OUT is 5.04 by the upstream, or no answer until the
+    deadline. UNREACHABLE is a reset or a refused socket. CANCELLED
     means that the caller gave it up, before or after it started.
     """
 
@@ -124,7 +127,11 @@
         """Decide on a run; ``RunHere`` and ``Wait`` reserve it."""
 
     def started(self, run_id: RunId, now: float) -> None:
-        """Note that the run was sent to the upstream."""
+        """Note that the run was sent to the upstream.
+
+        A run that was never decided here was started by a predecessor of
+        this process; it takes a slot as well.
+        """
 
     def finished(
         self,
@@ -138,6 +145,9 @@
     def tick(self, now: float) -> list[RunId]:
         """Return waiting runs that may start now; each has a slot."""
 
+    def load(self) -> Load:
+        """Return the load to send along with a reply."""
+
 
 class Retries(Protocol):
     """Retry budget as the gate uses it."""
