--- a/testbed/affinity_network.py
+++ b/testbed/affinity_network.py
@@ -68,6 +68,8 @@
     :param view_delay_s: greatest delay of views and records.
     :param view_skip: probability that a view is left out, as a newer one
         follows.
+    :param view_stale: probability that a new parent gives an agent the
+        truth of up to ``view_delay_s`` ago.
     """
 
     loss: float = 0.0
@@ -77,10 +79,11 @@
     late_s: float = 0.0
     view_delay_s: float = 1.0
     view_skip: float = 0.0
+    view_stale: float = 0.0
 
 
 CALM = Conditions(view_delay_s=0.05)
-ROUGH = Conditions(0.1, 0.1, 0.003, 0.1, 0.6, 2.0, 0.2)
+ROUGH = Conditions(0.1, 0.1, 0.003, 0.1, 0.6, 2.0, 0.2, 0.2)
 
 
 class RandomPlacement:
@@ -158,16 +161,20 @@
         self.drops: Counter = Counter()
         self.largest_message = 0
         self.cut_pairs: set[frozenset] = set()
+        #: Balancers that get no news.
+        self.stale_balancers: set[int] = set()
         self._make_placement = make_placement or (
             lambda agent: RandomPlacement(self.rng)
         )
         self._make_core = make_core
+        self._agent_by_address: dict[Address, AgentId] = {}
         self._versions = count(1)
         self._numbers = count(1)
         self._queue: list[tuple] = []
         self._sequence = count()
         self._losses: Counter[frozenset] = Counter()
         self._next_tick = self.now
+        self._views: list[tuple[float, ServiceView]] = []
         self._healed_everywhere = 0.0
         self._back_everywhere: dict[DatacentreName, float] = {}
 
@@ -201,6 +208,7 @@
         own = PeerInfo(agent_id, address, record.datacentre, number)
         core = self._make_core(own, NUMBER, self._make_placement(agent_id))
         self.agents[agent_id] = SimulatedAgent(core, record)
+        self._agent_by_address[address] = agent_id
         self.records[agent_id] = record
         self.publish()
         return agent_id
@@ -227,28 +235,36 @@
         self._lose(agent)
 
     def replace(self, agent: AgentId) -> None:
-        """Replace a process by its successor, which takes its state."""
+        """Replace a process by its successor, which takes its state.
+
+        The core of a baseline goes on as it is, which is the best that its
+        hand-over could do.
+        """
         former = self.agents[agent]
-        messages = [
-            decode_message(encode_message(message))
-            for message in former.core.export(self.now)
-        ]
         record = msgspec.structs.replace(
             former.record,
             incarnation=next(self._numbers),
             state=self.records[agent].state,
         )
+        former.record = record
+        self.records[agent] = record
+        if isinstance(former.core, AffinityCore):
+            self._hand_over(agent, former)
+        self.publish()
+
+    def _hand_over(self, agent: AgentId, member: SimulatedAgent) -> None:
+        record, former = member.record, member.core
+        messages = [
+            decode_message(encode_message(message))
+            for message in former.export(self.now)
+        ]
         own = PeerInfo(
             agent, record.address, record.datacentre, record.incarnation
         )
-        core = self._make_core(own, NUMBER, self._make_placement(agent))
-        held = former.core.take_held()
-        former.core, former.record = core, record
-        self.records[agent] = record
-        self._apply(agent, core.restore(messages, self.now))
-        for packet in held:
+        member.core = AffinityCore(own, NUMBER, self._make_placement(agent))
+        self._apply(agent, member.core.restore(messages, self.now))
+        for packet in former.take_held():
             self._deliver(agent, packet)
-        self.publish()
 
     def crash(self, agent: AgentId) -> None:
         """Kill an agent; its lease lapses later."""
@@ -318,7 +334,7 @@
         else:
             self.datacentres_out.discard(datacentre)
             self._back_everywhere[datacentre] = (
-                self.now + 2 * self.conditions.view_delay_s
+                self.now + 3 * self.conditions.view_delay_s
             )
         self.publish()
 
@@ -356,16 +372,25 @@
         A host that misses a view gets a newer one after the greatest delay.
         """
         view = self.view()
+        self._views.append((self.now, view))
+        oldest = self.now - self.conditions.view_delay_s
+        self._views = [item for item in self._views if item[0] >= oldest]
         hosts = [*self.agents, *range(len(self.balancers))]
         for host in hosts:
-            if self.rng.random() >= self.conditions.view_skip:
+            choice = self.rng.random() - self.conditions.view_skip
+            if choice >= self.conditions.view_stale:
                 self._send_view(host, view)
-            else:
-                self._at(
-                    self.now + self.conditions.view_delay_s,
-                    lambda host: self._send_view(host, self.view()),
-                    host,
+                continue
+            if choice >= 0 and not isinstance(host, int):
+                _, former = self.rng.choice(self._views)
+                self._deliver_view(
+                    host, msgspec.structs.replace(former, version=view.version)
                 )
+            self._at(
+                self.now + self.conditions.view_delay_s,
+                lambda host: self._send_view(host, self.view()),
+                host,
+            )
 
     def _send_view(self, host: AgentId | int, view: ServiceView) -> None:
         delay = self.rng.random() * self.conditions.view_delay_s
@@ -380,7 +405,14 @@
         if not self.agents[agent].is_paused:
             self._run(agent, lambda a: a.core.on_view(view, self.now))
 
+    def restart_balancer(self, index: int, view: ServiceView) -> None:
+        """Replace a balancer by a new one that knows only an old view."""
+        self.balancers[index] = self._new_balancer()
+        self._set_table(index, view)
+
     def _set_table(self, index: int, view: ServiceView) -> None:
+        if index in self.stale_balancers:
+            return
         balancer = self.balancers[index]
         former = getattr(balancer, 'newest_view', None)
         if former is not None and former.version >= view.version:
@@ -419,11 +451,8 @@
             self.drops['no_route'] += 1
             return
         packet = Packet(flow, 0, False, None, NO_BALANCER, None)
-        for agent, member in self.agents.items():
-            if member.record.address == address:
-                self._at(
-                    self.now + self._delay(), self._deliver, agent, packet
-                )
+        agent = self._agent_by_address[address]
+        self._at(self.now + self._delay(), self._deliver, agent, packet)
 
     def close_flow(self, flow: FlowId, agent: AgentId) -> None:
         """End a flow at its owner, if that is running."""
@@ -593,6 +622,10 @@
         for flow in flows:
             self.send_packet(flow)
         self.run(2.0)
+        before = self.control_bytes()
+        self.run(2.0)
+        if self.control_bytes() != before:
+            self._violation('messages when quiet', FlowId(b''), '')
         for flow in flows:
             self._check_flow(flow)
         return self.violations
@@ -612,6 +645,10 @@
             ):
                 self._violation('not delivered when quiet', flow, owners[0])
 
+    def control_bytes(self) -> int:
+        """Return the bytes of all control frames sent by living agents."""
+        return sum(member.control_bytes for member in self.agents.values())
+
     def check_owners(self) -> list[Violation]:
         """Check that no undisputed flow has two owners now."""
         holders: Counter[FlowId] = Counter()
