Let requests wait for three latencies, ask up to eight peers

Cause: with one slot a queue of one or two requests often runs empty while callers are refused, and five asked peers of six leave one out.

Change: a request waits if its slot is expected within three latencies instead of two; up to eight peers are asked, as many as get a report.

--- a/ibispitch/admission/core.py
+++ b/ibispitch/admission/core.py
@@ -25,7 +25,7 @@
 #: A request waits if its slot is expected within this many latencies. The
 #: queue bridges the time until the next request and no more: with one slot
 #: it holds one or two requests.
-WAIT_LATENCIES = 2.0
+WAIT_LATENCIES = 3.0
 #: Further parts of an exchange may wait longer, as work was done for it.
 EXCHANGE_WAIT_LATENCIES = 4.0
 #: Share of the time that is left after the run that may be waited.
@@ -34,7 +34,7 @@
 WAIT_MARGIN = 2.0
 MIN_WAIT_S = 0.02
 #: Peers that are asked to run a request before it is refused.
-MAX_DELEGATIONS = 5
+MAX_DELEGATIONS = 8
 #: A load newer than this is not asked for again before a refusal.
 PROBE_AGE_S = 0.02
 
