Save at most three retries

Cause: with ten saved retries for each agent, 10 s of faults at the rates of the 1-slot shape (about 8 runs a second for each upstream) are answered with more than 1.1 runs for each request.

Change: the budget saves three retries.

--- a/ibispitch/retry/budget.py
+++ b/ibispitch/retry/budget.py
@@ -4,7 +4,7 @@
 
 RETRIES_PER_SUCCESS = 0.1
 #: Retries that may be saved up. It bounds the burst at the begin of a fault.
-MAX_RETRIES = 10.0
+MAX_RETRIES = 3.0
 #: Savings shrink with this time constant, so that a quiet hour does not pay
 #: for retries in a later fault.
 SAVINGS_TIME_S = 30.0
