Decide again at the end of a wait

Cause: requests whose wait ended were refused while a peer was idle.

Change: the gate asks again when a wait ends, and the request does not wait twice. A request waits for two latencies and one more divided by the slots, for 1.6 times that at most.

--- a/ibispitch/admission/core.py
+++ b/ibispitch/admission/core.py
@@ -23,15 +23,17 @@
 from ibispitch.ids import AgentId
 
 #: A request waits if its slot is expected within this many latencies. The
-#: queue bridges the time until the next request and no more: with one slot
-#: it holds one or two requests.
-WAIT_LATENCIES = 3.0
+#: queue bridges the time until the next request and no more.
+WAIT_LATENCIES = 2.0
+#: Added with one slot, and in proportion with more: a queue of one or two
+#: requests often runs empty while callers are refused.
+WAIT_LATENCIES_PER_SLOT = 1.0
 #: Further parts of an exchange may wait longer, as work was done for it.
 EXCHANGE_WAIT_LATENCIES = 4.0
 #: Share of the time that is left after the run that may be waited.
 WAIT_SHARE = 0.5
-#: Waiting requests are refused after this many times the expected wait.
-WAIT_MARGIN = 2.0
+#: A wait ends after this many times the allowed wait.
+WAIT_MARGIN = 1.6
 MIN_WAIT_S = 0.02
 #: Peers that are asked to run a request before it is refused.
 MAX_DELEGATIONS = 8
@@ -139,19 +141,21 @@
         short wait, a peer that may have one, refusal.
 
         After ``MAX_DELEGATIONS`` peers have declined the request, it is
-        decided here.
+        decided here. A request whose wait has ended does not wait again.
 
         :param request: what is known of the request.
         :param now: time in seconds.
         :returns: the decision; ``RunHere`` and ``Wait`` reserve it.
         """
-        self._waiting.pop(request.run_id, None)
-        decision = self._decide(request, now)
+        has_waited = self._waiting.pop(request.run_id, None) is not None
+        decision = self._decide(request, has_waited, now)
         if isinstance(decision, RunAt):
             self.loads.run_sent(decision.agent_id, now)
         return decision
 
-    def _decide(self, request: RequestInfo, now: float) -> Decision:
+    def _decide(
+        self, request: RequestInfo, has_waited: bool, now: float
+    ) -> Decision:
         declined = request.declined
         may_delegate = not request.pinned and len(declined) < MAX_DELEGATIONS
         if request.deadline <= now:
@@ -163,7 +167,7 @@
             return self._refuse(now)
         if may_delegate and (peer := self._free_peer(declined, now)):
             return RunAt(peer)
-        if wait := self._wait(request, now):
+        if not has_waited and (wait := self._wait(request, now)):
             return wait
         if may_delegate and (peer := self._probe(declined, now)):
             return RunAt(peer)
@@ -309,9 +313,9 @@
         if self.limit.is_stalled(now):
             return None
         latency_s = self.limit.latency.recent_s
-        latencies = (
-            EXCHANGE_WAIT_LATENCIES if request.exchange else WAIT_LATENCIES
-        )
+        latencies = WAIT_LATENCIES + WAIT_LATENCIES_PER_SLOT / self.limit.slots
+        if request.exchange:
+            latencies = EXCHANGE_WAIT_LATENCIES
         allowed_s = min(
             max(MIN_WAIT_S, latencies * latency_s),
             WAIT_SHARE * (request.deadline - now - latency_s),
--- a/ibispitch/admission/types.py
+++ b/ibispitch/admission/types.py
@@ -70,8 +70,10 @@
 class Wait(msgspec.Struct, frozen=True):
     """Keep the request until ``tick`` returns its run id.
 
-    :param until: time in seconds at which the gate refuses the request if
-        it is not ready by then.
+    :param until: time in seconds at which the gate asks ``decide`` again,
+        with the same run id, if the request is not ready by then. The
+        answer is then another than ``Wait``. A gate that refuses the
+        request instead calls ``finished``.
     """
 
     until: float
--- a/testbed/admission_model.py
+++ b/testbed/admission_model.py
@@ -45,7 +45,6 @@
 KNOWN_IDLE_S = 0.02
 #: Within a data centre.
 LOCAL_DELAY_S = 0.0002
-WAIT_RETRY_AFTER_S = 1.0
 
 
 class Shape(NamedTuple):
@@ -403,10 +402,12 @@
             **options,
         )
 
-    def _decide(self, owner, request, declined):
+    def _decide(self, owner, request, declined, run_id=None):
         if not owner.is_in:
             return
         info = self._info(request, declined=declined)
+        if run_id is not None:
+            info = msgspec.structs.replace(info, run_id=run_id)
         match owner.core.decide(info, self.now):
             case RunHere():
                 self._start(owner, info.run_id, request, owner)
@@ -435,9 +436,8 @@
 
     def _wait_ended(self, owner, run_id, request):
         if owner.pending.pop(run_id, None):
-            owner.core.finished(run_id, RunOutcome.CANCELLED, 0.0, self.now)
             self.counts['waited_in_vain'] += 1
-            self._refuse(request, WAIT_RETRY_AFTER_S)
+            self._decide(owner, request, (), run_id)
 
     def _delegate(self, owner, peer, request, declined):
         delay_s = self.delay_s(owner, peer)
--- a/tests/admission/test_core.py
+++ b/tests/admission/test_core.py
@@ -431,3 +431,26 @@
     data = encode_message(message)
     assert decode_message(data) == message
     assert len(data) <= 80
+
+
+def test_request_does_not_wait_twice():
+    """At the end of a wait another one would hold it to its deadline."""
+    core = make_core()
+    now = warm(core)
+    fill(core, now)
+    request = info(now, pinned=True)
+    decision = core.decide(request, now)
+    assert isinstance(decision, Wait)
+    assert isinstance(core.decide(request, decision.until), Refuse)
+    assert core.queued == 0
+
+
+def test_request_goes_to_a_free_peer_when_its_wait_ends():
+    """A refusal after a wait while a peer is idle wastes the peer."""
+    core = make_core()
+    now = warm(core)
+    fill(core, now)
+    request = info(now)
+    decision = core.decide(request, now)
+    core.loads.on_report(report('c', free=2), decision.until)
+    assert core.decide(request, decision.until) == RunAt('c')
