--- a/ibispitch/admission/concurrency.py
+++ b/ibispitch/admission/concurrency.py
@@ -43,6 +43,8 @@
 
 STEADY_WEIGHT = 0.05
 RAMP_WEIGHT = 0.2
+#: Latency falls to a tenth while an upstream warms up.
+RECENT_RAMP_WEIGHT = 0.5
 VARIATION_WEIGHT = 0.02
 #: Latency that is assumed before the first completed run.
 ASSUMED_LATENCY_S = 0.1
@@ -82,7 +84,8 @@
         if self._samples == 1:
             self.average_s = self.recent_s = latency_s
             return
-        self.recent_s += RAMP_WEIGHT * (latency_s - self.recent_s)
+        recent_weight = RECENT_RAMP_WEIGHT if is_ramping else RAMP_WEIGHT
+        self.recent_s += recent_weight * (latency_s - self.recent_s)
         ratio = min(latency_s / max(self.average_s, 1e-6), MAX_RATIO)
         if self._score == 0.0 or self._samples < MIN_SAMPLES:
             weight = RAMP_WEIGHT if is_ramping else STEADY_WEIGHT
--- a/ibispitch/admission/core.py
+++ b/ibispitch/admission/core.py
@@ -38,10 +38,10 @@
 #: Peers that are asked to run a request before it is refused.
 MAX_DELEGATIONS = 8
 #: A load newer than this is not asked for again before a refusal.
-PROBE_AGE_S = 0.02
+PROBE_AGE_S = 0.01
 #: A peer may have run its queue in this share of the expected time, since
 #: the lengths of requests vary.
-DRAIN_SHARE = 0.4
+DRAIN_SHARE = 0.3
 
 MIN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_S = 30.0
@@ -255,6 +255,7 @@
             0 if is_idle else max(0, free),
             self.flows.expected_room(REPORT_INTERVAL_S, now),
             self.placement.is_draining,
+            round(self.limit.latency.recent_s * 1000),
         )
 
     def _follow_restart(self, restarts: int, now: float) -> None:
@@ -291,11 +292,10 @@
         """Return the peer that most likely has a free slot by now.
 
         A peer that had a queue is not asked until it may have run that
-        queue, by the latency of the own upstream.
+        queue.
         """
-        latency_s = DRAIN_SHARE * self.limit.latency.recent_s
         doubt_by_id = {
-            agent_id: load.age_s - load.backlog * latency_s
+            agent_id: load.age_s - DRAIN_SHARE * load.backlog_s
             if load
             else self.loads.max_age_s
             for agent_id in self.loads.peers
--- a/ibispitch/admission/loads.py
+++ b/ibispitch/admission/loads.py
@@ -28,7 +28,7 @@
         there since its report.
     :param flow_room: new flows that are left for this agent to place.
     :param free: free slots after what this agent sent there.
-    :param backlog: rounds of runs that it has beyond its limit.
+    :param backlog_s: time in which it runs what is beyond its limit.
     :param age_s: seconds since the report.
     :param is_draining: whether it takes no new flows.
     """
@@ -37,7 +37,7 @@
     expected_flows: float
     flow_room: float
     free: int
-    backlog: float
+    backlog_s: float
     age_s: float
     is_draining: bool
 
@@ -59,6 +59,11 @@
     return [at for at in sent if at > now - IN_TRANSIT_S]
 
 
+def _backlog_s(report: LoadReport) -> float:
+    beyond = max(0.0, report.in_flight + report.queued - report.limit)
+    return report.latency_ms / 1000 * beyond / max(1.0, report.limit)
+
+
 class LoadTable:
     """Loads of the peers of an agent.
 
@@ -154,6 +159,7 @@
             max(0, free),
             peer.report.flow_room,
             peer.report.is_draining,
+            peer.report.latency_ms,
         )
         peer.updated = now
         peer.runs_sent = _in_transit(peer.runs_sent, now)
@@ -186,8 +192,7 @@
             report.flows + placed * self.agents,
             report.flow_room / self.agents - placed,
             report.free - runs,
-            max(0.0, report.in_flight + report.queued - report.limit)
-            / max(1.0, report.limit),
+            _backlog_s(report),
             now - peer.updated,
             report.is_draining,
         )
--- a/ibispitch/admission/messages.py
+++ b/ibispitch/admission/messages.py
@@ -20,6 +20,7 @@
     :param free: runs that it could start at once.
     :param flow_room: flows that it may take until the next report.
     :param is_draining: whether it takes no new flows.
+    :param latency_ms: recent mean latency of its upstream.
     """
 
     agent_id: AgentId
@@ -31,3 +32,4 @@
     free: int
     flow_room: int
     is_draining: bool = False
+    latency_ms: int = 0
