Serve the administration API on the balancer

Cause: ibispitchctl could not show the state of the fleet.

Change: the balancer gives health, members, agents and counters to the API and serves it with the metrics on its administration address.

--- a/ibispitch/balancer/program.py
+++ b/ibispitch/balancer/program.py
@@ -5,12 +5,17 @@
 import time
 from typing import Any
 
+from aiohttp import web
+
+from ibispitch.admin import Health
+from ibispitch.admin import make_app
 from ibispitch.balancer.forwarder import Forwarder
 from ibispitch.catalogue.core import CatalogueState
 from ibispitch.ids import parse_address
 from ibispitch.membership.core import AgentChanged
 from ibispitch.membership.core import CatalogueChanged
 from ibispitch.membership.reader import CatalogueReader
+from ibispitch.membership.records import AgentRecord
 from ibispitch.membership.records import BalancerRecord
 from ibispitch.membership.records import MemberState
 from ibispitch.membership.server import MembershipServer
@@ -45,7 +50,7 @@
 
 
 class Balancer:
-    """One balancer process.
+    """One balancer process; it gives its state to the administration API.
 
     :param settings: its settings.
     """
@@ -70,6 +75,11 @@
         self.reader = CatalogueReader(
             self.server, self.store, settings.store.cluster, self.metrics
         )
+        for read in ('taken_in', 'sent_back'):
+            self.metrics.gauge(
+                f'balancer.{read}',
+                lambda read=read: getattr(self.forwarder, read),
+            )
         self.forwarder = Forwarder(
             keyring,
             settings.data,
@@ -77,12 +87,15 @@
             self.metrics,
             settings.service_bind == 'host',
         )
+        self.balancer_id = settings.balancer_id
         self.is_leaving = False
         self._services: set[str] = set()
+        self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
         """Join the other balancers and forward packets."""
         self.server.changes.subscribe(self._on_change)
+        await self._start_admin()
         await self.server.start()
         await self.reader.start()
         log(
@@ -91,6 +104,48 @@
             balancer=self.settings.balancer_id,
         )
 
+    async def _start_admin(self) -> None:
+        app = make_app(
+            self,
+            self.store,
+            self.settings.store.cluster,
+            self.settings.tokens,
+            self.metrics.scrape,
+        )
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        ip, port = parse_address(self.settings.admin_address)
+        await web.TCPSite(self._runner, ip, port).start()
+
+    def health(self) -> Health:
+        """Return whether this balancer wants packets."""
+        if self.is_leaving:
+            return Health(False, 'leaving; send packets to others')
+        if self.catalogue.entries():
+            return Health(True)
+        if self.reader.is_store_reachable or not self.reader.rank == 0:
+            return Health(False, 'no entry is known; create one')
+        return Health(
+            False,
+            'no entry is known and the store does not answer; '
+            'bring the store back or start a balancer that knows entries',
+        )
+
+    def balancers(self) -> list[BalancerRecord]:
+        """Return the known balancers, this one included."""
+        return list(self.server.core.balancers.values())
+
+    def agents(self) -> list[AgentRecord]:
+        """Return the known agents."""
+        return list(self.server.core.agents.values())
+
+    def counters(self) -> dict[str, int]:
+        """Return the counters of this process by name."""
+        counters = self.metrics.labelled()
+        counters['balancer.taken_in'] = self.forwarder.taken_in
+        counters['balancer.sent_back'] = self.forwarder.sent_back
+        return counters
+
     def _on_change(self, change: Any) -> None:
         if isinstance(change, AgentChanged):
             self.routing.set_agent(change.record)
@@ -126,6 +181,8 @@
         """Close everything."""
         await self.reader.stop()
         await self.server.stop()
+        if self._runner is not None:
+            await self._runner.cleanup()
         self.forwarder.close()
         await self.store.close()
         self.metrics.shutdown()
