Hand an agent over to a successor on the same host

Cause: an agent that is replaced lost its flows and its record of runs.

Ruled out: closing the sockets before the successor binds them; the upstream then finds no socket for a few milliseconds and ends its observations.

Change: the successor connects to the control address, receives the state, binds the same sockets beside the running agent and confirms; the running agent closes its own and sends what arrived meanwhile. A handover that breaks before the confirmation leaves the running agent acting.

--- a/ibispitch/admission/concurrency.py
+++ b/ibispitch/admission/concurrency.py
@@ -172,6 +172,19 @@
         oldest = next(iter(self._started_at_by_run.values()))
         return now - max(oldest, self._completed_at) >= limit_s
 
+    @property
+    def progress(self) -> float:
+        """How far the upstream has come from its cold start, 0 to 1."""
+        return self._progress
+
+    def resume(self, progress: float, now: float) -> None:
+        """Go on where a predecessor process was.
+
+        :param progress: its :attr:`progress`.
+        """
+        self._progress = progress
+        self._advanced_at = now
+
     def started(self, run_id: RunId, now: float) -> None:
         """Note that a run was sent to the upstream."""
         self._started_at_by_run[run_id] = now
--- a/ibispitch/admission/core.py
+++ b/ibispitch/admission/core.py
@@ -9,6 +9,7 @@
 from ibispitch.admission.flows import FlowLimit
 from ibispitch.admission.loads import LoadTable
 from ibispitch.admission.loads import REPORT_INTERVAL_S
+from ibispitch.admission.messages import AdmissionState
 from ibispitch.admission.messages import LoadReport
 from ibispitch.admission.placement import Placement
 from ibispitch.admission.types import Decision
@@ -258,6 +259,20 @@
             round(self.limit.latency.recent_s * 1000),
         )
 
+    def export(self, now: float) -> AdmissionState:
+        """Return the state for a successor process."""
+        return AdmissionState(
+            self.limit.progress, self.flows.share(now), self.flows.open
+        )
+
+    def restore(self, state: AdmissionState, now: float) -> None:
+        """Go on where a predecessor process was.
+
+        Runs in progress are told by :meth:`started` before or after.
+        """
+        self.limit.resume(state.progress, now)
+        self.flows.resume(state.share, state.flows, now)
+
     def _follow_restart(self, restarts: int, now: float) -> None:
         if self.limit.restarts != restarts:
             self.flows.restart(now)
--- a/ibispitch/admission/flows.py
+++ b/ibispitch/admission/flows.py
@@ -62,6 +62,15 @@
         """Note the end of a flow."""
         self.open = max(0, self.open - 1)
 
+    def resume(self, share: float, flows: int, now: float) -> None:
+        """Go on where a predecessor process was.
+
+        :param share: its :meth:`share`.
+        :param flows: flows that it owned.
+        """
+        self.open = flows
+        self._restarted_at = now - share * self.ramp_s
+
     def restart(self, now: float) -> None:
         """Take the upstream as cold."""
         self._restarted_at = now
--- a/ibispitch/admission/messages.py
+++ b/ibispitch/admission/messages.py
@@ -33,3 +33,17 @@
     flow_room: int
     is_draining: bool = False
     latency_ms: int = 0
+
+
+@control_message('admission.state')
+class AdmissionState(msgspec.Struct, array_like=True, frozen=True):
+    """State that a successor process goes on with.
+
+    :param progress: how far the upstream has come from its cold start.
+    :param share: share of the connections that the ramp allows.
+    :param flows: owned flows.
+    """
+
+    progress: float
+    share: float
+    flows: int
--- a/ibispitch/agent/datapath.py
+++ b/ibispitch/agent/datapath.py
@@ -13,6 +13,10 @@
 from ibispitch.affinity import Packet
 from ibispitch.affinity import Relay
 from ibispitch.affinity import SendMessage
+from ibispitch.agent.handover import AgentSnapshot
+from ibispitch.agent.handover import FlowPath
+from ibispitch.agent.handover import FlowSocket
+from ibispitch.agent.handover import LateDatagram
 from ibispitch.agent.messages import IssuedRequest
 from ibispitch.agent.paths import ReturnPaths
 from ibispitch.agent.peers import Peers
@@ -58,6 +62,8 @@
     :param may_act: tells whether a paused process may act again.
     :param rng: source of random choices.
     :param clock: monotonic time in seconds.
+    :param takes_over: whether a predecessor still has the data address;
+        nothing is read before :meth:`restore`.
     """
 
     def __init__(
@@ -69,7 +75,9 @@
         may_act: Callable[[], bool],
         rng: random.Random,
         clock: Callable[[], float] = time.monotonic,
+        takes_over: bool = False,
     ):
+        self._late: list[LateDatagram] | None = None
         self._record = record
         self._number = service_number(record.service)
         self._keyring = keyring
@@ -87,7 +95,9 @@
         self.upstreams = UpstreamSockets(
             record.address.ip, upstream, self._on_upstream, self._on_refused
         )
-        self._socket = DatagramSocket(self._on_datagram, record.address)
+        self._socket = DatagramSocket(
+            self._on_datagram, record.address, takes_over=takes_over
+        )
         self._handle_by_message: dict[type, Callable] = {
             LoadReport: self._on_load_report,
             ShareReport: self._on_share_report,
@@ -115,6 +125,8 @@
 
     def on_view(self, view: ServiceView) -> None:
         """Take over a view of the service."""
+        if self._late is not None:
+            return
         now = self._clock()
         self.peers.set_agents(view.agents)
         self.paths.set_balancers([b.address for b in view.balancers])
@@ -166,7 +178,7 @@
 
     def tick(self) -> None:
         """Do what is due; called every 20 ms."""
-        if self.cores is None:
+        if self.cores is None or self._late is not None:
             return
         now = self._clock()
         if not self._may_act():
@@ -181,6 +193,93 @@
             self.cores.affinity.set_draining()
             self.cores.admission.drain()
 
+    def export(self) -> AgentSnapshot | None:
+        """Stop acting and return the whole state.
+
+        What arrives from now on is kept for :meth:`release`.
+
+        :returns: ``None`` if no service is served yet.
+        """
+        if self.cores is None:
+            return None
+        now = self._clock()
+        cores = self.cores
+        snapshot = AgentSnapshot(
+            affinity=cores.affinity.export(now),
+            gate=cores.gate.export(now),
+            sockets=[
+                FlowSocket(flow, port)
+                for flow, port in self.upstreams.port_by_flow().items()
+            ],
+            paths=[
+                FlowPath(flow, *way)
+                for flow, way in self.paths.export().items()
+            ],
+            admission=cores.admission.export(now),
+        )
+        self._late = []
+        self._socket.allow_takeover()
+        self.upstreams.allow_takeover()
+        return snapshot
+
+    def release(self) -> list[LateDatagram]:
+        """Close all sockets and return what arrived since the export."""
+        if self._late is not None:
+            self._socket.drain()
+            self.upstreams.drain()
+        self.close()
+        return self._late or []
+
+    def resume(self, snapshot: AgentSnapshot) -> None:
+        """Act again after a handover that failed."""
+        late, self._late = self._late or [], None
+        self._restore_cores(snapshot)
+        self._replay(late)
+
+    def bind(self, snapshot: AgentSnapshot) -> None:
+        """Open the sockets of a predecessor beside it."""
+        for socket in snapshot.sockets:
+            self.upstreams.open(socket.flow, socket.port, takes_over=True)
+
+    def restore(
+        self, snapshot: AgentSnapshot, late: Iterable[LateDatagram]
+    ) -> None:
+        """Act with the state of a predecessor.
+
+        :param snapshot: its state.
+        :param late: datagrams that it received after its export.
+        """
+        self._restore_cores(snapshot)
+        self._replay(late)
+        self._socket.start()
+        self.upstreams.start()
+
+    def _restore_cores(self, snapshot: AgentSnapshot) -> None:
+        now = self._clock()
+        view = next(
+            message
+            for message in snapshot.affinity
+            if isinstance(message, ServiceView)
+        )
+        self.cores = cores = ServiceCores(
+            self._record, view.entry, self._rng, now
+        )
+        self.peers.set_agents(view.agents)
+        self.paths.set_balancers([b.address for b in view.balancers])
+        cores.on_view(view, self._record.agent_id, now)
+        cores.admission.restore(snapshot.admission, now)
+        for path in snapshot.paths:
+            self.paths.heard(path.flow, path.balancer, path.destination, now)
+        self._run(cores.affinity.restore(snapshot.affinity, now), now)
+        self._run(cores.gate.restore(snapshot.gate, now), now)
+
+    def _replay(self, late: Iterable[LateDatagram]) -> None:
+        for datagram in late:
+            if datagram.flow:
+                self._on_upstream(datagram.flow, datagram.data)
+            else:
+                self._on_datagram(datagram.data, tuple(datagram.sender))
+
     def _report_load(self, now: float) -> None:
         admission = self.cores.admission
         due = admission.loads.due(now)
@@ -204,6 +303,11 @@
         self._rejected[(('fault', fault),)] += 1
 
     def _on_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
+        if self._late is not None:
+            self._late.append(
+                LateDatagram(FlowId(b''), Address(*sender), data)
+            )
+            return
         try:
             frame = decode_frame(self._keyring, data)
         except WireError as error:
@@ -292,6 +396,11 @@
         )
 
     def _on_upstream(self, flow: FlowId, datagram: bytes) -> None:
+        if self._late is not None:
+            self._late.append(
+                LateDatagram(flow, self._record.address, datagram)
+            )
+            return
         now = self._clock()
         self._may_act()
         self._datagrams[(('path', 'upstream'),)] += 1
--- a/ibispitch/agent/program.py
+++ b/ibispitch/agent/program.py
@@ -5,11 +5,15 @@
 import time
 
 from aiohttp import web
+import click
 import msgspec
 import reactivex
 from reactivex.scheduler.eventloop import AsyncIOScheduler
 
 from ibispitch.agent.datapath import DataPath
+from ibispitch.agent.handover import HandoverServer
+from ibispitch.agent.handover import LateDatagram
+from ibispitch.agent.handover import take_over
 from ibispitch.ids import Address
 from ibispitch.ids import parse_address
 from ibispitch.membership.client import MembershipClient
@@ -25,7 +29,9 @@
 from ibispitch.telemetry import setup_logs
 from ibispitch.telemetry import Severity
 from ibispitch.wire import Keyring
+from ibispitch.wire import WireError
 
+EXIT_FAILED = 1
 TICK_S = 0.02
 #: A draining agent checks this often whether its flows have ended.
 DRAIN_CHECK_S = 0.1
@@ -91,13 +97,17 @@
             self._metrics,
             find_peers=self._find_peers,
         )
-        self.path = DataPath(
-            record,
-            parse_address(settings.upstream_address),
+        self._record = record
+        self.path: DataPath | None = None
+        control = parse_address(settings.control_address)
+        self._control = control
+        self.handover = HandoverServer(
+            record.agent_id,
+            control,
             self._keyring,
-            self._metrics,
-            self._client.may_act,
-            random.Random(),
+            lambda: self.path.export(),
+            lambda snapshot: self.path.resume(snapshot),
+            self._release,
         )
         self._subscriptions: list = []
         self._runner: web.AppRunner | None = None
@@ -106,7 +116,28 @@
         return await read_peers(self._store, self._settings.store.cluster)
 
     async def start(self) -> None:
-        """Serve administration requests and look for a parent."""
+        """Take over from a running agent or start anew.
+
+        :raises OSError: if an address cannot be bound.
+        :raises WireError: if a handover failed half-way.
+        """
+        takeover = await take_over(
+            self._record.agent_id, self._control, self._keyring
+        )
+        self.path = DataPath(
+            self._record,
+            parse_address(self._settings.upstream_address),
+            self._keyring,
+            self._metrics,
+            self._client.may_act,
+            random.Random(),
+            takes_over=takeover is not None,
+        )
+        if takeover is not None:
+            self.path.bind(takeover.snapshot)
+            late = await takeover.confirm()
+            self.path.restore(takeover.snapshot, late)
+        await self.handover.start()
         await self._start_admin()
         scheduler = AsyncIOScheduler(asyncio.get_running_loop())
         self._subscriptions = [
@@ -138,6 +169,15 @@
         ip, port = parse_address(self._settings.admin_address)
         await web.TCPSite(self._runner, ip, port).start()
 
+    async def _release(self) -> list[LateDatagram]:
+        """Close what a successor binds, without leaving."""
+        for subscription in self._subscriptions:
+            subscription.dispose()
+        runner, self._runner = self._runner, None
+        if runner is not None:
+            await runner.cleanup()
+        return self.path.release()
+
     def state(self) -> AgentState:
         """Return the present state."""
         cores = self.path.cores
@@ -182,13 +222,13 @@
             await asyncio.sleep(DRAIN_CHECK_S)
 
     async def stop(self) -> None:
-        """Leave and close everything."""
-        await self._client.leave()
-        for subscription in self._subscriptions:
-            subscription.dispose()
-        self.path.close()
-        if self._runner is not None:
-            await self._runner.cleanup()
+        """Leave, unless a successor took over, and close everything."""
+        if self.handover.done.is_set():
+            await self._client.stop()
+        else:
+            await self._client.leave()
+        self.handover.close()
+        await self._release()
         await self._store.close()
         self._metrics.shutdown()
         log(Severity.INFO, 'agent.stopped', agent=self._settings.agent_id)
@@ -200,10 +240,25 @@
     stop = StopRequest()
     stop.install()
     agent = Agent(settings)
-    await agent.start()
-    await stop.wait()
-    await agent.drain()
+    try:
+        await agent.start()
+    except (OSError, WireError, EOFError, TimeoutError) as error:
+        click.echo(
+            f'{settings.agent_id}: {error!r}; stop the process that holds '
+            'the addresses, or try again',
+            err=True,
+        )
+        raise SystemExit(EXIT_FAILED) from error
+    stopping = asyncio.ensure_future(stop.wait())
+    replaced = asyncio.ensure_future(agent.handover.done.wait())
+    await asyncio.wait(
+        [stopping, replaced], return_when=asyncio.FIRST_COMPLETED
+    )
+    if not agent.handover.done.is_set():
+        await agent.drain()
     await agent.stop()
+    stopping.cancel()
+    replaced.cancel()
 
 
 main = make_command(
--- a/ibispitch/agent/upstream.py
+++ b/ibispitch/agent/upstream.py
@@ -45,12 +45,16 @@
     def __len__(self) -> int:
         return len(self._socket_by_flow)
 
-    def open(self, flow: Hashable, port: int = 0) -> None:
+    def open(
+        self, flow: Hashable, port: int = 0, takes_over: bool = False
+    ) -> None:
         """Open the socket of a flow if there is none.
 
         :param flow: the flow, or another key that the gate uses.
         :param port: own port, 0 for any; a successor process passes the
             port of its predecessor, so that the upstream sees no change.
+        :param takes_over: whether the predecessor still has the port; then
+            nothing is read before :meth:`start`.
         :raises OSError: if no socket can be had.
         """
         if flow in self._socket_by_flow:
@@ -61,6 +65,7 @@
             connect=self._upstream,
             on_error=lambda _: self._refused(flow),
             buffer_bytes=FLOW_BUFFER_BYTES,
+            takes_over=takes_over,
         )
 
     def send(self, flow: Hashable, datagram: bytes) -> None:
@@ -88,6 +93,21 @@
             for flow, socket in self._socket_by_flow.items()
         }
 
+    def start(self) -> None:
+        """Read from the sockets that were opened to take over."""
+        for socket in self._socket_by_flow.values():
+            socket.start()
+
+    def allow_takeover(self) -> None:
+        """Let a successor process open the same sockets."""
+        for socket in self._socket_by_flow.values():
+            socket.allow_takeover()
+
+    def drain(self) -> None:
+        """Read what is there on all sockets."""
+        for socket in list(self._socket_by_flow.values()):
+            socket.drain()
+
     def close_all(self) -> None:
         """Close all sockets."""
         for flow in list(self._socket_by_flow):
--- a/ibispitch/wire/sockets.py
+++ b/ibispitch/wire/sockets.py
@@ -27,6 +27,9 @@
     :param connect: peer, to receive only from it and to learn of ICMP
         errors.
     :param on_error: called when the peer refuses a datagram.
+    :param buffer_bytes: size of the kernel's buffers.
+    :param takes_over: whether the address is still bound by a process that
+        called :meth:`allow_takeover`; nothing is read before :meth:`start`.
     :raises OSError: if the address cannot be bound.
     """
 
@@ -37,6 +40,7 @@
         connect: Address | None = None,
         on_error: Callable[[OSError], None] | None = None,
         buffer_bytes: int = BUFFER_BYTES,
+        takes_over: bool = False,
     ):
         self._on_datagram = on_datagram
         self._on_error = on_error
@@ -44,6 +48,8 @@
         self._socket.setblocking(False)
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
             self._socket.setsockopt(socket.SOL_SOCKET, option, buffer_bytes)
+        if takes_over:
+            self.allow_takeover()
         try:
             self._socket.bind(bind)
             if connect is not None:
@@ -55,14 +61,24 @@
         self.sendto = self._socket.sendto
         self.dropped = 0
         self._loop = asyncio.get_running_loop()
-        self._loop.add_reader(self._socket.fileno(), self._drain)
+        if not takes_over:
+            self.start()
 
     @property
     def address(self) -> Address:
         """The bound address."""
         return Address(*self._socket.getsockname())
 
-    def _drain(self) -> None:
+    def start(self) -> None:
+        """Call back for datagrams from now on."""
+        self._loop.add_reader(self._socket.fileno(), self.drain)
+
+    def allow_takeover(self) -> None:
+        """Let a successor process bind the same address."""
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+
+    def drain(self) -> None:
+        """Read what is there, up to the drain limit."""
         receive = self._socket.recvfrom
         on_datagram = self._on_datagram
         try:
