Hand reading over when readers are cut off, and test old records

Cause: with both readers of every data centre cut off from the store no edit reached the fleet, and a watch notices dropped packets only after 60 s. A longer run of the state machine (800 examples of 40 steps) found that a restarted parent forgot an agent when the record of an older process of that agent had arrived before the newer one; the agent then stayed ACTIVE.

Change: readers call the store every 4 s and publish whether it answers; four standbys of the data centre read while one of the two does not reach it. LeaseTable watches the newer record.

--- a/ibispitch/membership/core.py
+++ b/ibispitch/membership/core.py
@@ -220,6 +220,17 @@
         """Change the state of this balancer, for example to LEAVING."""
         return self._renew(self.record.sequence, now, state)
 
+    def set_reaches_store(
+        self, reaches_store: bool, now: float
+    ) -> list[Effect]:
+        """Publish whether this balancer reaches the store."""
+        if reaches_store == self.record.reaches_store:
+            return []
+        self.record = msgspec.structs.replace(
+            self.record, reaches_store=reaches_store
+        )
+        return self._renew(self.record.sequence, now)
+
     def on_agent_message(
         self, message: Announce | Renew | Leave, now: float
     ) -> tuple[LeaseGranted | LeaseRefused | None, list[Effect]]:
--- a/ibispitch/membership/leases.py
+++ b/ibispitch/membership/leases.py
@@ -111,23 +111,26 @@
         :returns: a record to publish because the lease proves that the
             agent is not lost.
         """
-        lease = self._lease_by_id.get(record.agent_id)
-        is_own = record.parent == self._self_id
-        if lease is None and is_own and record.state.is_present:
-            at = now + PARENT_LOST_S - LEASE_S
-            self._lease_by_id[record.agent_id] = _Lease(record, at)
+        agent_id = record.agent_id
+        lease = self._lease_by_id.get(agent_id)
+        if lease is not None and record.version <= lease.record.version:
             return None
-        if lease is None or record.version <= lease.record.version:
+        if record.parent != self._self_id:
+            self._lease_by_id.pop(agent_id, None)
             return None
-        if not is_own or record.incarnation != lease.record.incarnation:
-            del self._lease_by_id[record.agent_id]
+        if lease is None or lease.record.incarnation != record.incarnation:
+            self._lease_by_id.pop(agent_id, None)
+            if record.state.is_present:
+                at = now + PARENT_LOST_S - LEASE_S
+                self._lease_by_id[agent_id] = _Lease(record, at)
             return None
         if record.state is not MemberState.LOST:
+            self._lease_by_id[agent_id] = lease._replace(record=record)
             return None
         renewed = msgspec.structs.replace(
             lease.record, sequence=record.sequence + 1
         )
-        self._lease_by_id[record.agent_id] = lease._replace(record=renewed)
+        self._lease_by_id[agent_id] = lease._replace(record=renewed)
         return renewed
 
     def tick(self, now: float) -> list[AgentRecord]:
--- a/ibispitch/membership/reader.py
+++ b/ibispitch/membership/reader.py
@@ -31,6 +31,9 @@
 #: A starting balancer waits this long for others before it reads the store
 #: itself, so that a restart of the fleet does not read it once a process.
 JOIN_WAIT_S = 2.0
+#: A reader calls the store this often, since a watch is silent when the
+#: network drops its packets.
+PROBE_INTERVAL_S = 4.0
 #: A balancer that knows no other reads the snapshots this often.
 PEERS_INTERVAL_S = 5.0
 FIRST_BACKOFF_S = 0.2
@@ -127,8 +130,9 @@
             store,
             cluster_key(cluster, f'members/{server.core.record.datacentre}'),
         )
-        #: Whether the last call of a watch succeeded.
-        self.is_store_reachable = False
+        #: Whether the last call to the store succeeded; ``None`` before the
+        #: first one, and while this balancer is no reader.
+        self.is_store_reachable: bool | None = None
 
     async def start(self) -> None:
         """Start to check whether this balancer is selected."""
@@ -180,14 +184,17 @@
 
     async def _select(self, rank: int | None) -> None:
         """Start or end the watches."""
-        if rank is None:
+        if rank is None and self._watches:
             await self._end_watches()
-        elif not self._watches:
+            self.is_store_reachable = None
+            self._server.set_reaches_store(True)
+        elif rank is not None and not self._watches:
             log(Severity.INFO, 'membership.reader', rank=rank)
             self._watches = [
                 asyncio.ensure_future(self._watch_forever(prefix))
                 for prefix in (ENTRY_PREFIX, DATACENTRE_PREFIX)
             ]
+            self._watches.append(asyncio.ensure_future(self._probe_forever()))
 
     def _members(self) -> list[BalancerRecord]:
         core = self._server.core
@@ -220,10 +227,8 @@
                     for item in result.items:
                         self._publish(item.key, item.mod_revision, item.value)
                     revision = result.revision
-                    self._set_reachable(True)
                 async for batch in self._store.watch(full, revision + 1):
                     backoff.reset()
-                    self._set_reachable(True)
                     for event in batch.events:
                         self._publish(
                             event.key, event.mod_revision, event.value
@@ -233,11 +238,22 @@
                 self._count(error)
                 if error.fault is StoreFault.COMPACTED:
                     revision = 0
-                if error.fault is not StoreFault.TIMEOUT:
-                    self._set_reachable(False)
                 await asyncio.sleep(backoff.next())
 
+    async def _probe_forever(self) -> None:
+        """Hand over to standbys while the store does not answer."""
+        key = cluster_key(self._cluster, 'probe')
+        while True:
+            try:
+                await self._store.get(key)
+                self._set_reachable(True)
+            except StoreError as error:
+                self._count(error)
+                self._set_reachable(False)
+            await asyncio.sleep(self._rng.uniform(0.8, 1) * PROBE_INTERVAL_S)
+
     def _set_reachable(self, is_reachable: bool) -> None:
+        self._server.set_reaches_store(is_reachable)
         if is_reachable != self.is_store_reachable:
             self.is_store_reachable = is_reachable
             log(
--- a/ibispitch/membership/records.py
+++ b/ibispitch/membership/records.py
@@ -92,6 +92,8 @@
     :param address: UDP address that agents send answers to.
     :param control_address: UDP and TCP address for gossip and leases.
     :param admin_address: TCP address of the administration API.
+    :param reaches_store: whether its last calls to the store succeeded, or
+        it makes none.
     """
 
     balancer_id: BalancerId
@@ -102,6 +104,7 @@
     incarnation: int
     sequence: int
     state: MemberState
+    reaches_store: bool = True
 
     @property
     def version(self) -> Version:
--- a/ibispitch/membership/selection.py
+++ b/ibispitch/membership/selection.py
@@ -15,6 +15,9 @@
 from ibispitch.membership.records import MemberState
 
 READERS_PER_DATACENTRE = 2
+#: Balancers that read while a reader is cut off from the store. The number
+#: is fixed, so that an outage of the store does not make the fleet call it.
+STANDBY_READERS = 4
 
 
 def _score(subject: str, balancer_id: BalancerId) -> int:
@@ -59,7 +62,9 @@
 
     :param datacentre: name of the data centre.
     :param balancers: the balancers that are known.
-    :returns: at most two identifiers; the first one writes the snapshot.
+    :returns: at most two identifiers; with the standbys, at most six, if
+        one of the two does not reach the store. Those that reach it come
+        first, and the first of all writes the snapshot.
     """
     chosen = _by_score(
         f'reader\0{datacentre}',
@@ -70,4 +75,10 @@
             and record.state is MemberState.ACTIVE
         ),
     )
-    return [record.balancer_id for record in chosen[:READERS_PER_DATACENTRE]]
+    selected = chosen[:READERS_PER_DATACENTRE]
+    if not all(record.reaches_store for record in selected):
+        selected = chosen[: READERS_PER_DATACENTRE + STANDBY_READERS]
+    return [
+        record.balancer_id
+        for record in sorted(selected, key=lambda r: not r.reaches_store)
+    ]
--- a/ibispitch/membership/server.py
+++ b/ibispitch/membership/server.py
@@ -155,6 +155,10 @@
         """Publish another state of this balancer, for example LEAVING."""
         self._run(self.core.set_state(state, self._clock()))
 
+    def set_reaches_store(self, reaches_store: bool) -> None:
+        """Publish whether this balancer reaches the store."""
+        self._run(self.core.set_reaches_store(reaches_store, self._clock()))
+
     def publish_document(
         self, key: str, mod_revision: int, value: bytes
     ) -> None:
--- a/tests/simulation.py
+++ b/testbed/gossip.py
@@ -1,4 +1,8 @@
-"""In-memory network for deterministic cores, with faults."""
+"""In-memory network of balancers, with simulated time and faults.
+
+Runs the deterministic cores of spread and membership, in tests and where
+the control traffic of a large fleet is measured.
+"""
 
 import heapq
 import itertools
@@ -20,7 +24,11 @@
 
 
 class Node:
-    """A core with a clock that stops while the node is paused."""
+    """A core with its address and its faults.
+
+    :param address: what datagrams to it are addressed to.
+    :param core: has ``tick(now)`` and ``on_message(sender, message, now)``.
+    """
 
     def __init__(self, address, core):
         self.address = address
@@ -33,15 +41,26 @@
 
     @property
     def is_running(self):
+        """Whether it is neither paused nor crashed."""
         return not self.is_paused and not self.is_crashed
 
 
 class Network:
+    """Delivers messages between nodes.
+
+    :param seed: determines all delays and losses.
+    :param loss: share of datagrams that are lost.
+    :param duplication: share of datagrams that arrive twice.
+    :param delay: bounds of the one-way delay in seconds; differing delays
+        reorder datagrams.
+    """
+
     def __init__(self, seed, loss=0.0, duplication=0.0, delay=(0.001, 0.02)):
         self.rng = random.Random(seed)
         self.loss, self.duplication, self.delay = loss, duplication, delay
         self.now = 0.0
         self.node_by_address = {}
+        #: Nodes on different sides of a partition cannot reach each other.
         self.side_by_address = {}
         self.events = []
         self.counter = itertools.count()
@@ -49,6 +68,7 @@
         self.after_step = lambda node: None
 
     def add(self, address, core):
+        """Add a node whose ticks start at a random phase."""
         node = Node(address, core)
         self.node_by_address[address] = node
         self._push(self.rng.random() * TICK_S, self._tick, node)
@@ -69,6 +89,7 @@
             self._push(TICK_S, self._tick, node)
 
     def run(self, node, effects):
+        """Carry out effects; those that send nothing go to ``on_effect``."""
         for effect in effects:
             if isinstance(effect, SendDatagram):
                 self._datagram(node, effect.to, effect.message)
@@ -102,6 +123,7 @@
         self.run(node, node.core.on_message(sender.address, message, self.now))
 
     def is_reachable(self, sender, node):
+        """Tell whether a message of ``sender`` reaches ``node``."""
         side = self.side_by_address
         return not node.is_crashed and (
             side.get(sender.address) == side.get(node.address)
@@ -115,15 +137,18 @@
             action(*arguments)
 
     def post(self, delay, node, action, *arguments):
+        """Act after ``delay`` seconds unless the node has crashed."""
         self._push(delay, self.deliver, node, action, *arguments)
 
     def resume(self, node):
+        """End a pause; what its socket buffers held is received now."""
         node.is_paused = False
         backlog, node.backlog = node.backlog[-200:], []
         for action, arguments in backlog:
             action(*arguments)
 
     def advance(self, seconds):
+        """Let simulated time pass."""
         until = self.now + seconds
         while self.events and self.events[0][0] <= until:
             self.now, _, action, arguments = heapq.heappop(self.events)
@@ -132,6 +157,7 @@
 
 
 def balancer_record(number, incarnation=1, datacentre='accra'):
+    """Return the record of a balancer with a unique address."""
     return BalancerRecord(
         balancer_id=f'b{number}',
         datacentre=datacentre,
@@ -145,6 +171,7 @@
 
 
 def start_balancer(network, number, seeds, incarnation=1):
+    """Start a balancer and return its node."""
     record = balancer_record(number, incarnation)
     rng = random.Random(network.rng.getrandbits(32))
     core = MembershipCore(record, seeds, rng)
@@ -154,6 +181,7 @@
 
 
 def start_fleet(network, count):
+    """Start balancers that know nothing but up to three seeds."""
     seeds = [balancer_record(n).control_address for n in range(min(3, count))]
     return [start_balancer(network, n, seeds) for n in range(count)]
 
--- a/tests/membership/fleet.py
+++ b/tests/membership/fleet.py
@@ -14,9 +14,9 @@
 from ibispitch.membership.records import MemberState
 from ibispitch.membership.sessions import AgentSession
 from ibispitch.membership.view import build_view
-from tests.simulation import balancer_record
-from tests.simulation import Network
-from tests.simulation import start_balancer
+from testbed.gossip import balancer_record
+from testbed.gossip import Network
+from testbed.gossip import start_balancer
 
 STREAM_DELAY_S = 0.01
 
--- a/tests/membership/test_sockets.py
+++ b/tests/membership/test_sockets.py
@@ -15,6 +15,7 @@
 from ibispitch.membership.records import AgentRecord
 from ibispitch.membership.records import BalancerRecord
 from ibispitch.membership.records import MemberState
+from ibispitch.membership.selection import readers as selected_readers
 from ibispitch.membership.server import MembershipServer
 from ibispitch.settings.programs import MetricsSettings
 from ibispitch.store import StoreClient
@@ -245,3 +246,35 @@
         store.set_faults(Faults())
         await client.put(key, b'two')
         await until(has(b'two'), 6)
+
+
+async def test_standby_reads_when_readers_are_cut_off(fleet):
+    """An edit must be in force within 16 s although both readers cannot
+    reach the store.
+    """
+    async with contextlib.AsyncExitStack() as stack:
+        store = await stack.enter_async_context(StoreServer())
+        clients = [
+            await stack.enter_async_context(
+                StoreClient([address], timeout_s=0.5)
+            )
+            for address in (store.address, '127.0.7.99:1')
+        ]
+        servers = [await fleet.balancer(number) for number in (1, 2, 3, 4)]
+        await until(
+            lambda: all(len(s.core.present_balancers()) == 4 for s in servers),
+            5,
+        )
+        chosen = selected_readers('accra', servers[0].core.balancers.values())
+        for server in servers:
+            is_cut_off = server.core.self_id in chosen
+            reader = CatalogueReader(
+                server, clients[is_cut_off], 'default', fleet.metrics
+            )
+            await reader.start()
+            stack.push_async_callback(reader.stop)
+        await clients[0].put(cluster_key('default', 'entries/bench'), b'one')
+        await until(
+            lambda: all(s.catalogue.by_key for s in servers),
+            16,
+        )
--- a/tests/membership/test_traffic.py
+++ b/tests/membership/test_traffic.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from tests.simulation import Network
-from tests.simulation import start_warm_fleet
+from testbed.gossip import Network
+from testbed.gossip import start_warm_fleet
 
 #: Of control traffic per node, from the design.
 MAX_BYTES_PER_S = 4000
--- a/tests/spread/test_spread_core.py
+++ b/tests/spread/test_spread_core.py
@@ -14,7 +14,7 @@
 from ibispitch.spread.core import TOMBSTONE_S
 from ibispitch.spread.messages import SpreadBuckets
 from ibispitch.spread.messages import SpreadItems
-from tests.simulation import Network
+from testbed.gossip import Network
 
 EDITS = st.lists(
     st.tuples(
