Tell the agent when a caller does not acknowledge

An answer that goes back through a lost balancer is repeated by the gate, but the agent could not tell a repetition from a first sending. ToCaller now says how often it was not acknowledged, so that another way can be chosen. A doctest of large_body that the test paths do not collect expected a text that Python does not print; it now expects the value.

--- a/ibispitch/requests/callers.py
+++ b/ibispitch/requests/callers.py
@@ -180,7 +180,7 @@
             due, tries = replaced.due, replaced.tries
         self.state.outgoing[key] = Outgoing(flow, datagram, due, tries, feed)
         self.timers.set(due, 'repeat', key)
-        self._send(flow, datagram)
+        self._send(flow, datagram, tries)
         return datagram, mid
 
     def send_unconfirmed(
@@ -227,7 +227,7 @@
             outgoing.tries += 1
             outgoing.due = now + ACK_TIMEOUT_S * 2**outgoing.tries
             self.timers.set(outgoing.due, 'repeat', key)
-            self._send(outgoing.flow, outgoing.datagram)
+            self._send(outgoing.flow, outgoing.datagram, outgoing.tries)
         self._expire(now)
         return lost
 
@@ -256,5 +256,5 @@
         self.state.next_mid[flow] = (mid + 1) % MID_RANGE
         return mid
 
-    def _send(self, flow: FlowId, datagram: bytes) -> None:
-        self._emit(ToCaller(flow, datagram))
+    def _send(self, flow: FlowId, datagram: bytes, tries: int = 0) -> None:
+        self._emit(ToCaller(flow, datagram, tries))
--- a/ibispitch/requests/core.py
+++ b/ibispitch/requests/core.py
@@ -290,8 +290,8 @@
     ) -> Sequence[Effect]:
         """Handle that no socket of the upstream took this datagram.
 
-        :param datagram: the datagram that the kernel reported, not a later
-            one; the report proves that it was not run.
+        :param datagram: the datagram that was refused or, as the error of an
+            earlier one was pending, not sent; so it was not run.
         """
         token = self._upstreams.refused(flow, datagram)
         job = self._jobs.by_run.get(self._run_by_token.get(token))
--- a/ibispitch/requests/effects.py
+++ b/ibispitch/requests/effects.py
@@ -10,10 +10,15 @@
 
 
 class ToCaller(msgspec.Struct, frozen=True):
-    """Send a datagram to the caller of a flow."""
+    """Send a datagram to the caller of a flow.
+
+    :param tries: how often the caller has not acknowledged it, or the
+        notification that it replaces; another way back may work better.
+    """
 
     flow: FlowId
     datagram: bytes
+    tries: int = 0
 
 
 class ToUpstream(msgspec.Struct, frozen=True):
--- a/testbed/upstream.py
+++ b/testbed/upstream.py
@@ -199,7 +199,7 @@
     """Return the body of ``/large``, in which every position differs.
 
     >>> large_body(20)
-    b'0000000000000008' + b'0000'
+    b'00000000000000080000'
     """
     words = (b'%08d' % at for at in range(0, size, 8))
     return b''.join(words)[:size]
--- a/tests/requests/test_requests_core.py
+++ b/tests/requests/test_requests_core.py
@@ -238,8 +238,9 @@
     assert again.mtype is Type.ACK
     (answer,) = to_caller(gate.on_upstream(FLOW, respond(sent), 0.5))
     assert (answer.mtype, answer.token) == (Type.CON, b'\1')
-    (repeated,) = to_caller(gate.tick(2.6))
-    assert repeated.mid == answer.mid
+    (effect,) = gate.tick(2.6)
+    assert coap.decode(effect.datagram).mid == answer.mid
+    assert effect.tries == 1
     gate.on_caller(FLOW, coap.empty(Type.ACK, answer.mid), 2.7)
     assert not to_caller(gate.tick(60.0))
 
