Answer for all runs of an upstream that refuses a datagram

A refused datagram shows that the upstream process is gone, but requests that it was running waited for their deadline and feeds fell silent until their callers noticed.

--- a/ibispitch/requests/core.py
+++ b/ibispitch/requests/core.py
@@ -292,9 +292,12 @@
 
         :param datagram: the datagram that was refused or, as the error of an
             earlier one was pending, not sent; so it was not run.
+
+        The upstream process is gone, and what it was running with it.
         """
         token = self._upstreams.refused(flow, datagram)
         job = self._jobs.by_run.get(self._run_by_token.get(token))
+        self._lose_upstream(job, now)
         if job is not None:
             self._finished(job, RunOutcome.UNREACHABLE, now)
             self._release(job, 'late')
@@ -308,9 +311,13 @@
         Requests that it had received may have run. Its observations are
         ended, so that callers register again elsewhere.
         """
+        self._lose_upstream(None, now)
+        return self._drain(now)
+
+    def _lose_upstream(self, refused: Job | None, now: float) -> None:
         for run_id in list(self._run_by_token.values()):
             job = self._jobs.by_run.get(run_id)
-            if job is not None:
+            if job is not None and job is not refused:
                 self._on_run_error(job, 'unreachable', now)
         for flow, feeds in list(self._feeds.state.by_flow.items()):
             for observation in list(feeds.values()):
@@ -319,7 +326,6 @@
                 )
                 self._feeds.remove(flow, observation.token)
                 self._upstreams.end(observation.upstream_token, 'late')
-        return self._drain(now)
 
     def _on_run_error(self, job: Job, reason: str, now: float) -> None:
         self._finished(job, RunOutcome.UNREACHABLE, now)
--- a/tests/requests/test_requests_core.py
+++ b/tests/requests/test_requests_core.py
@@ -274,6 +274,23 @@
     assert not gate.on_upstream_refused(FLOW, sent, 1.1)
 
 
+def test_refused_datagram_ends_what_the_upstream_was_running():
+    """Runs and feeds of a dead upstream must not wait for a deadline."""
+    gate = make_gate()
+    feed = request(Code.GET, ('feed',), mid=5, token=b'feed', observe=0)
+    (sent,) = to_upstream(gate.on_caller(FLOW, feed, 0.5))
+    gate.on_upstream(FLOW, respond(sent, Code.CONTENT, observe=1), 0.6)
+    post = request(request_id=ID, echo=get_echo(gate))
+    assert to_upstream(gate.on_caller(FLOW, post, 1.0))
+    get = request(Code.GET, ('status',))
+    (sent,) = to_upstream(gate.on_caller(OTHER_FLOW, get, 1.1))
+    effects = gate.on_upstream_refused(OTHER_FLOW, sent, 1.1)
+    unknown, ended, refused = to_caller(effects)
+    assert (unknown.token, outcome_of(unknown)) == (b'\1', 2)
+    assert (ended.token, ended.opt.observe) == (b'feed', None)
+    assert outcome_of(refused) == 1
+
+
 def test_upload_that_fails_before_its_last_block_was_not_run():
     """Only the last block makes the upstream run an upload."""
     gate = make_gate()
