Let the duty cycle follow the latency of warm upstreams

Change: the cycle follows the latency of a warm upstream, from before the restart or the median of the peers, and is idle for at least the share of the run that the limit leaves.

--- a/ibispitch/admission/concurrency.py
+++ b/ibispitch/admission/concurrency.py
@@ -106,8 +106,10 @@
     connections, timeouts, 5.03 answers and slow requests restart it. What
     the upstream says of its own health is not an input.
 
-    A limit below 1 is a duty cycle: one run at a time, then idle for as
-    long as makes the busy share equal to the limit.
+    A limit below 1 is a duty cycle: one run at a time, then idle until
+    the limit allows the next one. A cold upstream is slow; its own latency
+    would stretch the cycle far beyond the limit, so it follows the latency
+    of a warm upstream if that is known.
 
     :param slots: requests that the warm upstream runs at once.
     :param ramp_s: seconds of success from the cold value to the slots.
@@ -124,6 +126,8 @@
         self.restarts = 0
         self.restarted_at = now
         self.latency = LatencyAverage()
+        #: Latency of a warm upstream in seconds, if it is known.
+        self.warm_latency_s = math.inf
         self._cold_share = COLD_SHARE
         self._progress = 0.0
         self._advanced_at = now
@@ -153,7 +157,8 @@
         limit = self.value
         if limit >= 1.0:
             return 0.0
-        idle_s = self._busy_s * (1.0 - limit) / limit
+        warm_s = min(self._busy_s, self.warm_latency_s)
+        idle_s = max(warm_s / limit - self._busy_s, self._busy_s * (1 - limit))
         return max(0.0, self._ended_at + idle_s - now)
 
     def may_start(self, in_flight: int, now: float) -> bool:
@@ -216,7 +221,11 @@
 
     def restart(self, now: float) -> None:
         """Take the upstream as cold."""
-        if self.is_ramping and self.restarts:
+        if not self.is_ramping:
+            self.warm_latency_s = min(
+                self.warm_latency_s, self.latency.average_s
+            )
+        elif self.restarts:
             self._cold_share = max(MIN_COLD_SHARE, self._cold_share / 2)
         self.restarts += 1
         self.restarted_at = now
--- a/ibispitch/admission/core.py
+++ b/ibispitch/admission/core.py
@@ -261,6 +261,10 @@
     def _follow_restart(self, restarts: int, now: float) -> None:
         if self.limit.restarts != restarts:
             self.flows.restart(now)
+        if self.limit.value < 1.0:
+            self.limit.warm_latency_s = min(
+                self.limit.warm_latency_s, self.loads.warm_latency_s(now)
+            )
 
     def _next_waiting(self, now: float) -> RunId | None:
         alive = [
--- a/ibispitch/admission/loads.py
+++ b/ibispitch/admission/loads.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import math
 import random
+import statistics
 from typing import NamedTuple
 
 from ibispitch.admission.messages import LoadReport
@@ -174,6 +175,21 @@
         if peer := self._peer_by_id.get(agent_id):
             peer.runs_sent.append(now)
 
+    def warm_latency_s(self, now: float) -> float:
+        """Return the median of the latencies of peers at their slots.
+
+        :returns: seconds, infinite if no peer has reported one.
+        """
+        latencies_s = [
+            peer.report.latency_ms / 1000
+            for peer in self._peer_by_id.values()
+            if peer.report is not None
+            and peer.report.latency_ms
+            and peer.report.limit >= 1.0
+            and now - peer.reported_at <= self.max_age_s
+        ]
+        return statistics.median(latencies_s) if latencies_s else math.inf
+
     def load(self, agent_id: AgentId, now: float) -> PeerLoad | None:
         """Return the estimated load of a peer.
 
