Check orphaned agents once for each message

Cause: MembershipCore checked all pending agents after each agent record of a message. Agents stay pending until their parent is known, and a repair lists agents before balancers, so that the cost of a join grew with the square of the number of agents.

Change: the check runs once after all items of a message.

Conclusion: the time of a join grows in proportion to the agents.

--- a/ibispitch/membership/core.py
+++ b/ibispitch/membership/core.py
@@ -345,14 +345,19 @@
     ) -> list[Effect]:
         """Turn changed items into changes of members and documents."""
         result: list[Effect] = []
+        has_agents = False
         for effect in effects:
             if isinstance(effect, ItemChanged):
                 result += self._on_item(effect.item, now, sender)
+                has_agents |= effect.item.key.startswith(AGENT_PREFIX)
             elif isinstance(effect, ItemDropped):
                 self._forget(effect.item)
             else:
                 result.append(effect)
-        return result
+        # Once for all items: agents whose parents are not known yet stay
+        # pending, so that a check after each record of a bulk transfer
+        # would take quadratic time.
+        return result + self._orphan_changes(now) if has_agents else result
 
     def _on_item(
         self, item: Item, now: float, sender: Address | None
@@ -362,7 +367,7 @@
             return self._on_balancer(record, now, sender)
         if isinstance(record, AgentRecord):
             self._orphans.on_record(record, now)
-            return self._orphan_changes(now)
+            return []
         if item.key.startswith((AGENT_PREFIX, balancer_key(''))):
             return []
         self.catalogue[item.key] = item
