Send unacknowledged answers through another balancer

Cause: an answer or notification that the caller does not acknowledge may have gone to a balancer that is dead and not yet known to be.

Change: the return path takes turns over the balancers once the gate says that a datagram was not acknowledged.

--- a/ibispitch/agent/datapath.py
+++ b/ibispitch/agent/datapath.py
@@ -451,7 +451,7 @@
         self._metrics.count('affinity.dropped', reason=effect.reason.value)
 
     def _to_caller(self, effect: gate_effects.ToCaller, now: float) -> None:
-        chosen = self.paths.choose(effect.flow, now)
+        chosen = self.paths.choose(effect.flow, now, effect.tries)
         if chosen is None:
             self._metrics.count('agent.no_return_path')
             return
--- a/ibispitch/agent/paths.py
+++ b/ibispitch/agent/paths.py
@@ -47,9 +47,13 @@
         """Note the way of a packet of a flow."""
         self._path_by_flow[flow] = Path(balancer, destination, now)
 
-    def choose(self, flow: FlowId, now: float) -> tuple[Address, bytes] | None:
+    def choose(
+        self, flow: FlowId, now: float, tries: int = 0
+    ) -> tuple[Address, bytes] | None:
         """Return where to send an answer.
 
+        :param tries: how often it was sent without an acknowledgement; the
+            balancer of the last packet may be gone then.
         :returns: address of a balancer and the service address, or ``None``
             for a flow without packets.
         """
@@ -57,7 +61,8 @@
         if path is None:
             return None
         last = flow_address(FlowId(path.balancer))
-        if now - path.heard <= FRESH_S or not self._balancers:
+        is_fresh = not tries and now - path.heard <= FRESH_S
+        if is_fresh or not self._balancers:
             return last, path.destination
         self._turn += 1
         chosen = self._balancers[self._turn % len(self._balancers)]
