Void promises after a pause, and settle conflicts of several owners

Cause: the state machine found an adoption that waited in a socket buffer during a pause and was accepted after the new view.

Change: a resumed agent raises the terms of its promises and drops them, so that the homes pull under a later term. A refusal by one party of a conflict leaves the flow to the other; conflicts keep all owners that were met. A void adoption goes back to its sender, which knows the owner.

--- a/ibispitch/affinity/conflicts.py
+++ b/ibispitch/affinity/conflicts.py
@@ -1,4 +1,4 @@
-"""Flows with two owners, after agents were cut off from each other."""
+"""Flows with several owners, after agents were cut off from each other."""
 
 from collections.abc import Collection
 from typing import NamedTuple
@@ -8,16 +8,10 @@
 
 
 class Conflict(NamedTuple):
-    """Two agents that reported the same flow."""
+    """Agents that own the same flow, in the order in which they were met."""
 
     slot: int
-    first: AgentId
-    second: AgentId
-
-    def other(self, owner: AgentId) -> AgentId | None:
-        """Return the rival of an owner."""
-        rivals = {self.first: self.second, self.second: self.first}
-        return rivals.get(owner)
+    owners: tuple[AgentId, ...]
 
 
 class Conflicts:
@@ -26,17 +20,27 @@
     def __init__(self):
         self.by_flow: dict[FlowId, Conflict] = {}
 
-    def add(self, flow: FlowId, conflict: Conflict) -> None:
-        """Note a conflict."""
-        self.by_flow.setdefault(flow, conflict)
+    def add(self, slot: int, flow: FlowId, *owners: AgentId) -> None:
+        """Note that all these agents own a flow."""
+        known = self.by_flow.get(flow)
+        all_owners = dict.fromkeys((*(known.owners if known else ()), *owners))
+        self.by_flow[flow] = Conflict(slot, tuple(all_owners))
 
     def settle(self, flow: FlowId, loser: AgentId) -> AgentId | None:
-        """Note that an owner closed its copy; return the other owner."""
+        """Note that an agent does not own a flow any more.
+
+        :returns: a remaining owner, ``None`` if there was no conflict with
+            this agent.
+        """
         conflict = self.by_flow.get(flow)
-        winner = conflict.other(loser) if conflict else None
-        if winner is not None:
+        if conflict is None or loser not in conflict.owners:
+            return None
+        owners = tuple(o for o in conflict.owners if o != loser)
+        if len(owners) > 1:
+            self.by_flow[flow] = Conflict(conflict.slot, owners)
+        else:
             del self.by_flow[flow]
-        return winner
+        return owners[0]
 
     def drop_slot(self, slot: int) -> None:
         """Forget the conflicts in a slot of another authority."""
@@ -52,18 +56,16 @@
     ) -> list[tuple[int, FlowId, AgentId]]:
         """Settle the conflicts with agents that left.
 
-        :returns: slot, flow and remaining owner of each of them that has
-            one.
+        :returns: slot, flow and a remaining owner of each.
         """
-        settled = []
+        remaining = {}
         for flow, conflict in list(self.by_flow.items()):
-            owners = [
-                owner
-                for owner in (conflict.first, conflict.second)
-                if owner not in agents
-            ]
-            if len(owners) == 2:
-                continue
-            del self.by_flow[flow]
-            settled.extend((conflict.slot, flow, owner) for owner in owners)
-        return settled
+            for owner in conflict.owners:
+                if owner in agents:
+                    winner = self.settle(flow, owner)
+                    remaining[flow] = conflict.slot, flow, winner
+        return [
+            item
+            for item in remaining.values()
+            if item[2] not in (None, *agents)
+        ]
--- a/ibispitch/affinity/core.py
+++ b/ibispitch/affinity/core.py
@@ -366,6 +366,11 @@
                 return
             self._directory.remove(slot, packet.flow)
             self._exclude(packet.flow, owner, now)
+            winner = self._transfer.conflicts.settle(packet.flow, owner)
+            if winner is not None:
+                self._directory.set(slot, packet.flow, winner)
+                self._relay(winner, packet, adopt=True, term=term)
+                return
         self._place(packet, slot, now)
 
     def _exclude(self, flow: FlowId, agent: AgentId, now: float) -> None:
@@ -408,7 +413,9 @@
         holder = self._slots.holder[slot]
         home = self._transfer.table.home(slot)
         for target in (holder, home):
-            if target != packet.sender and self._peers.is_reachable(target):
+            # A void adoption goes back, since its sender knows the owner.
+            is_back = target == packet.sender and not packet.adopt
+            if not is_back and self._peers.is_reachable(target):
                 self._relay(target, packet)
                 return
         if home == self._self_id:
@@ -468,15 +475,11 @@
             slot = slot_of(self._number, flow)
             winner = self._transfer.conflicts.settle(flow, sender)
             if winner is not None:
-                self._own_elsewhere(slot, flow, winner)
+                self._transfer.learn(slot, flow, winner, loser=sender)
             elif self._directory.get(slot, flow) == sender:
                 self._directory.remove(slot, flow)
         self._transfer.send(sender, FlowReleasedAck(message.flows))
 
-    def _own_elsewhere(self, slot: int, flow: FlowId, owner: AgentId) -> None:
-        if owner != self._self_id:
-            self._directory.set(slot, flow, owner)
-
     def _on_released_ack(
         self, sender: AgentId, message: FlowReleasedAck, now: float
     ) -> None:
@@ -541,15 +544,24 @@
                 self._transfer.send(agent, FlowReleased(pack_flows(batch)))
         conflicts = self._transfer.conflicts
         for flow, conflict in list(conflicts.by_flow.items()):
-            rival = self._peers.by_id.get(conflict.second)
-            if conflict.first != self._self_id and rival is not None:
-                self._transfer.send(
-                    conflict.first, FlowConflict(flow, rival.info)
-                )
-            elif flow in self._flows:
-                self._claim(flow, conflict.second)
-            else:
+            first, *rivals = conflict.owners
+            if self._self_id in conflict.owners and flow not in self._flows:
                 conflicts.settle(flow, self._self_id)
+                continue
+            for rival in rivals:
+                self._report_conflict(flow, first, rival)
+
+    def _report_conflict(
+        self, flow: FlowId, first: AgentId, rival: AgentId
+    ) -> None:
+        """Make two owners of a flow settle which one closes it."""
+        if first == self._self_id:
+            self._claim(flow, rival)
+        elif rival == self._self_id:
+            self._claim(flow, first)
+        elif self._peers.is_reachable(rival):
+            info = self._peers.by_id[rival].info
+            self._transfer.send(first, FlowConflict(flow, info))
 
     def _close_idle(self, now: float) -> None:
         if self._view is None or self._is_paused:
--- a/ibispitch/affinity/slots.py
+++ b/ibispitch/affinity/slots.py
@@ -115,6 +115,18 @@
             if self.holder[slot] == holder:
                 self.holder[slot] = None
 
+    def void_all(self) -> None:
+        """Drop all promises to others, so that they must pull anew.
+
+        The terms are raised, as the same promise again would make
+        adoptions valid that were sent before.
+        """
+        self.clock += 1
+        for slot, state in enumerate(self.state):
+            if state is SlotState.OTHER:
+                self.term[slot] = self.clock
+                self.holder[slot] = None
+
     def abandon(self) -> None:
         """Give up all own slots; terms stay, so that they never decrease."""
         for slot in self.own():
--- a/ibispitch/affinity/transfer.py
+++ b/ibispitch/affinity/transfer.py
@@ -11,7 +11,6 @@
 from collections.abc import Iterable
 from typing import Any
 
-from ibispitch.affinity.conflicts import Conflict
 from ibispitch.affinity.conflicts import Conflicts
 from ibispitch.affinity.directory import Directory
 from ibispitch.affinity.effects import SendMessage
@@ -133,6 +132,7 @@
         )
         self._forget(change.removed)
         if is_resumed:
+            self.slots.void_all()
             self.start(self.slots.own(), now)
         for peer in change.appeared:
             self.appeared(peer, now)
@@ -351,16 +351,35 @@
         if awaited[owner]:
             self.directory.retain(slot, owner, set(flows))
         for flow in flows:
-            known = (
-                self._self_id
-                if flow in self._flows
-                else self.directory.get(slot, flow)
+            known = self._owner_of(slot, flow)
+            self.learn(
+                slot, flow, owner, loser=known if known in awaited else None
             )
-            if known is None or known == owner or known in awaited:
+
+    def _owner_of(self, slot: int, flow: FlowId) -> AgentId | None:
+        if flow in self._flows:
+            return self._self_id
+        return self.directory.get(slot, flow)
+
+    def learn(
+        self,
+        slot: int,
+        flow: FlowId,
+        owner: AgentId,
+        loser: AgentId | None = None,
+    ) -> None:
+        """Note the owner of a flow in an own slot.
+
+        :param owner: an agent that owns the flow.
+        :param loser: an agent that is not known to own it any more.
+        """
+        known = self._owner_of(slot, flow)
+        if known is None or known in (owner, loser):
+            if owner != self._self_id:
                 self.directory.set(slot, flow, owner)
-                continue
-            self.counts['conflicts'] += 1
-            self.conflicts.add(flow, Conflict(slot, known, owner))
+            return
+        self.counts['conflicts'] += 1
+        self.conflicts.add(slot, flow, known, owner)
 
     def on_held(self, _: AgentId, held: SlotHeld, now: float) -> None:
         """Learn that a peer has promised slots under a later term."""
--- a/tests/affinity/test_adoption.py
+++ b/tests/affinity/test_adoption.py
@@ -93,13 +93,32 @@
     core_of(net, 'a1')._transfer.start([slot_of(NUMBER, flow)], net.now)
     net._apply('a1', core_of(net, 'a1').tick(net.now))
     net.run(0.1)
-    core_of(net, 'a0').set_draining()
+    core_of(net, 'a1')._placement = LocalPlacement()
     net.send_packet(flow)
     net.run(0.1)
-    owners = net.owners(flow)
-    assert owners and owners != ['a0']
-    effects = core_of(net, 'a0').on_packet(late, net.now)
-    assert not any(isinstance(effect, Deliver) for effect in effects)
+    assert net.owners(flow) == ['a1']
+    net._apply('a0', core_of(net, 'a0').on_packet(late, net.now))
+    net.run(0.1)
+    assert net.owners(flow) == ['a1']
+    assert net.delivered[flow] == 2
+
+
+def test_view_that_lacks_a_living_agent_loses_no_flow():
+    """Guards against a parent that lags and does not list an owner."""
+    net = network()
+    flow = flow_at(net, 'a1')
+    net.send_packet(flow)
+    net.run(0.1)
+    assert net.owners(flow) == ['a0']
+    view = net.view()
+    lagging = [r for r in view.agents if r.agent_id != 'a0']
+    net._deliver_view('a1', msgspec.structs.replace(view, agents=lagging))
+    for _ in range(5):
+        net.run(1)
+        net.send_packet(flow)
+    net.run(0.1)
+    assert net.owners(flow) == ['a0']
+    assert net.delivered[flow] == 6
 
 
 def test_lost_first_packet_does_no_harm():
@@ -198,6 +217,23 @@
     assert Deliver(packet(flow), False) in effects
 
 
+def test_adoption_from_before_a_pause_is_void():
+    """Guards against a second owner by an adoption in a socket buffer."""
+    net = network()
+    flow = flow_at(net, 'a1')
+    [relay] = core_of(net, 'a1').on_packet(packet(flow), net.now)
+    late = relay.packet._replace(sender=AgentId('a1'))
+    core_of(net, 'a0').on_paused(net.now)
+    net._deliver_view('a0', net.view())
+    effects = core_of(net, 'a0').on_packet(late, net.now)
+    assert not any(isinstance(effect, Deliver) for effect in effects)
+    # The home has pulled again, so that adoptions are valid from now on.
+    net.run(1)
+    net.send_packet(flow)
+    net.run(0.1)
+    assert net.owners(flow) == ['a0']
+
+
 def test_held_packets_are_bounded():
     """Guards against memory that grows while an agent has no view."""
     core = AffinityCore(
