Judge queues of peers by the warm latency

Cause: the idle refusals that were left fell on peers that had just warmed up and still reported the latency of their ramp, and on slots that a delegated request was on its way to.

Change: the time of a queue uses the lower of the latency of the peer and the median of the peers at their slots.

--- a/ibispitch/admission/loads.py
+++ b/ibispitch/admission/loads.py
@@ -60,9 +60,11 @@
     return [at for at in sent if at > now - IN_TRANSIT_S]
 
 
-def _backlog_s(report: LoadReport) -> float:
+def _backlog_s(report: LoadReport, warm_s: float) -> float:
+    # An upstream in its ramp soon becomes faster than its recent latency.
+    latency_s = min(report.latency_ms / 1000, warm_s)
     beyond = max(0.0, report.in_flight + report.queued - report.limit)
-    return report.latency_ms / 1000 * beyond / max(1.0, report.limit)
+    return latency_s * beyond / max(1.0, report.limit)
 
 
 class LoadTable:
@@ -208,7 +210,7 @@
             report.flows + placed * self.agents,
             report.flow_room / self.agents - placed,
             report.free - runs,
-            _backlog_s(report),
+            _backlog_s(report, self.warm_latency_s(now)),
             now - peer.updated,
             report.is_draining,
         )
