Move the flows of a draining agent to other agents

Cause: an agent that left for good waited for its flows until the deadline and then broke the feeds that were still open, although a drain is a planned change.

Ruled out: moving a flow without a confirmation of the receiver, since two agents with the same records could run a request twice; a flow goes to a second agent only if the first one has refused it.

Change: a draining owner exports flows without running requests, sends each until the receiver has confirmed it, and then tells the authority of the slot; it relays packets of moved flows until it leaves.

Not covered: a handover to a successor during a drain; flows of the datagram protocol stay until the deadline.

--- a/ibispitch/affinity/core.py
+++ b/ibispitch/affinity/core.py
@@ -6,11 +6,13 @@
 from typing import Any
 from typing import Protocol
 
+from ibispitch.affinity.effects import AdoptMoved
 from ibispitch.affinity.effects import CloseFlow
 from ibispitch.affinity.effects import Deliver
 from ibispitch.affinity.effects import Drop
 from ibispitch.affinity.effects import DropReason
 from ibispitch.affinity.effects import Effect
+from ibispitch.affinity.effects import FlowMovedAway
 from ibispitch.affinity.effects import Packet
 from ibispitch.affinity.effects import Relay
 from ibispitch.affinity.effects import TERM_MASK
@@ -21,6 +23,10 @@
 from ibispitch.affinity.messages import batches
 from ibispitch.affinity.messages import FlowClaim
 from ibispitch.affinity.messages import FlowConflict
+from ibispitch.affinity.messages import FlowMove
+from ibispitch.affinity.messages import FlowMoved
+from ibispitch.affinity.messages import FlowRedirect
+from ibispitch.affinity.messages import FlowRedirected
 from ibispitch.affinity.messages import FlowReleased
 from ibispitch.affinity.messages import FlowReleasedAck
 from ibispitch.affinity.messages import MAX_MESSAGE_FLOWS
@@ -32,6 +38,8 @@
 from ibispitch.affinity.messages import SlotPull
 from ibispitch.affinity.messages import SlotQuery
 from ibispitch.affinity.messages import unpack_flows
+from ibispitch.affinity.moves import Moves
+from ibispitch.affinity.moves import RETRY_S
 from ibispitch.affinity.slots import SlotState
 from ibispitch.affinity.snapshot import export_state
 from ibispitch.affinity.snapshot import restore_state
@@ -101,6 +109,7 @@
         self._directory = self._transfer.directory
         self._peers = self._transfer.peers
         self._held = HeldPackets()
+        self._moves = Moves()
         self._excluded: dict[FlowId, tuple[set[AgentId], float]] = {}
         self._view: ServiceView | None = None
         self._active: list[AgentId] = []
@@ -120,6 +129,10 @@
             FlowReleasedAck: self._on_released_ack,
             FlowClaim: self._on_claim,
             FlowConflict: self._on_conflict,
+            FlowMove: self._on_move,
+            FlowMoved: self._on_moved,
+            FlowRedirect: self._on_redirect,
+            FlowRedirected: self._on_redirected,
         }
 
     @property
@@ -245,7 +258,10 @@
     def on_packet(self, packet: Packet, now: float) -> list[Effect]:
         """Decide on a packet from a balancer or another agent."""
         heard = self._flows.heard
-        if packet.flow in heard and not self._is_paused:
+        is_own = (
+            packet.flow in heard and packet.flow not in self._moves.targets
+        )
+        if is_own and not self._is_paused:
             heard[packet.flow] = now
             return [Deliver(packet, False)]
         self._route(packet, now, now + HOLD_S)
@@ -305,6 +321,8 @@
             # During the pause the authority may have placed the flow
             # elsewhere, so that the adoption is void.
             self._hold(packet._replace(adopt=False), slot, until)
+        elif packet.flow in self._moves.targets:
+            self._relay(self._moves.targets[packet.flow], packet)
         elif packet.flow in self._flows:
             self._flows.heard[packet.flow] = now
             self._effects.append(Deliver(packet, False))
@@ -489,7 +507,7 @@
         self, sender: AgentId, message: FlowConflict, now: float
     ) -> None:
         """Claim a flow towards another owner, as the authority asks."""
-        if message.flow not in self._flows:
+        if not self._keeps(message.flow):
             self._transfer.send(sender, FlowReleased(message.flow))
             return
         rival = message.rival
@@ -506,7 +524,7 @@
     ) -> None:
         """Close the own copy of a flow if the other one survives."""
         flow = message.flow
-        if flow not in self._flows:
+        if not self._keeps(flow):
             self._transfer.send(sender, FlowReleased(flow))
             return
         own = self._flows.version[flow], self._self_id
@@ -520,12 +538,140 @@
             self._transfer.conflicts.settle(flow, self._self_id)
             self._directory.set(slot, flow, sender)
 
+    def _keeps(self, flow: FlowId) -> bool:
+        """Tell whether a flow is owned and not on its way elsewhere."""
+        return flow in self._flows and flow not in self._moves.targets
+
+    def is_moving(self, flow: FlowId) -> bool:
+        """Tell whether a flow is on its way to another agent."""
+        return flow in self._moves.targets
+
+    @property
+    def unfinished_moves(self) -> int:
+        """Flows that left and are not known to their new owner or home."""
+        return len(self._moves)
+
+    def move_target(self, now: float) -> AgentId | None:
+        """Return an agent that bears one more flow."""
+        candidates = [
+            agent
+            for agent in self._active
+            if agent != self._self_id and self._peers.is_reachable(agent)
+        ]
+        if not candidates:
+            return None
+        return self._placement.choose_owner(self._self_id, candidates, now)
+
+    def move_flow(
+        self, flow: FlowId, to: AgentId, data: bytes, now: float
+    ) -> list[Effect]:
+        """Give an owned flow to another agent.
+
+        :param data: the flow as the gate exported it; the gate must not act
+            for it any more.
+        """
+        self._moves.start(flow, to, data, now)
+        self._send_moves(now)
+        return self._finish(now)
+
+    def _send_moves(self, now: float) -> None:
+        for flow, move in self._moves.due(now):
+            if move.data:
+                self._transfer.send(move.to, FlowMove(flow, move.data))
+            else:
+                self._redirect(flow, move.to)
+        for flow in self._moves.expire(now):
+            # Its receiver may own it; this agent must not act for it again.
+            self.counts['moves_lost'] += 1
+            if flow in self._flows:
+                self._end(flow, now)
+                self._effects.append(CloseFlow(flow))
+
+    def _redirect(self, flow: FlowId, owner: AgentId) -> None:
+        """Tell the authority who owns a flow now."""
+        slot = slot_of(self._number, flow)
+        if self._slots.state[slot] is not SlotState.OTHER:
+            self._transfer.learn(slot, flow, owner, loser=self._self_id)
+            self._moves.finished(flow)
+            return
+        for agent in (
+            self._slots.holder[slot],
+            self._transfer.table.home(slot),
+        ):
+            if agent == owner:
+                self._moves.finished(flow)
+                return
+            if self._peers.is_reachable(agent):
+                self._transfer.send(agent, FlowRedirect(flow, owner))
+                return
+
+    def _on_move(self, sender: AgentId, message: FlowMove, now: float) -> None:
+        """Adopt a flow that its owner gives to this agent."""
+        flow = message.flow
+        slot = slot_of(self._number, flow)
+        if flow in self._flows and flow not in self._moves.targets:
+            self._transfer.send(sender, FlowMoved(flow, True))
+            return
+        is_borne = (
+            self._view is not None
+            and not self._is_out
+            and not self._is_paused
+            and not self._flows.is_refused(flow, now)
+            and self._bears_new_flow(now)
+        )
+        if not is_borne:
+            # A late copy must not be adopted after the owner has given the
+            # flow to another agent.
+            self._flows.refuse(flow, now)
+            self._transfer.send(sender, FlowMoved(flow, False))
+            return
+        self._moves.returned(flow)
+        self._flows.add(flow, slot, self._view.version, now)
+        self._releases.cancel(flow)
+        self._directory.remove(slot, flow)
+        self._effects.append(AdoptMoved(flow, message.data))
+        self._transfer.send(sender, FlowMoved(flow, True))
+
+    def _on_moved(
+        self, sender: AgentId, message: FlowMoved, now: float
+    ) -> None:
+        flow = message.flow
+        if not message.accepted:
+            data = self._moves.take_refused(flow, sender)
+            target = self.move_target(now) if data else None
+            if target is not None and target != sender:
+                self._moves.start(flow, target, data, now)
+                self._send_moves(now)
+            elif data:
+                self._moves.start(flow, sender, data, now + RETRY_S)
+            return
+        if self._moves.confirmed(flow, sender, now) and flow in self._flows:
+            self._flows.remove(flow, slot_of(self._number, flow))
+            self._effects.append(FlowMovedAway(flow))
+            self._send_moves(now)
+
+    def _on_redirect(
+        self, sender: AgentId, message: FlowRedirect, now: float
+    ) -> None:
+        slot = slot_of(self._number, message.flow)
+        if self._slots.state[slot] is SlotState.OTHER:
+            # The sender asks the next authority when its view has it.
+            return
+        self._transfer.learn(slot, message.flow, message.owner, loser=sender)
+        self._transfer.send(sender, FlowRedirected(message.flow))
+
+    def _on_redirected(
+        self, _: AgentId, message: FlowRedirected, now: float
+    ) -> None:
+        self._moves.finished(message.flow)
+
     def tick(self, now: float) -> list[Effect]:
         """Do what is due; call it at least every 100 ms."""
         for packet in self._held.expire(now):
             self._drop(packet, DropReason.HELD_TOO_LONG)
         if not self._is_exported:
             self._transfer.tick(now)
+            self._send_moves(now)
             if self._report_timer.is_due(now):
                 self._report(now)
             self._close_idle(now)
--- a/ibispitch/affinity/effects.py
+++ b/ibispitch/affinity/effects.py
@@ -105,6 +105,22 @@
     message: Any
 
 
+class AdoptMoved(NamedTuple):
+    """Take over a flow that another agent exported.
+
+    :param data: the exported flow.
+    """
+
+    flow: FlowId
+    data: bytes
+
+
+class FlowMovedAway(NamedTuple):
+    """Forget a flow that another agent owns now."""
+
+    flow: FlowId
+
+
 class CloseFlow(NamedTuple):
     """Close a flow whose ownership ended."""
 
@@ -118,4 +134,12 @@
     reason: DropReason
 
 
-Effect = Deliver | Relay | SendMessage | CloseFlow | Drop
+Effect = (
+    Deliver
+    | Relay
+    | SendMessage
+    | AdoptMoved
+    | FlowMovedAway
+    | CloseFlow
+    | Drop
+)
--- a/ibispitch/affinity/messages.py
+++ b/ibispitch/affinity/messages.py
@@ -159,6 +159,43 @@
     flows: bytes
 
 
+@control_message('affinity.move')
+class FlowMove(msgspec.Struct, array_like=True, frozen=True):
+    """Gives a flow to the receiver; repeated until it is answered.
+
+    :param data: the flow as the sender's agent exported it.
+    """
+
+    flow: FlowId
+    data: bytes
+
+
+@control_message('affinity.moved')
+class FlowMoved(msgspec.Struct, array_like=True, frozen=True):
+    """Answers a :class:`FlowMove`.
+
+    :param accepted: whether the sender owns the flow now.
+    """
+
+    flow: FlowId
+    accepted: bool
+
+
+@control_message('affinity.redirect')
+class FlowRedirect(msgspec.Struct, array_like=True, frozen=True):
+    """Tells the authority that the sender's flow has another owner."""
+
+    flow: FlowId
+    owner: AgentId
+
+
+@control_message('affinity.redirected')
+class FlowRedirected(msgspec.Struct, array_like=True, frozen=True):
+    """Confirms a :class:`FlowRedirect`."""
+
+    flow: FlowId
+
+
 def pack_slots(slots: Collection[int]) -> bytes:
     """Pack a set of slots into at most 128 bytes.
 
--- a/ibispitch/agent/datapath.py
+++ b/ibispitch/agent/datapath.py
@@ -6,10 +6,14 @@
 import time
 from typing import Any
 
+import msgspec
+
 from ibispitch.admission.messages import LoadReport
+from ibispitch.affinity import AdoptMoved
 from ibispitch.affinity import CloseFlow
 from ibispitch.affinity import Deliver
 from ibispitch.affinity import Drop
+from ibispitch.affinity import FlowMovedAway
 from ibispitch.affinity import Packet
 from ibispitch.affinity import Relay
 from ibispitch.affinity import SendMessage
@@ -18,6 +22,7 @@
 from ibispitch.agent.handover import FlowSocket
 from ibispitch.agent.handover import LateDatagram
 from ibispitch.agent.messages import IssuedRequest
+from ibispitch.agent.messages import MovedFlow
 from ibispitch.agent.paths import ReturnPaths
 from ibispitch.agent.peers import Peers
 from ibispitch.agent.service import ServiceCores
@@ -110,6 +115,8 @@
             Deliver: self._deliver,
             Relay: self._relay,
             SendMessage: self._send_message,
+            AdoptMoved: self._adopt_moved,
+            FlowMovedAway: self._forget_flow,
             CloseFlow: self._close_flow,
             Drop: self._count_drop,
             gate_effects.ToCaller: self._to_caller,
@@ -447,6 +454,58 @@
         self._run(self.cores.gate.close_flow(effect.flow, now), now)
         self.paths.forget(effect.flow)
 
+    def move_flows(self, limit: int) -> int:
+        """Give flows without running requests to other agents.
+
+        :param limit: most flows to move in this call.
+        :returns: flows that this agent still owns or that are on their way.
+        """
+        if self.cores is None:
+            return 0
+        now = self._clock()
+        affinity = self.cores.affinity
+        left = limit
+        # The state of an opaque flow is in its upstream, so that such flows
+        # stay until the deadline.
+        flows = affinity.flows() if self._delegation is not None else []
+        for flow in flows:
+            if not left:
+                break
+            left -= self._move_flow(flow, now)
+        return affinity.flow_count + affinity.unfinished_moves
+
+    def _move_flow(self, flow: FlowId, now: float) -> bool:
+        affinity = self.cores.affinity
+        target = affinity.move_target(now)
+        if target is None or affinity.is_moving(flow):
+            return False
+        data, effects = self.cores.gate.export_flow(flow, now)
+        self._run(effects, now)
+        if data is None:
+            return False
+        moved = MovedFlow(*self.paths.way(flow), data)
+        payload = msgspec.msgpack.encode(moved)
+        self._run(affinity.move_flow(flow, target, payload, now), now)
+        return True
+
+    def _adopt_moved(self, effect: AdoptMoved, now: float) -> None:
+        try:
+            moved = msgspec.msgpack.decode(effect.data, type=MovedFlow)
+            self.paths.heard(
+                effect.flow, moved.balancer, moved.destination, now
+            )
+            self._run(self.cores.gate.adopt_flow(moved.data, now), now)
+        except msgspec.DecodeError:
+            self._reject('bad_message')
+            return
+        self._metrics.count('affinity.moved_here')
+        self.cores.admission.flow_opened(now)
+
+    def _forget_flow(self, effect: FlowMovedAway, now: float) -> None:
+        self._metrics.count('affinity.moved_away')
+        self.cores.admission.flow_closed()
+        self.paths.forget(effect.flow)
+
     def _count_drop(self, effect: Drop, now: float) -> None:
         self._metrics.count('affinity.dropped', reason=effect.reason.value)
 
--- a/ibispitch/agent/messages.py
+++ b/ibispitch/agent/messages.py
@@ -18,3 +18,16 @@
     balancer: bytes
     destination: bytes
     datagram: bytes
+
+
+class MovedFlow(msgspec.Struct, array_like=True, frozen=True):
+    """A flow on its way to another agent.
+
+    :param balancer: balancer of its last packet, 6 bytes.
+    :param destination: address of the service, 6 bytes.
+    :param data: the flow as the gate exported it.
+    """
+
+    balancer: bytes
+    destination: bytes
+    data: bytes
--- a/ibispitch/agent/program.py
+++ b/ibispitch/agent/program.py
@@ -33,8 +33,12 @@
 
 EXIT_FAILED = 1
 TICK_S = 0.02
-#: A draining agent checks this often whether its flows have ended.
+#: A draining agent moves flows this often.
 DRAIN_CHECK_S = 0.1
+#: A draining agent moves no flow before the other agents know its state.
+VIEW_SPREAD_S = 1.5
+#: Bounds the registrations that the other upstreams get at once.
+MOVES_PER_CHECK = 20
 
 
 def own_record(settings: AgentSettings, incarnation: int) -> AgentRecord:
@@ -213,13 +217,21 @@
         return web.Response(status=200 if is_serving else 503)
 
     async def drain(self) -> None:
-        """Take no new flows and wait until the old ones have ended."""
+        """Take no new flows and move the old ones to other agents.
+
+        Flows with running requests, and those of a protocol that cannot be
+        moved, are served until the deadline.
+        """
         log(Severity.INFO, 'agent.draining', flows=self.state().flows)
         self.path.drain()
         self._client.set_state(MemberState.DRAINING)
         end = time.monotonic() + self._settings.stop_deadline_s
-        while time.monotonic() < end and self.state().flows:
+        await asyncio.sleep(VIEW_SPREAD_S)
+        while time.monotonic() < end:
+            if not self.path.move_flows(MOVES_PER_CHECK):
+                break
             await asyncio.sleep(DRAIN_CHECK_S)
+        log(Severity.INFO, 'agent.drained', flows=self.state().flows)
 
     async def stop(self) -> None:
         """Leave, unless a successor took over, and close everything."""
