--- a/ibispitch/admission/concurrency.py
+++ b/ibispitch/admission/concurrency.py
@@ -43,6 +43,8 @@
 
 STEADY_WEIGHT = 0.05
 RAMP_WEIGHT = 0.2
+#: Latency falls to a tenth while an upstream warms up.
+RECENT_RAMP_WEIGHT = 0.5
 VARIATION_WEIGHT = 0.02
 #: Latency that is assumed before the first completed run.
 ASSUMED_LATENCY_S = 0.1
@@ -82,7 +84,8 @@
         if self._samples == 1:
             self.average_s = self.recent_s = latency_s
             return
-        self.recent_s += RAMP_WEIGHT * (latency_s - self.recent_s)
+        recent_weight = RECENT_RAMP_WEIGHT if is_ramping else RAMP_WEIGHT
+        self.recent_s += recent_weight * (latency_s - self.recent_s)
         ratio = min(latency_s / max(self.average_s, 1e-6), MAX_RATIO)
         if self._score == 0.0 or self._samples < MIN_SAMPLES:
             weight = RAMP_WEIGHT if is_ramping else STEADY_WEIGHT
@@ -103,8 +106,10 @@
     connections, timeouts, 5.03 answers and slow requests restart it. What
     the upstream says of its own health is not an input.
 
-    A limit below 1 is a duty cycle: one run at a time, then idle for as
-    long as makes the busy share equal to the limit.
+    A limit below 1 is a duty cycle: one run at a time, then idle until
+    the limit allows the next one. A cold upstream is slow; its own latency
+    would stretch the cycle far beyond the limit, so it follows the latency
+    of a warm upstream if that is known.
 
     :param slots: requests that the warm upstream runs at once.
     :param ramp_s: seconds of success from the cold value to the slots.
@@ -121,6 +126,8 @@
         self.restarts = 0
         self.restarted_at = now
         self.latency = LatencyAverage()
+        #: Latency of a warm upstream in seconds, if it is known.
+        self.warm_latency_s = math.inf
         self._cold_share = COLD_SHARE
         self._progress = 0.0
         self._advanced_at = now
@@ -150,7 +157,8 @@
         limit = self.value
         if limit >= 1.0:
             return 0.0
-        idle_s = self._busy_s * (1.0 - limit) / limit
+        warm_s = min(self._busy_s, self.warm_latency_s)
+        idle_s = max(warm_s / limit - self._busy_s, self._busy_s * (1 - limit))
         return max(0.0, self._ended_at + idle_s - now)
 
     def may_start(self, in_flight: int, now: float) -> bool:
@@ -169,6 +177,19 @@
         oldest = next(iter(self._started_at_by_run.values()))
         return now - max(oldest, self._completed_at) >= limit_s
 
+    @property
+    def progress(self) -> float:
+        """How far the upstream has come from its cold start, 0 to 1."""
+        return self._progress
+
+    def resume(self, progress: float, now: float) -> None:
+        """Go on where a predecessor process was.
+
+        :param progress: its :attr:`progress`.
+        """
+        self._progress = progress
+        self._advanced_at = now
+
     def started(self, run_id: RunId, now: float) -> None:
         """Note that a run was sent to the upstream."""
         self._started_at_by_run[run_id] = now
@@ -213,7 +234,11 @@
 
     def restart(self, now: float) -> None:
         """Take the upstream as cold."""
-        if self.is_ramping and self.restarts:
+        if not self.is_ramping:
+            self.warm_latency_s = min(
+                self.warm_latency_s, self.latency.average_s
+            )
+        elif self.restarts:
             self._cold_share = max(MIN_COLD_SHARE, self._cold_share / 2)
         self.restarts += 1
         self.restarted_at = now
--- a/ibispitch/admission/core.py
+++ b/ibispitch/admission/core.py
@@ -9,6 +9,7 @@
 from ibispitch.admission.flows import FlowLimit
 from ibispitch.admission.loads import LoadTable
 from ibispitch.admission.loads import REPORT_INTERVAL_S
+from ibispitch.admission.messages import AdmissionState
 from ibispitch.admission.messages import LoadReport
 from ibispitch.admission.placement import Placement
 from ibispitch.admission.types import Decision
@@ -23,20 +24,25 @@
 from ibispitch.ids import AgentId
 
 #: A request waits if its slot is expected within this many latencies. The
-#: queue bridges the time until the next request and no more: with one slot
-#: it holds one or two requests.
+#: queue bridges the time until the next request and no more.
 WAIT_LATENCIES = 2.0
+#: Added with one slot, and in proportion with more: a queue of one or two
+#: requests often runs empty while callers are refused.
+WAIT_LATENCIES_PER_SLOT = 1.0
 #: Further parts of an exchange may wait longer, as work was done for it.
 EXCHANGE_WAIT_LATENCIES = 4.0
 #: Share of the time that is left after the run that may be waited.
 WAIT_SHARE = 0.5
-#: Waiting requests are refused after this many times the expected wait.
-WAIT_MARGIN = 2.0
+#: A wait ends after this many times the allowed wait.
+WAIT_MARGIN = 1.6
 MIN_WAIT_S = 0.02
 #: Peers that are asked to run a request before it is refused.
-MAX_DELEGATIONS = 5
+MAX_DELEGATIONS = 8
 #: A load newer than this is not asked for again before a refusal.
-PROBE_AGE_S = 0.02
+PROBE_AGE_S = 0.01
+#: A peer may have run its queue in this share of the expected time, since
+#: the lengths of requests vary.
+DRAIN_SHARE = 0.3
 
 MIN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_S = 30.0
@@ -136,19 +142,21 @@
         short wait, a peer that may have one, refusal.
 
         After ``MAX_DELEGATIONS`` peers have declined the request, it is
-        decided here.
+        decided here. A request whose wait has ended does not wait again.
 
         :param request: what is known of the request.
         :param now: time in seconds.
         :returns: the decision; ``RunHere`` and ``Wait`` reserve it.
         """
-        self._waiting.pop(request.run_id, None)
-        decision = self._decide(request, now)
+        has_waited = self._waiting.pop(request.run_id, None) is not None
+        decision = self._decide(request, has_waited, now)
         if isinstance(decision, RunAt):
             self.loads.run_sent(decision.agent_id, now)
         return decision
 
-    def _decide(self, request: RequestInfo, now: float) -> Decision:
+    def _decide(
+        self, request: RequestInfo, has_waited: bool, now: float
+    ) -> Decision:
         declined = request.declined
         may_delegate = not request.pinned and len(declined) < MAX_DELEGATIONS
         if request.deadline <= now:
@@ -160,7 +168,7 @@
             return self._refuse(now)
         if may_delegate and (peer := self._free_peer(declined, now)):
             return RunAt(peer)
-        if wait := self._wait(request, now):
+        if not has_waited and (wait := self._wait(request, now)):
             return wait
         if may_delegate and (peer := self._probe(declined, now)):
             return RunAt(peer)
@@ -248,11 +256,30 @@
             0 if is_idle else max(0, free),
             self.flows.expected_room(REPORT_INTERVAL_S, now),
             self.placement.is_draining,
+            round(self.limit.latency.recent_s * 1000),
         )
 
+    def export(self, now: float) -> AdmissionState:
+        """Return the state for a successor process."""
+        return AdmissionState(
+            self.limit.progress, self.flows.share(now), self.flows.open
+        )
+
+    def restore(self, state: AdmissionState, now: float) -> None:
+        """Go on where a predecessor process was.
+
+        Runs in progress are told by :meth:`started` before or after.
+        """
+        self.limit.resume(state.progress, now)
+        self.flows.resume(state.share, state.flows, now)
+
     def _follow_restart(self, restarts: int, now: float) -> None:
         if self.limit.restarts != restarts:
             self.flows.restart(now)
+        if self.limit.value < 1.0:
+            self.limit.warm_latency_s = min(
+                self.limit.warm_latency_s, self.loads.warm_latency_s(now)
+            )
 
     def _next_waiting(self, now: float) -> RunId | None:
         alive = [
@@ -281,25 +308,33 @@
     def _probe(
         self, declined: Collection[AgentId], now: float
     ) -> AgentId | None:
-        """Return the peer whose load is known least, if any is uncertain."""
-        age_by_id = {
-            agent_id: load.age_s if load else self.loads.max_age_s
+        """Return the peer that most likely has a free slot by now.
+
+        A peer that had a queue is not asked until it may have run that
+        queue.
+        """
+        doubt_by_id = {
+            agent_id: load.age_s - DRAIN_SHARE * load.backlog_s
+            if load
+            else self.loads.max_age_s
             for agent_id in self.loads.peers
             if agent_id not in declined
             for load in [self.loads.load(agent_id, now)]
         }
-        oldest = max(age_by_id, key=lambda key: age_by_id[key], default=None)
-        if oldest is None or age_by_id[oldest] < PROBE_AGE_S:
+        chosen = max(
+            doubt_by_id, key=lambda key: doubt_by_id[key], default=None
+        )
+        if chosen is None or doubt_by_id[chosen] < PROBE_AGE_S:
             return None
-        return oldest
+        return chosen
 
     def _wait(self, request: RequestInfo, now: float) -> Wait | None:
         if self.limit.is_stalled(now):
             return None
         latency_s = self.limit.latency.recent_s
-        latencies = (
-            EXCHANGE_WAIT_LATENCIES if request.exchange else WAIT_LATENCIES
-        )
+        latencies = WAIT_LATENCIES + WAIT_LATENCIES_PER_SLOT / self.limit.slots
+        if request.exchange:
+            latencies = EXCHANGE_WAIT_LATENCIES
         allowed_s = min(
             max(MIN_WAIT_S, latencies * latency_s),
             WAIT_SHARE * (request.deadline - now - latency_s),
--- a/ibispitch/admission/loads.py
+++ b/ibispitch/admission/loads.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import math
 import random
+import statistics
 from typing import NamedTuple
 
 from ibispitch.admission.messages import LoadReport
@@ -28,7 +29,7 @@
         there since its report.
     :param flow_room: new flows that are left for this agent to place.
     :param free: free slots after what this agent sent there.
-    :param excess: requests above the limit, negative if it has room.
+    :param backlog_s: time in which it runs what is beyond its limit.
     :param age_s: seconds since the report.
     :param is_draining: whether it takes no new flows.
     """
@@ -37,7 +38,7 @@
     expected_flows: float
     flow_room: float
     free: int
-    excess: float
+    backlog_s: float
     age_s: float
     is_draining: bool
 
@@ -59,6 +60,13 @@
     return [at for at in sent if at > now - IN_TRANSIT_S]
 
 
+def _backlog_s(report: LoadReport, warm_s: float) -> float:
+    # An upstream in its ramp soon becomes faster than its recent latency.
+    latency_s = min(report.latency_ms / 1000, warm_s)
+    beyond = max(0.0, report.in_flight + report.queued - report.limit)
+    return latency_s * beyond / max(1.0, report.limit)
+
+
 class LoadTable:
     """Loads of the peers of an agent.
 
@@ -154,6 +162,7 @@
             max(0, free),
             peer.report.flow_room,
             peer.report.is_draining,
+            peer.report.latency_ms,
         )
         peer.updated = now
         peer.runs_sent = _in_transit(peer.runs_sent, now)
@@ -168,6 +177,21 @@
         if peer := self._peer_by_id.get(agent_id):
             peer.runs_sent.append(now)
 
+    def warm_latency_s(self, now: float) -> float:
+        """Return the median of the latencies of peers at their slots.
+
+        :returns: seconds, infinite if no peer has reported one.
+        """
+        latencies_s = [
+            peer.report.latency_ms / 1000
+            for peer in self._peer_by_id.values()
+            if peer.report is not None
+            and peer.report.latency_ms
+            and peer.report.limit >= 1.0
+            and now - peer.reported_at <= self.max_age_s
+        ]
+        return statistics.median(latencies_s) if latencies_s else math.inf
+
     def load(self, agent_id: AgentId, now: float) -> PeerLoad | None:
         """Return the estimated load of a peer.
 
@@ -186,7 +210,7 @@
             report.flows + placed * self.agents,
             report.flow_room / self.agents - placed,
             report.free - runs,
-            report.in_flight + report.queued + runs - report.limit,
+            _backlog_s(report, self.warm_latency_s(now)),
             now - peer.updated,
             report.is_draining,
         )
--- a/ibispitch/affinity/transfer.py
+++ b/ibispitch/affinity/transfer.py
@@ -11,7 +11,6 @@
 from collections.abc import Iterable
 from typing import Any
 
-from ibispitch.affinity.conflicts import Conflict
 from ibispitch.affinity.conflicts import Conflicts
 from ibispitch.affinity.directory import Directory
 from ibispitch.affinity.effects import SendMessage
@@ -103,6 +102,7 @@
         self.changed: set[int] = set()
         self.outbox: list[SendMessage] = []
         self.counts: Counter[str] = Counter()
+        self._is_out = False
         self._contested: dict[int, float] = {}
         self._parts: dict[tuple, dict[int, list[FlowId]]] = {}
         self._answers = 0
@@ -124,6 +124,7 @@
             have claimed its slots.
         :param now: time in seconds.
         """
+        self._is_out = self._own.datacentre in view.datacentres_out
         change = self.peers.set_view(view, now)
         moved = self.table.update(
             record.agent_id
@@ -131,6 +132,7 @@
         )
         self._forget(change.removed)
         if is_resumed:
+            self.slots.void_all()
             self.start(self.slots.own(), now)
         for peer in change.appeared:
             self.appeared(peer, now)
@@ -349,16 +351,35 @@
         if awaited[owner]:
             self.directory.retain(slot, owner, set(flows))
         for flow in flows:
-            known = (
-                self._self_id
-                if flow in self._flows
-                else self.directory.get(slot, flow)
+            known = self._owner_of(slot, flow)
+            self.learn(
+                slot, flow, owner, loser=known if known in awaited else None
             )
-            if known is None or known == owner or known in awaited:
+
+    def _owner_of(self, slot: int, flow: FlowId) -> AgentId | None:
+        if flow in self._flows:
+            return self._self_id
+        return self.directory.get(slot, flow)
+
+    def learn(
+        self,
+        slot: int,
+        flow: FlowId,
+        owner: AgentId,
+        loser: AgentId | None = None,
+    ) -> None:
+        """Note the owner of a flow in an own slot.
+
+        :param owner: an agent that owns the flow.
+        :param loser: an agent that is not known to own it any more.
+        """
+        known = self._owner_of(slot, flow)
+        if known is None or known in (owner, loser):
+            if owner != self._self_id:
                 self.directory.set(slot, flow, owner)
-                continue
-            self.counts['conflicts'] += 1
-            self.conflicts.add(flow, Conflict(slot, known, owner))
+            return
+        self.counts['conflicts'] += 1
+        self.conflicts.add(slot, flow, known, owner)
 
     def on_held(self, _: AgentId, held: SlotHeld, now: float) -> None:
         """Learn that a peer has promised slots under a later term."""
@@ -385,18 +406,29 @@
     def _offer(self, slots: Collection[int]) -> SlotOffer:
         return SlotOffer(self.slots.clock, pack_slots(slots), self._own)
 
-    def on_offer(self, _: AgentId, offer: SlotOffer, now: float) -> None:
+    def on_offer(self, sender: AgentId, offer: SlotOffer, now: float) -> None:
         """Claim offered slots whose home is this agent."""
         self.slots.observe(offer.term)
-        self.start(
-            [
-                slot
-                for slot in unpack_slots(offer.slots)
-                if self.table.home(slot) == self._self_id
-                and self.slots.state[slot] is not SlotState.PENDING
-            ],
-            now,
-        )
+        if self.peers.is_out(sender):
+            return
+        slots = [
+            slot
+            for slot in unpack_slots(offer.slots)
+            if self.table.home(slot) == self._self_id
+            and self.slots.state[slot] is not SlotState.PENDING
+        ]
+        # The claim of a later term than the sender has seen is valid for
+        # all others, and only the sender must still promise the slot.
+        valid = [
+            slot
+            for slot in slots
+            if self.slots.state[slot] is SlotState.AUTHORITATIVE
+            and self.slots.term[slot] > offer.term
+            and self.peers.is_reachable(sender)
+        ]
+        self.slots.wait_for(valid, sender)
+        self._pull(valid, now, only=sender)
+        self.start(sorted(set(slots).difference(valid)), now)
 
     def on_query(self, sender: AgentId, query: SlotQuery, _: float) -> None:
         """Tell which of some slots this agent has no authority over."""
@@ -422,7 +454,7 @@
         if self._pull_timer.is_due(now):
             self._pull(list(self.slots.awaited), now)
         self._probe(now)
-        if self._offer_timer.is_due(now):
+        if self._offer_timer.is_due(now) and not self._is_out:
             self._send_offers()
         if self._query_timer.is_due(now) or removed:
             self._check_holders(now)
