--- a/tests/membership/test_bulk.py
+++ b/tests/membership/test_bulk.py
@@ -2,8 +2,6 @@
 
 import random
 
-from tests.simulation import balancer_record
-
 from ibispitch.ids import Address
 from ibispitch.membership.core import AgentChanged
 from ibispitch.membership.core import MembershipCore
@@ -12,6 +10,7 @@
 from ibispitch.membership.records import AgentRecord
 from ibispitch.membership.records import MemberState
 from ibispitch.spread.messages import SpreadItems
+from testbed.gossip import balancer_record
 
 AGENTS = 300
 
