--- a/tests/membership/test_bulk.py
+++ b/tests/membership/test_bulk.py
@@ -10,7 +10,7 @@
 from ibispitch.membership.records import AgentRecord
 from ibispitch.membership.records import MemberState
 from ibispitch.spread.messages import SpreadItems
-from tests.simulation import balancer_record
+from testbed.gossip import balancer_record
 
 AGENTS = 300
 
