--- a/tests/affinity/test_adoption.py
+++ b/tests/affinity/test_adoption.py
@@ -193,7 +193,7 @@
     for agent, unknown in zip(AGENTS, ['a2', '', 'a0'], strict=False):
         known = [r for r in full.agents if r.agent_id != unknown]
         net._deliver_view(agent, msgspec.structs.replace(full, agents=known))
-    net.run(2)
+        net.run(1)
     flows = [FlowId(number.to_bytes(6, 'big')) for number in range(100)]
     for flow in flows:
         for agent in AGENTS[:3]:
