Measure shared limits beside shares from reports

Cause: the bench had no figure for the limits that agents share.

Change: the model of agents with lossy reports and lagging views moves from the test to testbed.limits_model, unchanged but for the core type as an argument; bench_admission runs it with shifts of demand, a death, a join and a restart.

--- a/testbed/bench_admission.py
+++ b/testbed/bench_admission.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 import sys
 
+from ibispitch.limits import LimitCore
 from testbed.admission_model import BUDGET_ONLY
 from testbed.admission_model import CHOSEN
 from testbed.admission_model import Model
@@ -26,6 +27,8 @@
 from testbed.figures import Figure
 from testbed.figures import informative
 from testbed.figures import print_figures
+from testbed.limits_model import NaiveCore
+from testbed.limits_model import shift_demand
 
 #: The ramps are over and callers that were refused in them have returned.
 WARM_S = 35.0
@@ -283,6 +286,21 @@
     )
 
 
+def limits(core_type: type, loss: float) -> Iterator[Figure]:
+    """Share a rate limit under shifting demand, loss, joins and deaths.
+
+    The excess is the most that any window is above the rate by more than
+    1 %, over one burst.
+    """
+    fleets = [shift_demand(loss, core_type, seed) for seed in range(5)]
+    value = max(fleet.worst_excess() / fleet.burst() for fleet in fleets)
+    name = f'admission.limits.loss_{loss:g}.excess'
+    if core_type is LimitCore:
+        yield at_most(name, value, 'bursts', 1)
+    else:
+        yield informative(f'{name}.naive', value, 'bursts')
+
+
 def _scenarios() -> Iterator[tuple[Callable, tuple]]:
     for shape in SHAPES:
         for load in (0.8, 2.0, 5.0):
@@ -298,6 +316,10 @@
         for policy in (CHOSEN, BUDGET_ONLY, NO_BUDGET):
             yield shedding, (shape, policy)
 
+    for loss in (0.0, 0.3, 0.9):
+        for core_type in (LimitCore, NaiveCore):
+            yield limits, (core_type, loss)
+
 
 def figures(only: str = '') -> Iterator[Figure]:
     """Yield the figures of the scenarios whose function name fits."""
--- a/tests/limits/test_limits.py
+++ b/tests/limits/test_limits.py
@@ -13,103 +13,13 @@
 from ibispitch.catalogue.documents import Limits
 from ibispitch.limits import LimitCore
 from ibispitch.limits import LimitKind
-from ibispitch.limits.core import BURST_S
 from ibispitch.limits.shares import fair_units
 from ibispitch.limits.shares import FLOOR_UNITS
 from ibispitch.wire import decode_message
 from ibispitch.wire import encode_message
-
-KEY = (LimitKind.OWNER, 'omaheke')
-STEP_S = 0.1
-
-
-class Fleet:
-    """Agents whose reports may be lost and whose views lag."""
-
-    def __init__(self, rng, limit, loss, view_lag_s):
-        self.rng = rng
-        self.limit = limit
-        self.loss = loss
-        self.view_lag_s = view_lag_s
-        self.now = 0.0
-        self.core_by_id = {}
-        self.inbox_by_id = {}
-        self.views = []
-        self.version = 0
-        self.version_by_id = {}
-        self.ids = itertools.count()
-        self.allowed = []
-        self.most_agents = 0
-
-    def join(self, agent_id=None):
-        agent_id = agent_id or f'a{next(self.ids)}'
-        incarnation = int(self.now * 1e9) + 1
-        core = LimitCore(agent_id, incarnation, self.now)
-        core.set_rate(KEY, self.limit, self.now)
-        self.core_by_id[agent_id] = core
-        self.inbox_by_id[agent_id] = []
-        self.publish()
-        core.set_agents(self.core_by_id, self.now)
-        self.version_by_id[agent_id] = self.version
-
-    def die(self, agent_id):
-        del self.core_by_id[agent_id]
-        del self.inbox_by_id[agent_id]
-        self.publish()
-
-    def publish(self):
-        """Send each agent the view, with a delay of its own."""
-        view = list(self.core_by_id)
-        self.version += 1
-        self.most_agents = max(self.most_agents, len(view))
-        for agent_id in view:
-            lag = self.rng.uniform(0, self.view_lag_s)
-            self.views.append((self.now + lag, agent_id, self.version, view))
-
-    def step(self, asks_by_id):
-        self.now += STEP_S
-        due = [item for item in self.views if item[0] <= self.now]
-        self.views = [item for item in self.views if item[0] > self.now]
-        for _, agent_id, version, view in due:
-            core = self.core_by_id.get(agent_id)
-            # A view never replaces a newer one.
-            if core and version > self.version_by_id[agent_id]:
-                core.set_agents(view, self.now)
-                self.version_by_id[agent_id] = version
-        if round(self.now / STEP_S) % 5 == 0:
-            self.exchange()
-        allowed = 0
-        for agent_id, core in self.core_by_id.items():
-            for _ in range(asks_by_id.get(agent_id, 0)):
-                allowed += core.allow('omaheke', 'any', self.now)
-        self.allowed.append(allowed)
-
-    def exchange(self):
-        for agent_id, core in self.core_by_id.items():
-            core.rebalance(self.inbox_by_id[agent_id], self.now)
-            self.inbox_by_id[agent_id] = []
-        for core in self.core_by_id.values():
-            for peer in core._peers & self.core_by_id.keys():
-                report = core.report_for(peer)
-                for _ in range(self.rng.choice((1, 1, 2))):
-                    if self.rng.random() >= self.loss:
-                        self.inbox_by_id[peer].append(report)
-        for inbox in self.inbox_by_id.values():
-            self.rng.shuffle(inbox)
-
-    def worst_excess(self):
-        """Most that any window is above the rate by more than 1 %."""
-        worst = sum_before = 0.0
-        lowest = 0.0
-        for allowed in self.allowed:
-            sum_before += allowed - 1.01 * self.limit * STEP_S
-            worst = max(worst, sum_before - lowest)
-            lowest = min(lowest, sum_before)
-        return worst
-
-    def burst(self):
-        # A bucket holds at least one whole token.
-        return self.limit * BURST_S + self.most_agents
+from testbed.limits_model import Fleet
+from testbed.limits_model import KEY
+from testbed.limits_model import NaiveCore
 
 
 @settings(max_examples=25, deadline=None)
@@ -145,33 +55,13 @@
     assert fleet.worst_excess() <= fleet.burst()
 
 
-class _NaiveCore(LimitCore):
-    """Applies the share that follows from the reports at hand at once."""
-
-    def rebalance(self, reports, now):
-        super().rebalance([], now)
-        for report in reports:
-            self.__dict__.setdefault('seen', {})[report.agent_id] = (
-                report.shares[0].demand
-            )
-        ledger = self._rate_by_key[KEY].ledger
-        seen = {
-            key: value
-            for key, value in self.__dict__.get('seen', {}).items()
-            if key in self._peers
-        }
-        units = fair_units(seen | {self.self_id: ledger.demand})
-        ledger.share = lambda now: units[self.self_id] / len(units)
-
-
-def test_naive_shares_exceed_the_limit(monkeypatch):
+def test_naive_shares_exceed_the_limit():
     """The test of the total must be able to fail.
 
     The baseline takes the share that it computes from what it has heard.
     """
-    monkeypatch.setattr(__name__ + '.LimitCore', _NaiveCore)
     rng = random.Random(1)
-    fleet = Fleet(rng, 100.0, 0.9, view_lag_s=2.9)
+    fleet = Fleet(rng, 100.0, 0.9, 2.9, NaiveCore)
     for _ in range(7):
         fleet.join()
     for _ in range(6):
