--- a/testbed/deployment.py
+++ b/testbed/deployment.py
@@ -100,6 +100,8 @@
             for index in range(balancers)
         }
         self.store_address = Address(f'127.{network}.1.1', STORE_PORT)
+        #: Where a balancer reaches the store, if not at the store itself.
+        self.store_by_balancer: dict[str, Address] = {}
         self.hosts = list(self._hosts())
 
     def _hosts(self) -> Iterator[UpstreamHost]:
@@ -153,6 +155,18 @@
             'admin_address': f'{ip}:{ADMIN_PORT}',
         }
 
+    def add_balancer(self) -> str:
+        """Give a balancer a name and an address, without starting it."""
+        index = len(self.balancer_ips)
+        name = f'balancer-{index}'
+        self.balancer_ips[name] = f'127.{self._network}.2.{index + 1}'
+        return name
+
+    def relay_address(self, name: str) -> Address:
+        """Return an address for a relay of one balancer to the store."""
+        index = list(self.balancer_ips).index(name)
+        return Address(f'127.{self._network}.3.{index + 1}', STORE_PORT)
+
     def start_store(self) -> None:
         """Start the stand-in store."""
         self.supervisor.start(
@@ -163,6 +177,10 @@
         """Start a balancer."""
         datacentres = self.shape.datacentres
         index = list(self.balancer_ips).index(name)
+        common = self._common()
+        if name in self.store_by_balancer:
+            endpoint = str(self.store_by_balancer[name])
+            common['store'] = common['store'] | {'endpoints': [endpoint]}
         settings = {
             'balancer_id': name,
             'datacentre': datacentres[index % len(datacentres)],
@@ -170,7 +188,7 @@
             'tokens': [{'token': OPERATOR_TOKEN, 'operator': True}],
             'stop_deadline_s': 5,
             **self._addresses(self.balancer_ips[name]),
-            **self._common(),
+            **common,
         }
         self.supervisor.start_program(name, 'ibispitch.balancer', settings)
 
--- a/testbed/scenario.py
+++ b/testbed/scenario.py
@@ -10,10 +10,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
+from http import HTTPStatus
 import ipaddress
 import json
 from pathlib import Path
 import random
+import signal
 import time
 
 import aiohttp
@@ -42,6 +44,9 @@
 READY_TIMEOUT_S = 20.0
 READY_CHECK_S = 0.1
 CONVERGE_S = 1.5
+#: A fabric stops to send to a dead balancer after its health check.
+HEALTH_CHECK_S = 1.0
+HTTP_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
 CALLER_PORT = 4000
 MAX_LATENCY_US = 60_000_000
 
@@ -154,14 +159,66 @@
                 state = await self.agent_state(host)
                 if state['view_version']:
                     return
-            except aiohttp.ClientError:
+            except (aiohttp.ClientError, TimeoutError):
                 pass
             await asyncio.sleep(READY_CHECK_S)
 
+    async def wait_serving(self, name: str) -> None:
+        """Wait until a balancer wants packets."""
+        ip = self.deployment.balancer_ips[name]
+        while True:
+            try:
+                async with self._http.get(
+                    f'http://{ip}:{ADMIN_PORT}/healthz', timeout=HTTP_TIMEOUT
+                ) as response:
+                    if response.status == HTTPStatus.OK:
+                        return
+            except (aiohttp.ClientError, TimeoutError):
+                pass
+            await asyncio.sleep(READY_CHECK_S)
+
+    async def join_balancer(self, name: str) -> None:
+        """Start a balancer and send packets through it once it serves.
+
+        :raises TimeoutError: if it does not become ready.
+        """
+        self.deployment.start_balancer(name)
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            await self.wait_serving(name)
+        await asyncio.sleep(CONVERGE_S)
+        self.spray.balancers.append(self.deployment.balancer_ips[name])
+
+    async def kill_balancer(self, name: str) -> None:
+        """Kill a balancer; the fabric goes on sending until its check."""
+        self.deployment.supervisor.kill(name)
+        await asyncio.sleep(HEALTH_CHECK_S)
+        self.spray.balancers.remove(self.deployment.balancer_ips[name])
+
+    async def leave_balancer(self, name: str) -> None:
+        """Stop a balancer gracefully and wait for its end.
+
+        :raises TimeoutError: if it does not end.
+        """
+        supervisor = self.deployment.supervisor
+        process = supervisor.process_by_name[name]
+        supervisor.signal(name, signal.SIGTERM)
+        supervisor.forget(name)
+        await asyncio.sleep(HEALTH_CHECK_S)
+        self.spray.balancers.remove(self.deployment.balancer_ips[name])
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while process.poll() is None:
+                await asyncio.sleep(READY_CHECK_S)
+
+    async def set_store_faults(self, **faults) -> None:
+        """Replace the failures of the store, see ``store.Faults``."""
+        url = f'http://{self.deployment.store_address}/testbed/faults'
+        async with self._http.post(url, json=faults) as response:
+            response.raise_for_status()
+
     async def agent_state(self, host: UpstreamHost) -> dict:
         """Return what an agent says of itself."""
         url = f'http://{host.ip}:{ADMIN_PORT}/v1/state'
-        async with self._http.get(url) as response:
+        async with self._http.get(url, timeout=HTTP_TIMEOUT) as response:
             return await response.json()
 
     async def agent_states(self) -> dict[str, dict]:
@@ -174,6 +231,29 @@
                 continue
         return result
 
+    async def seconds_to_last_packet(
+        self, hosts: Iterable[UpstreamHost], watch_s: float
+    ) -> float:
+        """Watch the agents of hosts for packets of callers.
+
+        :param watch_s: how long to watch.
+        :returns: seconds from the call to the last packet that was seen;
+            at most one poll interval too long.
+        """
+        hosts = list(hosts)
+        start = time.monotonic()
+        last_s, packets = 0.0, -1
+        while time.monotonic() - start < watch_s:
+            states = await asyncio.gather(*map(self.agent_state, hosts))
+            counted = sum(
+                state['counters'].get('agent.datagrams{path=in}', 0)
+                for state in states
+            )
+            if counted != packets:
+                last_s, packets = time.monotonic() - start, counted
+            await asyncio.sleep(READY_CHECK_S)
+        return last_s
+
     def new_caller(self, service: ServiceShape) -> Caller:
         """Return a caller with an address of its own."""
         ip = str(ipaddress.IPv4Address(self._next_caller))
@@ -266,6 +346,28 @@
         """Expect feeds at these upstreams to end."""
         self.given_up |= {str(host.upstream) for host in hosts}
 
+    def live_feeds(self) -> list[FeedUser]:
+        """Return the feeds that were not given up."""
+        return [
+            user for user in self.feeds if not user.upstreams & self.given_up
+        ]
+
+    async def wait_for_feeds(self) -> int:
+        """Wait until every live feed has had a notification from now on.
+
+        Feeds that are silent until the end of the wait count as broken in
+        :meth:`report`.
+
+        :returns: how many are silent.
+        """
+        start = time.monotonic()
+        while True:
+            silent = sum(u.feed.last < start for u in self.live_feeds())
+            waited_s = time.monotonic() - start
+            if not silent or waited_s > FEED_SILENCE_S + READY_CHECK_S:
+                return silent
+            await asyncio.sleep(READY_CHECK_S)
+
     def report(self) -> Report:
         """Compare what callers were told with what upstreams have run."""
         report = Report(
@@ -290,15 +392,21 @@
                 report.false_refusals += 1
         return report
 
-    async def stop(self) -> None:
-        """Stop callers and processes."""
+    async def stop(self, is_graceful: bool = True) -> None:
+        """Stop callers and processes.
+
+        :param is_graceful: whether agents wait for their flows to end.
+        """
         await self.stop_load()
         for caller in self._callers:
             caller.close()
         if self._http is not None:
             await self._http.close()
         await self.store.close()
-        self.deployment.stop()
+        if is_graceful:
+            self.deployment.stop()
+        else:
+            self.deployment.supervisor.kill_all()
 
 
 def read_audit(folder: Path) -> Counter:
--- a/testbed/supervisor.py
+++ b/testbed/supervisor.py
@@ -25,6 +25,7 @@
     def __init__(self, folder: Path):
         self.folder = folder
         self.process_by_name: dict[str, subprocess.Popen] = {}
+        self._started: list[subprocess.Popen] = []
         folder.mkdir(parents=True, exist_ok=True)
 
     def settings_file(self, name: str, settings: dict) -> Path:
@@ -46,6 +47,7 @@
         )
         output.close()
         self.process_by_name[name] = process
+        self._started.append(process)
         return process
 
     def start_program(self, name: str, module: str, settings: dict):
@@ -79,6 +81,15 @@
         """Return what a process has printed."""
         return (self.folder / f'{name}.out').read_text(errors='replace')
 
+    def kill_all(self) -> None:
+        """Kill all children, also those that were asked to stop."""
+        for process in self._started:
+            if process.poll() is None:
+                process.kill()
+        for process in self._started:
+            process.wait()
+        self.process_by_name.clear()
+
     def stop_all(self) -> None:
         """Stop all children, gracefully at first."""
         for process in self.process_by_name.values():
--- a/tests/test_path.py
+++ b/tests/process/test_path.py
@@ -17,7 +17,7 @@
 
 async def test_requests_feeds_and_a_killed_balancer(tmp_path):
     """A killed balancer must break no feed and double no request."""
-    scenario = Scenario(Deployment(OMAHEKE, tmp_path, 71), seed=7)
+    scenario = Scenario(Deployment(OMAHEKE, tmp_path, 138), seed=7)
     service = OMAHEKE.services[0]
     try:
         await scenario.start()
@@ -35,12 +35,12 @@
         assert report.count_by_outcome[Outcome.NO_ANSWER] == 0
         assert scenario.deployment.supervisor.dead() == []
     finally:
-        await scenario.stop()
+        await scenario.stop(is_graceful=False)
 
 
 async def test_lost_and_doubled_packets_run_nothing_twice(tmp_path):
     """Loss and duplication in the fabric must not double a request."""
-    scenario = Scenario(Deployment(OMAHEKE, tmp_path, 72), seed=8)
+    scenario = Scenario(Deployment(OMAHEKE, tmp_path, 139), seed=8)
     service = OMAHEKE.services[0]
     try:
         await scenario.start()
@@ -55,4 +55,4 @@
         assert report.false_refusals == 0, report
         assert report.count_by_outcome[Outcome.RESULT] > 50
     finally:
-        await scenario.stop()
+        await scenario.stop(is_graceful=False)
