Measure bursts, outages and share reports

New are series of many records at once, of balancers lost at once, of single records and of share reports.

--- a/testbed/slopes.py
+++ b/testbed/slopes.py
@@ -29,6 +29,7 @@
 from testbed.slopes_fit import Measure
 from testbed.slopes_fit import Series
 from testbed.slopes_fleet import measure_agents
+from testbed.slopes_fleet import measure_bursts
 from testbed.slopes_fleet import measure_edits
 from testbed.slopes_fleet import measure_member_memory
 from testbed.slopes_fleet import measure_members
@@ -46,6 +47,7 @@
     measure_member_memory,
     measure_edits,
     measure_agents,
+    measure_bursts,
     measure_routing,
     measure_leases,
     measure_views,
--- a/testbed/slopes_cores.py
+++ b/testbed/slopes_cores.py
@@ -11,18 +11,23 @@
 import msgspec
 
 from ibispitch.admission.core import AdmissionCore
+from ibispitch.admission.loads import REPORT_INTERVAL_S
+from ibispitch.admission.loads import SAMPLED_PEERS
 from ibispitch.admission.messages import LoadReport
 from ibispitch.admission.types import RequestInfo
 from ibispitch.admission.types import RunId
 from ibispitch.admission.types import RunOutcome
 from ibispitch.affinity.directory import Directory
 from ibispitch.catalogue.core import CatalogueState
+from ibispitch.catalogue.documents import Entry
 from ibispitch.catalogue.documents import entry_key
+from ibispitch.catalogue.documents import Limits
 from ibispitch.ids import AgentId
 from ibispitch.ids import FlowId
 from ibispitch.ids import service_number
 from ibispitch.ids import ServiceName
 from ibispitch.ids import ServiceNumber
+from ibispitch.limits.core import LimitCore
 from ibispitch.membership.leases import LeaseTable
 from ibispitch.membership.messages import LeaseGranted
 from ibispitch.membership.messages import Renew
@@ -285,6 +290,23 @@
     return core
 
 
+def _limits(peers: int) -> LimitCore:
+    """Return limits of owner, class and flows, which all are reported."""
+    core = LimitCore(AgentId('a0'), 1_700_000_000_000_000_000, 0.0)
+    entry = Entry(
+        service='service-0000',
+        owner='owner-0',
+        class_name='interactive',
+        addresses=['10.3.0.0:5683'],
+        limits=Limits(
+            flows=20000, requests_per_s=1000.0, class_requests_per_s=2000.0
+        ),
+    )
+    core.on_entry(entry, 0.0)
+    core.set_agents([AgentId(f'a{n}') for n in range(peers)], 0.0)
+    return core
+
+
 def measure_admission() -> Iterator[Series]:
     """Measure decisions on requests and the exchange of loads."""
     recorder = Recorder()
@@ -322,6 +344,19 @@
             sent / 20.0,
             'LoadTable.due',
         )
+        limits = _limits(peers)
+        sent = sum(
+            len(encode_message(limits.report_for(agent))) + 44 + IP_UDP_BYTES
+            for agent in agents[1:][:SAMPLED_PEERS]
+        )
+        add(
+            'service_agent.shares.bytes_per_s',
+            name,
+            'B/s',
+            peers,
+            sent / REPORT_INTERVAL_S,
+            'LimitCore.report_for',
+        )
     for count in PACKETS:
         core = _admission(13)
         requests = [
--- a/testbed/slopes_fit.py
+++ b/testbed/slopes_fit.py
@@ -24,6 +24,8 @@
     'agents of a service': 13,
     'leases': 10,
     'edits/s': 5200 / 86400,
+    'records at once': 930,
+    'balancers lost': 93,
 }
 TIMED_RUNS = 3
 #: Smaller costs are noise of the clock and have no order of growth.
@@ -157,7 +159,8 @@
         series.points.append((x, y))
 
     def __iter__(self) -> Iterator[Series]:
-        return iter(self._series.values())
+        for series in self._series.values():
+            yield series._replace(points=sorted(series.points))
 
 
 Measure = Callable[[], Iterable[Series]]
--- a/testbed/slopes_fleet.py
+++ b/testbed/slopes_fleet.py
@@ -4,12 +4,14 @@
 """
 
 from collections import Counter
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 import heapq
 import itertools
 import random
 import time
+from typing import NamedTuple
 
 import msgspec
 
@@ -22,6 +24,7 @@
 from ibispitch.ids import ServiceNumber
 from ibispitch.membership.core import MembershipCore
 from ibispitch.membership.keys import record_item
+from ibispitch.membership.messages import Announce
 from ibispitch.membership.messages import Renew
 from ibispitch.membership.records import AgentRecord
 from ibispitch.membership.records import BalancerRecord
@@ -54,7 +57,9 @@
 STREAM_BYTES = 500
 SERVICES = 1100
 DATACENTRES = 15
-WARM_S = 5.0
+#: Rumours of the start end within this time, 3 * ceil(log2(n + 1)) sends to 3
+#: peers a second.
+WARM_S = 13.0
 IDLE_S = 10.0
 EDITS = 3
 #: Rumours of an edit and the repair by digests end within this time.
@@ -65,6 +70,13 @@
 AGENTS = (500, 1000, 2000, 4000, 8000, 14000)
 EDIT_RATES = (0.1, 0.2, 0.4, 0.8)
 ITEM_FLEET = 16
+BURST_FLEET = 64
+OUTAGE_FLEET = 120
+BURSTS = (10, 50, 200, 930)
+OUTAGES = (4, 8, 16, 32)
+MAX_BURST_S = 180.0
+#: Highest rates are taken over this time.
+PEAK_S = 5.0
 #: Items in a message of a long repair, about 256 KB.
 JOIN_ITEMS = 1500
 EDIT_FLEET = 32
@@ -180,12 +192,16 @@
         )
 
     def _tick(self, address: Address) -> None:
-        core = self.core_by_address[address]
+        core = self.core_by_address.get(address)
+        if core is None:
+            return
         self.run(address, core.tick(self.now))
         self._at(TICK_S, self._tick, address)
 
     def _renew(self, address: Address) -> None:
-        core = self.core_by_address[address]
+        core = self.core_by_address.get(address)
+        if core is None:
+            return
         for message in self._renews[address]:
             _, effects = core.on_agent_message(message, self.now)
             self.run(address, effects)
@@ -269,6 +285,28 @@
         self.count_by_type.clear()
         self.messages = self.stream_bytes = 0
 
+    def kill(self, count: int) -> set[str]:
+        """End some balancers without notice.
+
+        :returns: their identifiers.
+        """
+        killed = set()
+        for address in list(self.core_by_address)[:count]:
+            killed.add(self.core_by_address.pop(address).self_id)
+        return killed
+
+    def announce(self, records: Iterable[AgentRecord]) -> None:
+        """Let agents get a lease from random balancers."""
+        for record in records:
+            address = self.rng.choice(list(self.core_by_address))
+            _, effects = self.core_by_address[address].on_agent_message(
+                Announce(record, 0), self.now
+            )
+            self.run(address, effects)
+            self._renews[address].append(
+                Renew(record.agent_id, record.incarnation, record.sequence)
+            )
+
     @property
     def mean_sent(self) -> float:
         """Bytes sent by a balancer on average."""
@@ -332,6 +370,12 @@
         digests = 'SpreadDigest'
         add('edit.mismatches', '1/edit', digests, count, cost['mismatches'])
         add('edit.max_bytes_per_s', 'B/s', rumours, count, cost['max_rate'])
+        fleet.reset_counts()
+        for number in range(EDITS):
+            fleet.announce([agent_record(number, count)])
+            fleet.advance(EDIT_S)
+        per_record = fleet.mean_sent / EDITS - sent * EDIT_S
+        add('record.bytes', 'B/record', rumours, count, per_record)
     return iter(recorder)
 
 
@@ -470,3 +514,81 @@
             cpu_of(refresh),
         )
     return iter(recorder)
+
+
+class _Burst(NamedTuple):
+    """What followed a burst of changes, on average over the balancers.
+
+    :param delay: time until all balancers know all of them, in seconds.
+    :param peak: highest rate of bytes of a balancer.
+    """
+
+    delay: float
+    peak: float
+    sent: float
+    cpu: float
+
+
+def _follow(fleet: Fleet, is_known: Callable[[], bool]) -> _Burst:
+    start = fleet.now
+    delay = peak = cpu = sent = 0.0
+    nodes = len(fleet.core_by_address)
+    while not delay and fleet.now - start < MAX_BURST_S:
+        fleet.reset_counts()
+        end = fleet.now + PEAK_S
+        while fleet.now < end - 1e-9:
+            cpu += fleet.advance(CHECK_S)
+            if not delay and is_known():
+                delay = fleet.now - start
+        peak = max(peak, max(fleet.sent.values()) / PEAK_S)
+        sent += fleet.mean_sent
+    if not delay:
+        raise RuntimeError(f'changes not known after {MAX_BURST_S:g} s')
+    return _Burst(delay, peak, sent, cpu / nodes)
+
+
+def measure_bursts() -> Iterator[Series]:
+    """Measure many records at once, and balancers lost at once."""
+    recorder = Recorder()
+
+    def add(prefix, size, x, burst) -> None:
+        for cost, unit, value in (
+            ('delay', 's', burst.delay),
+            ('peak_bytes_per_s', 'B/s', burst.peak),
+            ('bytes', 'B', burst.sent),
+            ('cpu', 's', burst.cpu),
+        ):
+            recorder.add(
+                f'{prefix}.{cost}', size, unit, 'SpreadCore rumours', x, value
+            )
+
+    for count in BURSTS:
+        fleet = Fleet(BURST_FLEET)
+        fleet.advance(WARM_S)
+        records = [agent_record(n, BURST_FLEET) for n in range(count)]
+        fleet.announce(records)
+        cores = fleet.cores
+        burst = _follow(
+            fleet,
+            lambda n=count, cores=cores: all(
+                len(c.agents) == n for c in cores
+            ),
+        )
+        add('burst.balancer', 'records at once', count, burst)
+    for count in OUTAGES:
+        fleet = Fleet(OUTAGE_FLEET)
+        fleet.advance(WARM_S)
+        killed = fleet.kill(count)
+        cores = fleet.cores
+        burst = _follow(
+            fleet,
+            lambda killed=killed, cores=cores: (
+                not any(
+                    core.balancers[name].state.is_present
+                    for core in cores
+                    for name in killed
+                )
+            ),
+        )
+        add('outage.balancer', 'balancers lost', count, burst)
+    return iter(recorder)
