Derive routes when a packet needs them

Cause: RoutingCore computed the table of a service after each record, so that a starting balancer computed 14,000 tables, 4.1 s of its loop.

Change: a change marks the service, and the next packet of the service derives its route. Packets of other services take the same path as before.

14,000 agents of 1,100 services: 4.1 s of processor time, now 1.2 s with one packet for each service (trial on a scratch copy). tests/routing, tests/balancer and tests/affinity/test_planned_changes.py pass.

Conclusion: the loop of a starting balancer is blocked for a shorter time, and a table is computed once for many changes.

--- a/ibispitch/routing/core.py
+++ b/ibispitch/routing/core.py
@@ -35,6 +35,8 @@
         ] = {}
         self._service_by_agent: dict[AgentId, ServiceName] = {}
         self._datacentres_out: set[DatacentreName] = set()
+        #: Services with changes since their route was derived.
+        self._stale: dict[ServiceNumber, ServiceName] = {}
 
     def route(self, number: ServiceNumber, flow: FlowId) -> Address | None:
         """Return where a packet goes.
@@ -44,7 +46,7 @@
         :returns: the address of the home of the flow's slot; ``None`` if
             the service is not in the catalogue or has no agent.
         """
-        route = self._route_by_number.get(number)
+        route = self._route_by_number.get(number) or self._derive(number)
         if route is None:
             return None
         homes, addresses = route
@@ -58,6 +60,7 @@
         """
         if not is_present:
             self._route_by_number.pop(service_number(service), None)
+            self._stale.pop(service_number(service), None)
             self._table_by_service.pop(service, None)
         elif service not in self._table_by_service:
             self._table_by_service[service] = SlotTable()
@@ -100,10 +103,22 @@
         self._refresh(service)
 
     def _refresh(self, service: ServiceName) -> None:
+        """Derive the route again when the next packet needs it.
+
+        A balancer that starts receives all agents of a service one after
+        the other; its table is then computed once and not once for each.
+        """
+        if service in self._table_by_service:
+            number = service_number(service)
+            self._route_by_number.pop(number, None)
+            self._stale[number] = service
+
+    def _derive(self, number: ServiceNumber) -> Route | None:
         """Derive the table and the addresses of a service again."""
-        table = self._table_by_service.get(service)
-        if table is None:
-            return
+        service = self._stale.pop(number, None)
+        if service is None:
+            return None
+        table = self._table_by_service[service]
         records = {
             record.agent_id: record
             for record in eligible_agents(
@@ -116,7 +131,6 @@
             None if agent is None else records[agent].address
             for agent in table.agents
         ]
-        self._route_by_number[service_number(service)] = (
-            table.homes,
-            addresses,
-        )
+        route = table.homes, addresses
+        self._route_by_number[number] = route
+        return route
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -174,3 +174,45 @@
     used, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     assert used < 8 << 20
+
+
+def test_a_table_is_computed_once_for_many_records(monkeypatch):
+    """A starting balancer gets 14,000 records at once; a table for each of
+    them would stop its loop for seconds.
+    """
+    updates = []
+    update = SlotTable.update
+    monkeypatch.setattr(
+        SlotTable,
+        'update',
+        lambda table, agents: updates.append(1) or update(table, agents),
+    )
+    core = RoutingCore()
+    core.set_entry('bench', True)
+    number = service_number('bench')
+    for index in range(20):
+        core.set_agent(_bulk_record(index))
+    assert not updates
+    flows = [bytes([0, 0, 0, 0, 0, index]) for index in range(50)]
+    assert all(core.route(number, flow) for flow in flows)
+    assert len(updates) == 1
+    lost = msgspec.structs.replace(_bulk_record(3), state=MemberState.LOST)
+    core.set_agent(lost)
+    addresses = {core.route(number, flow) for flow in flows}
+    assert lost.address not in addresses
+    assert len(updates) == 2
+
+
+def _bulk_record(index):
+    return AgentRecord(
+        agent_id=f'a{index}',
+        service='bench',
+        datacentre='accra',
+        address=Address('10.9.0.1', 5000 + index),
+        incarnation=1,
+        sequence=1,
+        state=MemberState.ACTIVE,
+        slots=1,
+        connections=2000,
+        parent='b1',
+    )
