--- a/testbed/slopes_cores.py
+++ b/testbed/slopes_cores.py
@@ -69,6 +69,7 @@
 REPEATS = 200
 NUMBER = service_number(ServiceName('service-0000'))
 TCP_IP_BYTES = 52
+NO_FLOW = FlowId(bytes(6))
 
 
 def flow_ids(count: int) -> list[FlowId]:
@@ -96,6 +97,9 @@
         core.set_entry(ServiceName(f'service-{number:04}'), True)
     for record in records:
         core.set_agent(record)
+    for number in range(services):
+        name = ServiceName(f'service-{number:04}')
+        core.route(service_number(name), NO_FLOW)
     return core
 
 
@@ -134,7 +138,9 @@
 
         def join(core=core, joiner=joiner) -> None:
             core.set_agent(joiner)
+            core.route(NUMBER, NO_FLOW)
             core.set_agent(replaced(joiner, state=MemberState.LOST))
+            core.route(NUMBER, NO_FLOW)
 
         add(
             'service_agent.routes.change_cpu',
--- a/testbed/slopes_store.py
+++ b/testbed/slopes_store.py
@@ -95,8 +95,9 @@
 
 
 async def _measure_edit(add, deployment: Deployment, session) -> None:
-    """Count the store calls of one edit."""
+    """Count the store calls of one edit that changes an entry."""
     before = await _calls(session, deployment.store_address)
+    deployment.ramp_s += 1.0
     await _edit(deployment)
     await asyncio.sleep(1.0)
     after = await _calls(session, deployment.store_address)
