--- a/testbed/deployment.py
+++ b/testbed/deployment.py
@@ -99,6 +99,7 @@
             f'balancer-{index}': f'127.{network}.2.{index + 1}'
             for index in range(balancers)
         }
+        self._next_balancer = balancers
         self.store_address = Address(f'127.{network}.1.1', STORE_PORT)
         #: Where a balancer reaches the store, if not at the store itself.
         self.store_by_balancer: dict[str, Address] = {}
@@ -157,15 +158,18 @@
 
     def add_balancer(self) -> str:
         """Give a balancer a name and an address, without starting it."""
-        index = len(self.balancer_ips)
+        index, self._next_balancer = (
+            self._next_balancer,
+            self._next_balancer + 1,
+        )
         name = f'balancer-{index}'
         self.balancer_ips[name] = f'127.{self._network}.2.{index + 1}'
         return name
 
     def relay_address(self, name: str) -> Address:
         """Return an address for a relay of one balancer to the store."""
-        index = list(self.balancer_ips).index(name)
-        return Address(f'127.{self._network}.3.{index + 1}', STORE_PORT)
+        last = self.balancer_ips[name].rsplit('.', 1)[1]
+        return Address(f'127.{self._network}.3.{last}', STORE_PORT)
 
     def start_store(self) -> None:
         """Start the stand-in store."""
--- a/testbed/scenario.py
+++ b/testbed/scenario.py
@@ -276,14 +276,21 @@
             self.wrong_service += 1
         return upstream
 
-    async def open_feeds(self, service: ServiceShape, count: int) -> int:
+    async def open_feeds(
+        self, service: ServiceShape, count: int, at_once: int = 200
+    ) -> int:
         """Open feeds, each from a caller of its own.
 
+        :param at_once: feeds that are being opened at the same time.
         :returns: how many were established.
         """
-        users = await asyncio.gather(
-            *(self._open_feed(service) for _ in range(count))
-        )
+        slots = asyncio.Semaphore(at_once)
+
+        async def open_one() -> FeedUser | None:
+            async with slots:
+                return await self._open_feed(service)
+
+        users = await asyncio.gather(*(open_one() for _ in range(count)))
         established = [user for user in users if user is not None]
         self.feeds += established
         return len(established)
