--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,126 @@
+"""The pages for operators name what the code has, and files that exist."""
+
+from pathlib import Path
+import re
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+OPERATIONS = (ROOT / 'docs/operations.md').read_text(encoding='utf-8')
+PAGES = ['README.md', *(f'docs/{p.name}' for p in ROOT.glob('docs/*.md'))]
+SOURCES = {
+    path: path.read_text(encoding='utf-8')
+    for path in ROOT.glob('ibispitch/**/*.py')
+}
+#: Pages that the design announces and that another change writes.
+ANNOUNCED = {'docs/CAPACITY.md'}
+
+EVENT = re.compile(r"\blog\(\s*Severity\.[^']*?'([a-z_.]+)'")
+METRIC = re.compile(
+    r"(?:[cC]ounts?|Measure|record)\(\s*'((?:gate_|[a-z]+\.)[a-z_]+)'"
+)
+GAUGES = re.compile(r'for read in \(([^)]*)\)')
+SETTING = re.compile(r'^    ([a-z_]+): ', re.MULTILINE)
+FAULT = re.compile(r"^    [A-Z_]+ = '([a-z_]+)'", re.MULTILINE)
+FILE = re.compile(
+    r'`((?:[\w.-]+/)*[\w.-]+\.(?:md|py|toml|txt|lock)|NEWS|\.ci/run)`'
+)
+TARGET = re.compile(r'\bmake ([a-z]+)\b')
+
+
+def found(pattern: re.Pattern) -> set[str]:
+    return {
+        name for text in SOURCES.values() for name in pattern.findall(text)
+    }
+
+
+def is_named(name: str, page: str = OPERATIONS) -> bool:
+    """Whether the page has the name as code, also after a dot."""
+    pattern = rf'`(?:[a-z\[\]]+\.)?{re.escape(name)}`'
+    return re.search(pattern, page) is not None
+
+
+def section(title: str) -> str:
+    return OPERATIONS.split(f'\n### {title}\n')[1].split('\n#')[0]
+
+
+def settings_of(class_name: str) -> set[str]:
+    source = SOURCES[ROOT / 'ibispitch/settings/programs.py']
+    body = source.split(f'class {class_name}(')[1].split('\nclass ')[0]
+    body = body.split('"""')[2].split('    def ')[0]
+    return set(SETTING.findall(body))
+
+
+@pytest.mark.parametrize(
+    ('class_name', 'title', 'prefix'),
+    [
+        ('BalancerSettings', 'ibispitch-balancer', ''),
+        ('AgentSettings', 'ibispitch-agent', ''),
+        ('ControlSettings', 'ibispitchctl', ''),
+        ('StoreSettings', 'Parts', 'store.'),
+        ('TokenSettings', 'Parts', 'tokens[].'),
+        ('LogSettings', 'Parts', 'log.'),
+        ('MetricsSettings', 'Parts', 'metrics.'),
+    ],
+)
+def test_settings_are_documented(class_name, title, prefix):
+    """Guards against a setting without meaning and default on the page."""
+    names = settings_of(class_name)
+    assert len(names) >= 2
+    page = section(title)
+    missing = {n for n in names if f'`{prefix}{n}`' not in page}
+    assert not missing
+
+
+def test_log_events_are_documented():
+    """Guards against a log line that operators cannot look up."""
+    events = found(EVENT)
+    calls = sum(
+        len(re.findall(r'(?<!def )\blog\(\s*Severity', text))
+        for text in SOURCES.values()
+    )
+    assert sum(len(EVENT.findall(t)) for t in SOURCES.values()) == calls
+    assert not {name for name in events if not is_named(name)}
+
+
+def test_metrics_are_documented():
+    """Guards against a counter, gauge or histogram without a meaning."""
+    names = found(METRIC)
+    for group in found(GAUGES):
+        names |= {f'balancer.{n}' for n in re.findall(r"'(\w+)'", group)}
+    assert {'balancer.packets', 'gate_refusals', 'gate_request_s'} <= names
+    assert {'balancer.taken_in', 'balancer.sent_back'} <= names
+    assert not {name for name in names if not is_named(name)}
+
+
+@pytest.mark.parametrize(
+    'module',
+    [
+        'wire/errors.py',
+        'store/errors.py',
+        'catalogue/errors.py',
+        'admin/errors.py',
+    ],
+)
+def test_faults_are_documented(module):
+    """Guards against an error kind without a remedy on the page."""
+    names = set(FAULT.findall(SOURCES[ROOT / 'ibispitch' / module]))
+    assert names
+    assert not {name for name in names if not is_named(name)}
+
+
+@pytest.mark.parametrize('page', PAGES)
+def test_named_files_and_targets_exist(page):
+    """Guards against a page that sends readers to a file that is gone."""
+    text = (ROOT / page).read_text(encoding='utf-8')
+    parents = (ROOT, ROOT / 'ibispitch')
+    missing = {
+        name
+        for name in FILE.findall(text)
+        if '/' in name or name.endswith('.md') or name == 'NEWS'
+        if not any((parent / name).exists() for parent in parents)
+    }
+    assert missing <= ANNOUNCED
+    targets = re.findall(r'^([a-z]+):', (ROOT / 'Makefile').read_text(), re.M)
+    code = ' '.join(re.findall(r'`[^`]*`|^ {4}.*$', text, re.MULTILINE))
+    assert set(TARGET.findall(code)) <= set(targets)
