Keep a moved flow with one owner when answers are lost

Cause: an agent that had adopted a moved flow refused a repeated FlowMove if the flow had ended or moved on, so that the old owner gave the same export to a third agent. If the answer never arrived, nobody told the authority of the new owner, and it placed the flow a second time. A refused move was repeated every 200 ms, which renewed the refusal for ever; several refusing agents got the export to and fro. A conflict whose rival did not own the flow any more was reported again every second without end, because only the claimer learnt of it.

Change: the receiver remembers adopted exports for 13 s and confirms copies. It also tells the authority that it owns the flow (FlowRedirect names the former owner). An agent that refused is left out for 10 s, and the export is not given up while no other agent bears it. The answer to a void claim also goes to the authority.

Not covered: a successor process does not know which exports its predecessor adopted, and neither does a receiver that restarted.

--- a/ibispitch/affinity/core.py
+++ b/ibispitch/affinity/core.py
@@ -454,15 +454,21 @@
         slot = slot_of(self._number, flow)
         self._flows.remove(flow, slot)
         self._flows.refuse(flow, now)
+        authority = self._authority(slot)
+        if authority is not None:
+            self._releases.add(authority, flow)
+
+    def _authority(self, slot: int) -> AgentId | None:
+        """Return the agent that is to learn of owners in a slot of others."""
         if self._slots.state[slot] is not SlotState.OTHER:
-            return
+            return None
         for agent in (
             self._slots.holder[slot],
             self._transfer.table.home(slot),
         ):
             if self._peers.is_reachable(agent):
-                self._releases.add(agent, flow)
-                return
+                return agent
+        return None
 
     def on_message(
         self, sender: AgentId | None, message: Any, now: float
@@ -526,6 +532,11 @@
         flow = message.flow
         if not self._keeps(flow):
             self._transfer.send(sender, FlowReleased(flow))
+            # The sender need not be the authority, which would repeat the
+            # conflict for ever.
+            authority = self._authority(slot_of(self._number, flow))
+            if authority not in (None, sender):
+                self._transfer.send(authority, FlowReleased(flow))
             return
         own = self._flows.version[flow], self._self_id
         if own > (message.view_version, sender):
@@ -551,12 +562,20 @@
         """Flows that left and are not known to their new owner or home."""
         return len(self._moves)
 
-    def move_target(self, now: float) -> AgentId | None:
-        """Return an agent that bears one more flow."""
+    def move_target(
+        self, now: float, flow: FlowId | None = None
+    ) -> AgentId | None:
+        """Return an agent that bears one more flow.
+
+        :param flow: a flow that some agents have refused.
+        """
+        excluded, _ = self._excluded.get(flow, (set(), 0.0))
         candidates = [
             agent
             for agent in self._active
-            if agent != self._self_id and self._peers.is_reachable(agent)
+            if agent != self._self_id
+            and agent not in excluded
+            and self._peers.is_reachable(agent)
         ]
         if not candidates:
             return None
@@ -576,10 +595,17 @@
 
     def _send_moves(self, now: float) -> None:
         for flow, move in self._moves.due(now):
-            if move.data:
+            if move.is_refused:
+                self._choose_receiver(flow, move.data, now)
+            elif move.data:
                 self._transfer.send(move.to, FlowMove(flow, move.data))
             else:
-                self._redirect(flow, move.to)
+                self._redirect(flow, move.to, self._self_id)
+        for flow, former in self._moves.due_adoptions(now):
+            # The former owner may be unable to tell it, since the answer
+            # to the move was lost.
+            if self._keeps(flow):
+                self._redirect(flow, self._self_id, former)
         for flow in self._moves.expire(now):
             # Its receiver may own it; this agent must not act for it again.
             self.counts['moves_lost'] += 1
@@ -587,29 +613,36 @@
                 self._end(flow, now)
                 self._effects.append(CloseFlow(flow))
 
-    def _redirect(self, flow: FlowId, owner: AgentId) -> None:
+    def _choose_receiver(self, flow: FlowId, data: bytes, now: float) -> None:
+        """Send a refused flow to an agent that has not refused it."""
+        target = self.move_target(now, flow)
+        if target is not None:
+            self._moves.start(flow, target, data, now + RETRY_S)
+            self._transfer.send(target, FlowMove(flow, data))
+
+    def _redirect(self, flow: FlowId, owner: AgentId, former: AgentId) -> None:
         """Tell the authority who owns a flow now."""
         slot = slot_of(self._number, flow)
         if self._slots.state[slot] is not SlotState.OTHER:
-            self._transfer.learn(slot, flow, owner, loser=self._self_id)
+            self._transfer.learn(slot, flow, owner, loser=former)
             self._moves.finished(flow)
             return
-        for agent in (
-            self._slots.holder[slot],
-            self._transfer.table.home(slot),
-        ):
-            if agent == owner:
-                self._moves.finished(flow)
-                return
-            if self._peers.is_reachable(agent):
-                self._transfer.send(agent, FlowRedirect(flow, owner))
-                return
+        authority = self._authority(slot)
+        if authority == owner:
+            self._moves.finished(flow)
+        elif authority is not None:
+            message = FlowRedirect(flow, owner, former)
+            self._transfer.send(authority, message)
 
     def _on_move(self, sender: AgentId, message: FlowMove, now: float) -> None:
         """Adopt a flow that its owner gives to this agent."""
         flow = message.flow
         slot = slot_of(self._number, flow)
-        if flow in self._flows and flow not in self._moves.targets:
+        # A copy is confirmed even if the flow has ended or moved on: after
+        # a refusal the sender would give the same export to a third agent.
+        if self._keeps(flow) or self._moves.is_copy(
+            flow, sender, message.data, now
+        ):
             self._transfer.send(sender, FlowMoved(flow, True))
             return
         is_borne = (
@@ -625,7 +658,7 @@
             self._flows.refuse(flow, now)
             self._transfer.send(sender, FlowMoved(flow, False))
             return
-        self._moves.returned(flow)
+        self._moves.adopted(flow, sender, message.data, now)
         self._flows.add(flow, slot, self._view.version, now)
         self._releases.cancel(flow)
         self._directory.remove(slot, flow)
@@ -637,13 +670,9 @@
     ) -> None:
         flow = message.flow
         if not message.accepted:
-            data = self._moves.take_refused(flow, sender)
-            target = self.move_target(now) if data else None
-            if target is not None and target != sender:
-                self._moves.start(flow, target, data, now)
+            if self._moves.refused(flow, sender, now):
+                self._exclude(flow, sender, now)
                 self._send_moves(now)
-            elif data:
-                self._moves.start(flow, sender, data, now + RETRY_S)
             return
         if self._moves.confirmed(flow, sender, now) and flow in self._flows:
             self._flows.remove(flow, slot_of(self._number, flow))
@@ -657,7 +686,8 @@
         if self._slots.state[slot] is SlotState.OTHER:
             # The sender asks the next authority when its view has it.
             return
-        self._transfer.learn(slot, message.flow, message.owner, loser=sender)
+        former = message.former or sender
+        self._transfer.learn(slot, message.flow, message.owner, loser=former)
         self._transfer.send(sender, FlowRedirected(message.flow))
 
     def _on_redirected(
--- a/ibispitch/affinity/messages.py
+++ b/ibispitch/affinity/messages.py
@@ -183,10 +183,15 @@
 
 @control_message('affinity.redirect')
 class FlowRedirect(msgspec.Struct, array_like=True, frozen=True):
-    """Tells the authority that the sender's flow has another owner."""
+    """Tells the authority that a moved flow has another owner.
+
+    :param former: agent that gave the flow away, ``None`` if it is the
+        sender.
+    """
 
     flow: FlowId
     owner: AgentId
+    former: AgentId | None = None
 
 
 @control_message('affinity.redirected')
--- /dev/null
+++ b/tests/affinity/test_moves.py
@@ -0,0 +1,323 @@
+"""Flows that a draining owner gives to other agents."""
+
+from collections import Counter
+from collections import defaultdict
+from itertools import combinations
+import random
+
+import pytest
+
+from ibispitch.affinity import AdoptMoved
+from ibispitch.affinity import SendMessage
+from ibispitch.affinity.messages import FlowMove
+from ibispitch.affinity.messages import FlowMoved
+from ibispitch.affinity.moves import GIVE_UP_S
+from ibispitch.affinity.moves import RETRY_S
+from ibispitch.ids import AgentId
+from ibispitch.ids import FlowId
+from ibispitch.routing import slot_of
+from testbed.affinity_network import AffinityNetwork
+from testbed.affinity_network import CALM
+from testbed.affinity_network import NUMBER
+from testbed.affinity_network import ROUGH
+
+FLOWS = [FlowId(number.to_bytes(6, 'big')) for number in range(60)]
+OLD, NEW, THIRD, OTHER = (AgentId(f'a{number}') for number in range(4))
+
+
+class MovingNetwork(AffinityNetwork):
+    """Notes who adopts each export, and who keeps each flow."""
+
+    def __init__(self, *args, **kwargs):
+        self.adopters = defaultdict(list)
+        self.moves_sent = Counter()
+        self.lost_messages = ()
+        super().__init__(*args, **kwargs)
+
+    def _apply(self, agent, effects):
+        effects = list(effects)
+        for effect in effects:
+            if isinstance(effect, AdoptMoved):
+                self.adopters[effect.data].append(agent)
+                self.owner_by_flow[effect.flow] = agent
+            elif isinstance(effect, SendMessage):
+                if isinstance(effect.message, FlowMove):
+                    self.moves_sent[effect.to] += 1
+        super()._apply(
+            agent,
+            [
+                effect
+                for effect in effects
+                if not isinstance(effect, SendMessage)
+                or not isinstance(effect.message, self.lost_messages)
+            ],
+        )
+
+    def core(self, agent):
+        return self.agents[agent].core
+
+    def move(self, flow, sender, to):
+        """Export a flow and give it to an agent; return the export."""
+        data = b'%s of %s at %f' % (
+            flow.hex().encode(),
+            sender.encode(),
+            self.now,
+        )
+        effects = self.core(sender).move_flow(flow, to, data, self.now)
+        self._apply(sender, effects)
+        return data
+
+    def deliver(self, to, sender, message):
+        """Let a message arrive now."""
+        effects = self.core(to).on_message(sender, message, self.now)
+        self._apply(to, effects)
+
+    def keepers(self, flow):
+        """Return the agents that own a flow and do not give it away."""
+        return [
+            agent
+            for agent in self.owners(flow)
+            if not self.core(agent).is_moving(flow)
+        ]
+
+    def check_moves(self):
+        for data, agents in self.adopters.items():
+            assert len(agents) == 1, (data, agents)
+        for flow in FLOWS:
+            for pair in combinations(self.keepers(flow), 2):
+                assert frozenset(pair) in self.cut_pairs, (flow, pair)
+
+
+def network(seed=1, agents=4, conditions=CALM):
+    net = MovingNetwork(seed, CALM)
+    for number in range(agents):
+        net.join(f'a{number}')
+        net.settle()
+        net.run(1)
+    for flow in FLOWS:
+        net.send_packet(flow)
+        net.run(0.01)
+    net.run(1)
+    net.conditions = conditions
+    return net
+
+
+def moving_flow(net, home=OTHER):
+    """Return a flow of the old owner whose home is another agent."""
+    table = net.core(OLD)._transfer.table
+    return next(
+        flow
+        for flow in net.core(OLD).flows()
+        if table.home(slot_of(NUMBER, flow)) == home
+    )
+
+
+def drain(net, agent=OLD):
+    net.drain(agent)
+    net.settle()
+
+
+def check_ends_at(net, flow, owner):
+    """Check that all moves end, and that packets reach the owner."""
+    net.lost_messages = ()
+    net.heal()
+    for _ in range(10):
+        net.settle()
+        net.run(1)
+        net.check_moves()
+    assert [m.core.unfinished_moves for m in net.agents.values()] == [0] * len(
+        net.agents
+    )
+    assert net.keepers(flow) == [owner]
+    before = net.delivered[flow]
+    for balancer in range(len(net.balancers)):
+        net.send_packet(flow, balancer)
+        net.run(0.1)
+    assert net.delivered[flow] == before + len(net.balancers)
+    assert net.delivered_last[flow] == owner
+
+
+def chaos(net, rng, former):
+    """Change one thing, so that enough agents remain."""
+    able = [
+        agent
+        for agent, member in net.agents.items()
+        if member.is_alive and not member.is_drained and agent in net.records
+    ]
+    kind = rng.choice(['join', 'drain', 'crash', 'cut', 'heal', 'old', 'none'])
+    if kind == 'join' and len(net.agents) < 9:
+        net.join(f'a{len(net.agents)}')
+    elif kind == 'drain' and len(able) > 3:
+        net.drain(rng.choice(able))
+    elif kind == 'crash' and len(able) > 4:
+        net.crash(rng.choice(able))
+    elif kind == 'cut' and not net.cut_pairs:
+        net.cut_off(rng.choice([*able, former]))
+    elif kind == 'heal':
+        net.heal()
+    elif kind == 'old':
+        net.settle()
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_moves_under_loss_and_changes(seed):
+    """Guards against exports adopted twice and flows with two owners."""
+    rng = random.Random(seed)
+    net = network(seed, 6, ROUGH)
+    net.drain(OLD)
+    moved = 0
+    for step in range(120):
+        for agent, member in list(net.agents.items()):
+            if not member.is_alive or not member.is_drained:
+                continue
+            flows = [f for f in FLOWS if agent in net.keepers(f)]
+            target = member.core.move_target(net.now)
+            if flows and target is not None:
+                net.move(rng.choice(flows), agent, target)
+                moved += 1
+        net.send_packet(rng.choice(FLOWS))
+        net.run(0.05)
+        if step % 5 == 0:
+            chaos(net, rng, OLD)
+        net.check_moves()
+    assert moved > 5
+    assert net.check_quiet(FLOWS) == []
+    net.check_moves()
+    for member in net.agents.values():
+        assert not member.is_alive or member.core.unfinished_moves == 0
+
+
+def test_copy_after_the_flow_ended_does_not_go_to_a_third_agent():
+    """Guards against a repeated move that is refused after its adoption."""
+    net = network()
+    flow = moving_flow(net)
+    drain(net)
+    net.lost_messages = (FlowMoved,)
+    data = net.move(flow, OLD, NEW)
+    net.run(RETRY_S / 2)
+    net.close_flow(flow, NEW)
+    net.lost_messages = ()
+    net.run(2)
+    assert net.adopters[data] == [NEW]
+
+
+@pytest.mark.parametrize('is_confirmed', [False, True])
+def test_copy_after_the_receiver_moved_the_flow_on(is_confirmed):
+    """Guards against two owners after two drains and a lost answer."""
+    net = network()
+    flow = moving_flow(net)
+    drain(net)
+    net.lost_messages = (FlowMoved,)
+    first = net.move(flow, OLD, NEW)
+    net.run(RETRY_S / 2)
+    drain(net, NEW)
+    net.lost_messages = ()
+    if not is_confirmed:
+        net.cut_pairs.add(frozenset((NEW, THIRD)))
+    second = net.move(flow, NEW, THIRD)
+    net.run(2)
+    assert net.adopters[first] == [NEW]
+    net.cut_pairs.clear()
+    net.run(2)
+    assert net.adopters[second] == [THIRD]
+    check_ends_at(net, flow, THIRD)
+
+
+def test_refused_flow_moves_once_the_only_receiver_bears_it():
+    """Guards against repetitions that renew the refusal for ever."""
+    net = network(agents=2)
+    flow = moving_flow(net, NEW)
+    drain(net)
+    net.core(NEW)._accepts = lambda now: False
+    net.move(flow, OLD, NEW)
+    net.run(1)
+    assert net.keepers(flow) == []
+    net.core(NEW)._accepts = lambda now: True
+    net.run(20)
+    check_ends_at(net, flow, NEW)
+
+
+def test_refusals_of_all_receivers_cause_few_messages():
+    """Guards against an export sent to and fro at the network's speed."""
+    net = network()
+    flow = moving_flow(net)
+    drain(net)
+    for agent in (NEW, THIRD, OTHER):
+        net.core(agent)._accepts = lambda now: False
+    net.move(flow, OLD, NEW)
+    net.run(2)
+    assert net.moves_sent.total() <= 3
+
+
+def test_late_copy_after_a_refusal_is_not_adopted():
+    """Guards against a second owner by a copy from before the refusal."""
+    net = network()
+    flow = moving_flow(net)
+    drain(net)
+    net.core(NEW)._accepts = lambda now: False
+    data = net.move(flow, OLD, NEW)
+    net.run(0.5)
+    assert net.adopters[data] in ([THIRD], [OTHER])
+    net.core(NEW)._accepts = lambda now: True
+    net.deliver(NEW, OLD, FlowMove(flow, data))
+    check_ends_at(net, flow, net.adopters[data][0])
+
+
+def test_draining_receiver_passes_the_flow_on():
+    """Guards against a flow moved to an agent that drains as well."""
+    net = network()
+    flow = moving_flow(net)
+    drain(net)
+    net.core(NEW).set_draining()
+    data = net.move(flow, OLD, NEW)
+    net.run(0.5)
+    check_ends_at(net, flow, net.adopters[data][0])
+
+
+def test_dead_receiver_ends_the_move():
+    """Guards against a move that holds the drain up for ever."""
+    net = network()
+    flow = moving_flow(net)
+    drain(net)
+    net.crash(NEW)
+    data = net.move(flow, OLD, NEW)
+    net.run(GIVE_UP_S + 1)
+    assert net.core(OLD).unfinished_moves == 0
+    assert net.core(OLD).counts['moves_lost'] == 1
+    assert data not in net.adopters
+    net.send_packet(flow)
+    net.run(1)
+    assert len(net.keepers(flow)) == 1
+
+
+def test_receiver_cut_off_after_adoption_stays_the_owner():
+    """Guards against a second owner when the answer never arrives."""
+    net = network()
+    flow = moving_flow(net)
+    drain(net)
+    net.lost_messages = (FlowMoved,)
+    net.move(flow, OLD, NEW)
+    net.run(RETRY_S / 2)
+    net.lost_messages = ()
+    net.cut_pairs.add(frozenset((OLD, NEW)))
+    net.run(GIVE_UP_S + 3)
+    net.send_packet(flow)
+    net.run(1)
+    check_ends_at(net, flow, NEW)
+
+
+@pytest.mark.parametrize('is_before', [False, True])
+def test_authority_changes_during_the_move(is_before):
+    """Guards against an authority that does not learn the new owner."""
+    net = network()
+    flow = moving_flow(net)
+    drain(net)
+    if is_before:
+        drain(net, OTHER)
+    data = net.move(flow, OLD, NEW)
+    if not is_before:
+        net.run(0.002)
+        drain(net, OTHER)
+    net.run(2)
+    assert net.adopters[data] == [NEW]
+    check_ends_at(net, flow, NEW)
