Run independent measurements side by side

Cause: the affinity and admission groups took over 5 minutes each beside other jobs.

Change: measurements that time nothing run in worker processes; times are taken afterwards.

--- a/testbed/bench_admission.py
+++ b/testbed/bench_admission.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from functools import partial
 import sys
 
 from ibispitch.limits import LimitCore
@@ -26,7 +27,9 @@
 from testbed.figures import at_most
 from testbed.figures import Figure
 from testbed.figures import informative
+from testbed.figures import Part
 from testbed.figures import print_figures
+from testbed.figures import run_parts
 from testbed.limits_model import NaiveCore
 from testbed.limits_model import shift_demand
 
@@ -321,16 +324,18 @@
             yield limits, (core_type, loss)
 
 
-def figures(only: str = '') -> Iterator[Figure]:
-    """Yield the figures of the scenarios whose function name fits."""
-    for scenario, arguments in _scenarios():
-        if only in scenario.__name__:
-            yield from scenario(*arguments)
+def parts(only: str = '') -> list[Part]:
+    """Return the scenarios whose function name fits."""
+    return [
+        partial(scenario, *arguments)
+        for scenario, arguments in _scenarios()
+        if only in scenario.__name__
+    ]
 
 
-def run() -> list[Figure]:
-    """Return the figures of all scenarios."""
-    return list(figures())
+def run(only: str = '') -> Iterator[Figure]:
+    """Yield the figures of all scenarios."""
+    return run_parts(parts(only))
 
 
 def main() -> None:
@@ -339,7 +344,7 @@
     An argument selects scenarios by name.
     """
     only = sys.argv[1] if len(sys.argv) > 1 else ''
-    raise SystemExit(0 if print_figures(figures(only)) else 1)
+    raise SystemExit(0 if print_figures(run(only)) else 1)
 
 
 if __name__ == '__main__':
--- a/testbed/bench_affinity.py
+++ b/testbed/bench_affinity.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Sequence
+from functools import partial
 from itertools import cycle
 from itertools import islice
 import random
@@ -29,7 +30,9 @@
 from testbed.figures import at_most
 from testbed.figures import Figure
 from testbed.figures import informative
+from testbed.figures import Part
 from testbed.figures import print_figures
+from testbed.figures import run_parts
 
 FLOWS = 100_000
 SHAPE = Conditions(delay_s=0.0015, view_delay_s=1.0)
@@ -423,18 +426,25 @@
     yield informative('affinity.time.new', on_packets(new), 'us')
 
 
-def run(flows: int = FLOWS) -> list[Figure]:
-    """Measure all designs.
+def parts(flows: int = FLOWS) -> list[Part]:
+    """Return the measurements, which do not depend on each other.
 
     :param flows: open flows for the count of broken ones.
     """
-    figures = [
-        figure for name in DESIGNS for figure in broken_figures(name, flows)
+    broken = [partial(broken_figures, name, flows) for name in DESIGNS]
+    churn = [
+        partial(churn_figures, name) for name in ('chosen', 'tell_everything')
     ]
-    for name in ('chosen', 'tell_everything'):
-        figures.extend(churn_figures(name))
-    figures.extend(time_figures())
-    return figures
+    return [*broken, *churn]
+
+
+def run(flows: int = FLOWS) -> Iterator[Figure]:
+    """Measure all designs; the times come last, on an idle machine.
+
+    :param flows: open flows for the count of broken ones.
+    """
+    yield from run_parts(parts(flows))
+    yield from time_figures()
 
 
 if __name__ == '__main__':
--- a/testbed/figures.py
+++ b/testbed/figures.py
@@ -1,6 +1,12 @@
 """Figures that the measurements print, with their bounds."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Sequence
+from concurrent.futures import ProcessPoolExecutor
+from itertools import chain
+import os
 from typing import NamedTuple
 
 
@@ -42,6 +48,24 @@
     return Figure(name, value, unit, '-', True)
 
 
+Part = Callable[[], Iterable[Figure]]
+
+
+def _collect(part: Part) -> list[Figure]:
+    return list(part())
+
+
+def run_parts(parts: Sequence[Part]) -> Iterator[Figure]:
+    """Run measurements that do not time anything, several at a time.
+
+    :param parts: calls that can be pickled; their figures are yielded in
+        this order.
+    """
+    workers = max(1, min(len(parts), (os.cpu_count() or 2) // 2))
+    with ProcessPoolExecutor(workers) as pool:
+        yield from chain.from_iterable(pool.map(_collect, parts))
+
+
 def print_figures(figures: Iterable[Figure]) -> bool:
     """Print one line a figure and tell whether all bounds are met."""
     verdicts = []
