Do not spread documents that do not parse, and show ctl in the demo

Cause: a malformed value in the store was spread under its higher version, so that a balancer that joined later never got the last good document.

Change: the reader parses a document before it publishes it, counts and logs a malformed one with the remedy. The demo takes a data centre out and back with ibispitchctl and ends without waiting for its processes.

--- a/ibispitch/membership/reader.py
+++ b/ibispitch/membership/reader.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from ibispitch.catalogue.documents import DocumentError
+from ibispitch.catalogue.documents import parse_document
 from ibispitch.ids import Address
 from ibispitch.membership.keys import DATACENTRE_PREFIX
 from ibispitch.membership.keys import ENTRY_PREFIX
@@ -267,9 +269,24 @@
     ) -> None:
         # Removals are documents too. A key that was deleted by other means
         # stays in force, since its version would be lost with it.
-        if value is not None:
-            short = key.removeprefix(cluster_key(self._cluster, ''))
-            self._server.publish_document(short, mod_revision, value)
+        if value is None:
+            return
+        short = key.removeprefix(cluster_key(self._cluster, ''))
+        try:
+            parse_document(short, value)
+        except DocumentError as error:
+            # Spread keeps one version of a key. A balancer that joins later
+            # would get this one and never the last good one.
+            self._metrics.count('membership.malformed_documents')
+            log(
+                Severity.WARNING,
+                'membership.malformed_document',
+                key=short,
+                reason=str(error),
+                remedy='set the entry again with ibispitchctl',
+            )
+            return
+        self._server.publish_document(short, mod_revision, value)
 
 
 class SnapshotWriter:
--- a/testbed/demo.py
+++ b/testbed/demo.py
@@ -17,7 +17,6 @@
 
 from ibispitch.caller import CallerSession
 from ibispitch.caller import Result
-from ibispitch.catalogue.documents import DatacentreState
 from ibispitch.ids import Address
 from testbed.callers import Outcome
 from testbed.deployment import ASANTE
@@ -35,7 +34,7 @@
 SCAN_BYTES = 40_000
 #: A fabric stops to send to a dead balancer after its health check.
 HEALTH_CHECK_S = 1.0
-SETTLE_S = 4.0
+SETTLE_S = 3.0
 SHAPES = {'omaheke': OMAHEKE, 'asante': ASANTE}
 
 
@@ -117,21 +116,39 @@
         name = self._deployment.shape.datacentres[-1]
         hosts = [h for h in self._deployment.hosts if h.datacentre == name]
         self._scenario.give_up(hosts)
-        await self._set_datacentre(name, DatacentreState.OUT)
+        await self._set_datacentre(name, 'out')
         await asyncio.sleep(SETTLE_S)
         before = await self._packets(hosts)
         await asyncio.sleep(SETTLE_S)
         late = await self._packets(hosts) - before
         self._say(f'{late} packets reached {name} {SETTLE_S:.0f} s later')
         self._scenario.wrong_service += late
-        await self._set_datacentre(name, DatacentreState.IN)
+        await self._set_datacentre(name, 'in')
         await asyncio.sleep(SETTLE_S)
 
-    async def _set_datacentre(self, name: str, state: DatacentreState):
-        editor = self._scenario.editor
-        edit = editor.out if state is DatacentreState.OUT else editor.back
-        result = await edit(name)
-        self._say(f'{name} {state.value}: {result.default_with(str)}')
+    async def _set_datacentre(self, name: str, state: str) -> None:
+        """Run ``ibispitchctl datacentre out|in``."""
+        deployment = self._deployment
+        settings = deployment.supervisor.settings_file(
+            'ctl', deployment.control_settings()
+        )
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'ibispitch.ctl',
+            '--config',
+            str(settings),
+            'datacentre',
+            state,
+            name,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        output, _ = await process.communicate()
+        self._say(f'$ ibispitchctl datacentre {state} {name}')
+        self._say(output.decode().strip())
+        if process.returncode:
+            raise click.ClickException('ibispitchctl failed')
 
     async def _packets(self, hosts) -> int:
         """Packets that the agents passed to their upstreams or answered."""
@@ -188,7 +205,7 @@
             raise click.ClickException(f'ended by themselves: {dead}')
         return scenario.report()
     finally:
-        await scenario.stop()
+        await scenario.stop(is_graceful=False)
 
 
 @click.command()
