--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,10 +1,18 @@
 """The pages for operators name what the code has, and files that exist."""
 
+import importlib
+import json
 from pathlib import Path
+import pkgutil
 import re
 
+import msgspec
 import pytest
 
+import ibispitch
+from ibispitch.settings import programs
+from ibispitch.wire import messages
+
 ROOT = Path(__file__).parent.parent
 OPERATIONS = (ROOT / 'docs/operations.md').read_text(encoding='utf-8')
 PAGES = ['README.md', *(f'docs/{p.name}' for p in ROOT.glob('docs/*.md'))]
@@ -34,10 +42,9 @@
     }
 
 
-def is_named(name: str, page: str = OPERATIONS) -> bool:
-    """Whether the page has the name as code, also after a dot."""
-    pattern = rf'`(?:[a-z\[\]]+\.)?{re.escape(name)}`'
-    return re.search(pattern, page) is not None
+def is_named(name: str) -> bool:
+    """Whether the page has the name as code."""
+    return f'`{name}`' in OPERATIONS
 
 
 def section(title: str) -> str:
@@ -72,6 +79,63 @@
     assert not missing
 
 
+@pytest.mark.parametrize(
+    ('class_name', 'title', 'prefix'),
+    [
+        ('BalancerSettings', 'ibispitch-balancer', ''),
+        ('AgentSettings', 'ibispitch-agent', ''),
+        ('ControlSettings', 'ibispitchctl', ''),
+        ('StoreSettings', 'Parts', 'store.'),
+        ('TokenSettings', 'Parts', 'tokens[].'),
+        ('LogSettings', 'Parts', 'log.'),
+        ('MetricsSettings', 'Parts', 'metrics.'),
+    ],
+)
+def test_defaults_are_those_of_the_code(class_name, title, prefix):
+    """Guards against a default that changed in the code only."""
+    documented = dict(
+        re.findall(
+            r'^\| `([^`]+)` \| (`[^`]*`|required) \|', section(title), re.M
+        )
+    )
+    checked = 0
+    for field in msgspec.structs.fields(getattr(programs, class_name)):
+        shown = documented.get(prefix + field.name)
+        if field.name in ('log', 'metrics'):
+            continue
+        checked += 1
+        if field.required:
+            assert shown == 'required', field.name
+        elif field.default_factory is not msgspec.NODEFAULT:
+            assert json.loads(shown.strip('`')) == field.default_factory()
+        else:
+            assert json.loads(shown.strip('`')) == field.default, field.name
+    assert checked >= 2
+
+
+def test_messages_are_in_the_design():
+    """Guards against a message whose fields differ from the design's list."""
+    for module in pkgutil.walk_packages(ibispitch.__path__, 'ibispitch.'):
+        if not module.name.endswith('__main__'):
+            importlib.import_module(module.name)
+    design = ' '.join((ROOT / 'docs/design.md').read_text().split())
+    own = {
+        tag: message
+        for tag, message in messages.type_by_tag.items()
+        if message.__module__.startswith('ibispitch.')
+        and not tag.startswith('example.')
+    }
+    assert len(own) > 40
+    missing = {
+        tag
+        for tag, message in own.items()
+        if f'`{tag}`' not in design
+        or f'`{message.__name__}({", ".join(message.__struct_fields__)})`'
+        not in design
+    }
+    assert not missing
+
+
 def test_log_events_are_documented():
     """Guards against a log line that operators cannot look up."""
     events = found(EVENT)
