--- a/testbed/bench.py
+++ b/testbed/bench.py
@@ -11,6 +11,7 @@
 from testbed import bench_admission
 from testbed import bench_affinity
 from testbed import bench_datapath
+from testbed import bench_processes
 from testbed.figures import Figure
 from testbed.figures import print_figures
 
@@ -18,6 +19,7 @@
     'datapath': bench_datapath.run,
     'affinity': bench_affinity.run,
     'admission': bench_admission.run,
+    'processes': bench_processes.run,
 }
 
 
