--- a/ibispitch/admission/core.py
+++ b/ibispitch/admission/core.py
@@ -264,6 +264,16 @@
             round(self.limit.latency.recent_s * 1000),
         )
 
+    def set_ramp(self, ramp_s: float) -> None:
+        """Use another duration of the ramp from now on, in seconds."""
+        self.limit.ramp_s = self.flows.ramp_s = ramp_s
+
+    def turn_cold(self, now: float) -> None:
+        """Start the ramp again, as when the data centre returns."""
+        restarts = self.limit.restarts
+        self.limit.restart(now)
+        self._follow_restart(restarts, now)
+
     def export(self, now: float) -> AdmissionState:
         """Return the state for a successor process."""
         return AdmissionState(
--- a/ibispitch/agent/datapath.py
+++ b/ibispitch/agent/datapath.py
@@ -65,6 +65,7 @@
     :param keyring: the shared keys.
     :param metrics: counters and histograms.
     :param may_act: tells whether a paused process may act again.
+    :param is_superseded: tells whether a later process has the agent id.
     :param rng: source of random choices.
     :param clock: monotonic time in seconds.
     :param takes_over: whether a predecessor still has the data address;
@@ -78,6 +79,7 @@
         keyring: Keyring,
         metrics: Metrics,
         may_act: Callable[[], bool],
+        is_superseded: Callable[[], bool],
         rng: random.Random,
         clock: Callable[[], float] = time.monotonic,
         takes_over: bool = False,
@@ -88,6 +90,7 @@
         self._keyring = keyring
         self._metrics = metrics
         self._may_act = may_act
+        self._is_superseded = is_superseded
         self._rng = rng
         self._clock = clock
         self._datagrams = metrics.counts('agent.datagrams')
@@ -349,6 +352,8 @@
             frame,
         ).with_flags(frame.flags)
         self._may_act()
+        if self._is_superseded():
+            return
         self._datagrams[(('path', 'in'),)] += 1
         self._run(self.cores.affinity.on_packet(packet, now), now)
 
--- a/ibispitch/agent/program.py
+++ b/ibispitch/agent/program.py
@@ -20,8 +20,11 @@
 from ibispitch.membership.reader import read_peers
 from ibispitch.membership.records import AgentRecord
 from ibispitch.membership.records import MemberState
+from ibispitch.program import EXIT_FAILED
+from ibispitch.program import first_of
 from ibispitch.program import make_command
 from ibispitch.program import StopRequest
+from ibispitch.program import until
 from ibispitch.settings.programs import AgentSettings
 from ibispitch.store import StoreClient
 from ibispitch.telemetry import log
@@ -31,7 +34,6 @@
 from ibispitch.wire import Keyring
 from ibispitch.wire import WireError
 
-EXIT_FAILED = 1
 TICK_S = 0.02
 #: A draining agent moves flows this often.
 DRAIN_CHECK_S = 0.1
@@ -137,6 +139,7 @@
             self._keyring,
             self._metrics,
             self._client.may_act,
+            lambda: self._client.holder.is_superseded,
             random.Random(),
             takes_over=takeover is not None,
         )
@@ -176,6 +179,14 @@
         ip, port = parse_address(self._settings.admin_address)
         await web.TCPSite(self._runner, ip, port).start()
 
+    @property
+    def is_superseded(self) -> bool:
+        """Whether a later process with this agent id was seen."""
+        return (
+            self._client.holder.is_superseded
+            and not self.handover.done.is_set()
+        )
+
     async def _release(self) -> list[LateDatagram]:
         """Close what a successor binds, without leaving."""
         for subscription in self._subscriptions:
@@ -265,16 +276,23 @@
             err=True,
         )
         raise SystemExit(EXIT_FAILED) from error
-    stopping = asyncio.ensure_future(stop.wait())
-    replaced = asyncio.ensure_future(agent.handover.done.wait())
-    await asyncio.wait(
-        [stopping, replaced], return_when=asyncio.FIRST_COMPLETED
+    await first_of(
+        stop.wait(),
+        agent.handover.done.wait(),
+        until(lambda: agent.is_superseded),
     )
+    if agent.is_superseded:
+        # Another process has this agent id; it owns the flows now.
+        log(
+            Severity.ERROR,
+            'agent.superseded',
+            agent=settings.agent_id,
+            remedy='give each process an agent_id of its own',
+        )
+        raise SystemExit(EXIT_FAILED)
     if not agent.handover.done.is_set():
         await agent.drain()
     await agent.stop()
-    stopping.cancel()
-    replaced.cancel()
 
 
 main = make_command(
--- a/ibispitch/agent/service.py
+++ b/ibispitch/agent/service.py
@@ -17,6 +17,8 @@
 from ibispitch.requests import GateSettings
 from ibispitch.requests import make_gate
 from ibispitch.retry.budget import RetryBudget
+from ibispitch.telemetry import log
+from ibispitch.telemetry import Severity
 
 #: Deadline of a request that carries none, in seconds.
 DEFAULT_DEADLINE_S = 30.0
@@ -42,6 +44,10 @@
     ):
         self_id = record.agent_id
         self.entry = entry
+        self._datacentre = record.datacentre
+        self._is_out = False
+        self._incarnation = record.incarnation
+        self._echo_key = os.urandom(32)
         self.admission = AdmissionCore(
             self_id,
             record.slots,
@@ -56,13 +62,7 @@
         self.limited = LimitedAdmission(self.admission, self.limits, entry)
         self.gate = make_gate(
             entry.protocol,
-            GateSettings(
-                incarnation=record.incarnation,
-                echo_key=os.urandom(32),
-                deadline_default_s=DEFAULT_DEADLINE_S,
-                deadline_max_s=entry.limits.deadline_max_ms / 1000,
-                idle_timeout_s=entry.idle_timeout_s,
-            ),
+            self._gate_settings(),
             self.limited,
             RetryBudget(now=now),
             rng,
@@ -77,6 +77,15 @@
         )
         self.share_reports: list[ShareReport] = []
 
+    def _gate_settings(self) -> GateSettings:
+        return GateSettings(
+            incarnation=self._incarnation,
+            echo_key=self._echo_key,
+            deadline_default_s=DEFAULT_DEADLINE_S,
+            deadline_max_s=self.entry.limits.deadline_max_ms / 1000,
+            idle_timeout_s=self.entry.idle_timeout_s,
+        )
+
     def _accepts_flow(self, now: float) -> bool:
         loads = self.admission.loads
         elsewhere = sum(
@@ -94,9 +103,25 @@
         self.admission.set_agents(agent_ids)
         self.limits.set_agents(agent_ids, now)
         if view.entry is not None and view.entry != self.entry:
+            if view.entry.protocol != self.entry.protocol:
+                log(
+                    Severity.WARNING,
+                    'agent.protocol_changed',
+                    service=view.entry.service,
+                    protocol=view.entry.protocol,
+                    remedy='restart the agent',
+                )
             self.entry = view.entry
             self.limits.on_entry(view.entry, now)
             self.limited.set_labels(view.entry)
+            self.admission.set_ramp(view.entry.ramp_s)
+            self.gate.set_settings(self._gate_settings())
+        was_out = self._is_out
+        self._is_out = self._datacentre in view.datacentres_out
+        if was_out and not self._is_out:
+            # Nothing is known of what happened to the upstream meanwhile,
+            # and the whole data centre returns at once.
+            self.admission.turn_cold(now)
 
     def rebalance(self, now: float) -> None:
         """Take in the collected share reports."""
--- a/ibispitch/balancer/program.py
+++ b/ibispitch/balancer/program.py
@@ -6,6 +6,9 @@
 from typing import Any
 
 from aiohttp import web
+import reactivex
+from reactivex.abc import DisposableBase
+from reactivex.scheduler.eventloop import AsyncIOScheduler
 
 from ibispitch.admin import Health
 from ibispitch.admin import make_app
@@ -19,8 +22,11 @@
 from ibispitch.membership.records import BalancerRecord
 from ibispitch.membership.records import MemberState
 from ibispitch.membership.server import MembershipServer
+from ibispitch.program import EXIT_FAILED
+from ibispitch.program import first_of
 from ibispitch.program import make_command
 from ibispitch.program import StopRequest
+from ibispitch.program import until
 from ibispitch.routing import RoutingCore
 from ibispitch.settings.programs import BalancerSettings
 from ibispitch.store import StoreClient
@@ -33,6 +39,8 @@
 #: A leaving balancer goes on until no packet came for this long.
 QUIET_S = 1.0
 QUIET_CHECK_S = 0.1
+#: An address that could not be bound is tried again this often.
+BIND_INTERVAL_S = 5.0
 
 
 def own_record(settings: BalancerSettings, incarnation: int):
@@ -91,6 +99,7 @@
         self.is_leaving = False
         self._services: set[str] = set()
         self._runner: web.AppRunner | None = None
+        self._binding: DisposableBase | None = None
 
     async def start(self) -> None:
         """Join the other balancers and forward packets."""
@@ -98,6 +107,14 @@
         await self._start_admin()
         await self.server.start()
         await self.reader.start()
+        scheduler = AsyncIOScheduler(asyncio.get_running_loop())
+        self._binding = reactivex.interval(
+            BIND_INTERVAL_S, scheduler=scheduler
+        ).subscribe(
+            lambda _: self.forwarder.set_entries(
+                self.catalogue.entries().values()
+            )
+        )
         log(
             Severity.INFO,
             'balancer.started',
@@ -179,6 +196,8 @@
 
     async def stop(self) -> None:
         """Close everything."""
+        if self._binding is not None:
+            self._binding.dispose()
         await self.reader.stop()
         await self.server.stop()
         if self._runner is not None:
@@ -200,7 +219,17 @@
     stop.install()
     balancer = Balancer(settings)
     await balancer.start()
-    await stop.wait()
+    await first_of(
+        stop.wait(), until(lambda: balancer.server.core.is_superseded)
+    )
+    if balancer.server.core.is_superseded:
+        log(
+            Severity.ERROR,
+            'balancer.superseded',
+            balancer=settings.balancer_id,
+            remedy='give each process a balancer_id of its own',
+        )
+        raise SystemExit(EXIT_FAILED)
     await balancer.leave()
     await balancer.stop()
 
--- a/ibispitch/membership/server.py
+++ b/ibispitch/membership/server.py
@@ -332,6 +332,10 @@
             self._reject(error.fault.value)
         except OSError:
             self._metrics.count('membership.streams_broken')
+        except asyncio.CancelledError:
+            # Only :meth:`stop` cancels it. The stream server would report
+            # the cancellation as an error.
+            pass
         finally:
             writer.transport.abort()
 
--- a/ibispitch/program.py
+++ b/ibispitch/program.py
@@ -16,8 +16,10 @@
 import ibispitch
 from ibispitch.settings import load
 
+EXIT_FAILED = 1
 EXIT_SETTINGS = 2
 EXIT_INTERRUPTED = 130
+CHECK_INTERVAL_S = 0.5
 
 
 class StopRequest:
@@ -46,6 +48,21 @@
         await self._event.wait()
 
 
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds; it is checked twice a second."""
+    while not condition():
+        await asyncio.sleep(CHECK_INTERVAL_S)
+
+
+async def first_of(*waits: Awaitable[Any]) -> None:
+    """Wait until one of several waits ends, and cancel the others."""
+    tasks = [asyncio.ensure_future(wait) for wait in waits]
+    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 def load_or_exit(path: str, settings_type: type) -> Any:
     """Load a settings file; print one line and exit with 2 on a fault."""
     result = load(path, settings_type)
--- a/ibispitch/requests/datagram.py
+++ b/ibispitch/requests/datagram.py
@@ -32,6 +32,10 @@
         self._settings = settings
         self._last_seen: dict[bytes, float] = {}
 
+    def set_settings(self, settings: GateSettings) -> None:
+        """Use other deadlines and timeouts from now on."""
+        self._settings = settings
+
     def on_caller(
         self, flow: FlowId, datagram: bytes, now: float
     ) -> Sequence[Effect]:
--- a/ibispitch/requests/registry.py
+++ b/ibispitch/requests/registry.py
@@ -65,6 +65,9 @@
     def adopt_flow(self, data: bytes, now: float) -> Sequence[Effect]:
         """Take over a flow that another agent exported."""
 
+    def set_settings(self, settings: GateSettings) -> None:
+        """Use other deadlines and timeouts from now on."""
+
     def tick(self, now: float) -> Sequence[Effect]:
         """Do what is due; call it at least every 50 ms."""
 
--- a/ibispitch/requests/runs.py
+++ b/ibispitch/requests/runs.py
@@ -97,6 +97,10 @@
         self._handed_over = False
         self._slot_freed = False
 
+    def set_settings(self, settings: GateSettings) -> None:
+        """Use other deadlines and timeouts from now on."""
+        self._settings = settings
+
     def _emit(self, effect: Effect) -> None:
         self._effects.append(effect)
 
@@ -384,7 +388,9 @@
             self._callers.answer(waiter, coap.decode(detached), now)
         self._emit(
             Measure(
-                'gate_request_s', now - job.received, (('outcome', outcome),)
+                'gate.request.latency',
+                now - job.received,
+                (('outcome', outcome),),
             )
         )
 
