--- a/ibispitch/affinity/core.py
+++ b/ibispitch/affinity/core.py
@@ -88,6 +88,9 @@
     :param number: number of the service.
     :param placement: chooses the owners of new flows.
     :param accepts: tells whether this agent can bear a new flow at a time.
+    :param opens_flow: tells whether the payload of a packet can open a flow.
+        Others are dropped instead of adopted: an acknowledgement for an agent
+        that is thought lost must not give its flow another owner.
     """
 
     def __init__(
@@ -96,12 +99,14 @@
         number: ServiceNumber,
         placement: Placement,
         accepts: Callable[[float], bool] = lambda now: True,
+        opens_flow: Callable[[Any], bool] = lambda payload: True,
     ):
         self._self_id = own.agent_id
         self._own = own
         self._number = number
         self._placement = placement
         self._accepts = accepts
+        self._opens_flow = opens_flow
         self._flows = OwnedFlows()
         self._releases = Releases()
         self._transfer = SlotTransfer(own, number, self._flows)
@@ -408,6 +413,9 @@
 
     def _place(self, packet: Packet, slot: int, now: float) -> None:
         """Choose the owner of an unknown flow."""
+        if not self._opens_flow(packet.payload):
+            self._drop(packet, DropReason.NO_FLOW)
+            return
         excluded, _ = self._excluded.get(packet.flow, (set(), 0.0))
         candidates = [
             agent
--- a/ibispitch/affinity/effects.py
+++ b/ibispitch/affinity/effects.py
@@ -71,6 +71,7 @@
     HOP_LIMIT = 'hop_limit'
     NO_HOME = 'no_home'
     NO_CANDIDATE = 'no_candidate'
+    NO_FLOW = 'no_flow'
     BUFFER_FULL = 'buffer_full'
     HELD_TOO_LONG = 'held_too_long'
     BOUNCED = 'bounced'
--- a/ibispitch/agent/service.py
+++ b/ibispitch/agent/service.py
@@ -74,6 +74,7 @@
             service_number(record.service),
             self.admission.placement,
             self._accepts_flow,
+            lambda frame: self.gate.opens_flow(frame.payload),
         )
         self.share_reports: list[ShareReport] = []
 
--- a/ibispitch/requests/core.py
+++ b/ibispitch/requests/core.py
@@ -35,6 +35,10 @@
 from ibispitch.requests.runs import entry_point
 from ibispitch.requests.runs import RETRY_AFTER_S
 
+#: Bytes of the fixed part of a CoAP header.
+HEADER_BYTES = 4
+#: Codes of requests are below it (RFC 7252, section 12.1).
+FIRST_RESPONSE_CODE = 32
 #: Requests of one caller that wait for the same run.
 MAX_WAITERS = 8
 #: Incarnations whose Echo values a chain of successors accepts.
@@ -63,6 +67,24 @@
 
     # Callers
 
+    @staticmethod
+    def opens_flow(datagram: bytes) -> bool:
+        """Tell whether a datagram can be the first one of a flow.
+
+        Only a request can; acknowledgements and resets belong to an agent
+        that sent something, and anything else is malformed.
+
+        >>> CoapGate.opens_flow(bytes.fromhex('40010001'))
+        True
+        >>> CoapGate.opens_flow(bytes.fromhex('60000001'))
+        False
+        """
+        return (
+            len(datagram) >= HEADER_BYTES
+            and datagram[0] >> 6 == 1
+            and 0 < datagram[1] < FIRST_RESPONSE_CODE
+        )
+
     @entry_point
     def on_caller(
         self, flow: FlowId, datagram: bytes, now: float, relayed: bool = False
--- a/ibispitch/requests/datagram.py
+++ b/ibispitch/requests/datagram.py
@@ -36,6 +36,11 @@
         """Use other deadlines and timeouts from now on."""
         self._settings = settings
 
+    @staticmethod
+    def opens_flow(datagram: bytes) -> bool:
+        """Tell whether a datagram can be the first one of a flow."""
+        return True
+
     def on_caller(
         self, flow: FlowId, datagram: bytes, now: float
     ) -> Sequence[Effect]:
--- a/ibispitch/requests/registry.py
+++ b/ibispitch/requests/registry.py
@@ -39,6 +39,10 @@
 class Gate(Protocol):
     """What the agent asks of every gate."""
 
+    @staticmethod
+    def opens_flow(datagram: bytes) -> bool:
+        """Tell whether a datagram can be the first one of a flow."""
+
     def on_caller(
         self, flow: FlowId, datagram: bytes, now: float
     ) -> Sequence[Effect]:
--- a/ibispitch/requests/runs.py
+++ b/ibispitch/requests/runs.py
@@ -386,13 +386,10 @@
             self._records.set_answer(part, detached)
         for waiter in job.waiters:
             self._callers.answer(waiter, coap.decode(detached), now)
-        self._emit(
-            Measure(
-                'gate.request.latency',
-                now - job.received,
-                (('outcome', outcome),),
-            )
-        )
+        labels = (('outcome', outcome),)
+        self._emit(Measure('gate.request.latency', now - job.received, labels))
+        self._emit(Measure('gate.request.size', len(job.datagram), labels))
+        self._emit(Measure('gate.answer.size', len(detached), labels))
 
     def _finished(self, job: Job, outcome: RunOutcome, now: float) -> None:
         self._slot_freed = True
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -149,7 +149,11 @@
     names = found(METRIC)
     for group in found(GAUGES):
         names |= {f'balancer.{n}' for n in re.findall(r"'(\w+)'", group)}
-    assert {'balancer.packets', 'gate_refusals', 'gate_request_s'} <= names
+    assert {
+        'balancer.packets',
+        'gate_refusals',
+        'gate.request.latency',
+    } <= names
     assert {'balancer.taken_in', 'balancer.sent_back'} <= names
     assert not {name for name in names if not is_named(name)}
 
