Find metrics with two dots in the check of the operators' page

Cause: the check missed gate.request.latency, whose name has two dots.

Change: the expression accepts any number of parts; it finds more than before.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -22,7 +22,8 @@
 }
 EVENT = re.compile(r"\blog\(\s*Severity\.[^']*?'([a-z_.]+)'")
 METRIC = re.compile(
-    r"(?:[cC]ounts?|Measure|record)\(\s*'((?:gate_|[a-z]+\.)[a-z_]+)'"
+    r'(?:[cC]ounts?|Measure|record)\(\s*'
+    r"'((?:gate_[a-z_]+|[a-z]+(?:\.[a-z_]+)+))'"
 )
 GAUGES = re.compile(r'for read in \(([^)]*)\)')
 SETTING = re.compile(r'^    ([a-z_]+): ', re.MULTILINE)
