--- a/tests/membership/test_views.py
+++ b/tests/membership/test_views.py
@@ -17,7 +17,7 @@
 from ibispitch.spread import Item
 from ibispitch.telemetry import Metrics
 from ibispitch.wire import Keyring
-from tests.simulation import balancer_record
+from testbed.gossip import balancer_record
 
 OUT = b"""{"edit": {"edit_id": "1", "operator": "o", "time": ""},
 "edit_ids": ["1"], "datacentre": {"name": "accra", "state": "out"}}"""
