Shorten the roles of the packet-path measurement

Cause: the same call of a role stood five times with its command line spelled out.

Change: one function builds the command line; one runs a caller beside an answering agent.

--- a/testbed/bench_datapath.py
+++ b/testbed/bench_datapath.py
@@ -42,6 +42,8 @@
 SENDERS = 2
 PING_S = 1.0
 OPENERS = 4
+#: Time in which the flows are opened and counted.
+OPEN_S = 25.0
 FLOWS_HELD = 300_000
 
 #: The targets of section 1.6 of docs/design.md.
@@ -71,12 +73,21 @@
     cpu_us: float
 
 
-async def role(*arguments: str) -> dict:
-    """Run a role of ``testbed.datapath`` and return what it printed."""
+async def role(name: str, **options: object) -> dict:
+    """Run a role of ``testbed.datapath`` and return what it printed.
+
+    :param options: its command-line options.
+    """
+    arguments = [
+        text
+        for option, value in options.items()
+        for text in (f'--{option}', str(value))
+    ]
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         '-m',
         'testbed.datapath',
+        name,
         *arguments,
         cwd=ROOT,
         stdout=subprocess.PIPE,
@@ -94,25 +105,16 @@
     """Measure the direction from callers to the agent."""
     before = _cpu_s(relay.process)
     sink = asyncio.ensure_future(
-        role(
-            'sink',
-            '--bind',
-            str(relay.agent),
-            '--seconds',
-            str(LOAD_S + 3 * MARGIN_S),
-        )
+        role('sink', bind=relay.agent, seconds=LOAD_S + 3 * MARGIN_S)
     )
     await asyncio.sleep(MARGIN_S)
     await asyncio.gather(
         *(
             role(
                 'send',
-                '--target',
-                str(relay.front),
-                '--ip',
-                f'127.{NETWORK}.7.{index + 1}',
-                '--seconds',
-                str(LOAD_S),
+                target=relay.front,
+                ip=f'127.{NETWORK}.7.{index + 1}',
+                seconds=LOAD_S,
             )
             for index in range(SENDERS)
         )
@@ -121,33 +123,36 @@
     return _rate(result, _cpu_s(relay.process) - before)
 
 
-async def reply_rate(relay: Relay, key: bytes, caller: int) -> Rate:
-    """Measure the direction from the agent to a caller."""
-    before = _cpu_s(relay.process)
-    flood = asyncio.ensure_future(
+async def beside_agent(
+    agent_role: str, seconds: float, relay: Relay, key: bytes, call
+) -> dict:
+    """Run a caller's role beside a role that answers at the agent."""
+    answering = asyncio.ensure_future(
         role(
-            'flood',
-            '--format',
-            relay.format,
-            '--key',
-            key.hex(),
-            '--bind',
-            str(relay.agent),
-            '--seconds',
-            str(LOAD_S + 2 * MARGIN_S),
+            agent_role,
+            format=relay.format,
+            key=key.hex(),
+            bind=relay.agent,
+            seconds=seconds,
         )
     )
     await asyncio.sleep(MARGIN_S)
-    result = await role(
+    result = await call
+    await answering
+    return result
+
+
+async def reply_rate(relay: Relay, key: bytes, number: int) -> Rate:
+    """Measure the direction from the agent to a caller."""
+    before = _cpu_s(relay.process)
+    seconds = LOAD_S + 2 * MARGIN_S
+    call = role(
         'call',
-        '--target',
-        str(relay.front),
-        '--bind',
-        f'127.{NETWORK}.7.9:{4000 + caller}',
-        '--seconds',
-        str(LOAD_S + 2 * MARGIN_S),
+        target=relay.front,
+        bind=f'127.{NETWORK}.7.9:{4000 + number}',
+        seconds=seconds,
     )
-    await flood
+    result = await beside_agent('flood', seconds, relay, key, call)
     return _rate(result, _cpu_s(relay.process) - before)
 
 
@@ -158,33 +163,16 @@
     )
 
 
-async def round_trip(relay: Relay, key: bytes, caller: int) -> dict:
+async def round_trip(relay: Relay, key: bytes, number: int) -> dict:
     """Measure round trips, one at a time."""
-    echo = asyncio.ensure_future(
-        role(
-            'echo',
-            '--format',
-            relay.format,
-            '--key',
-            key.hex(),
-            '--bind',
-            str(relay.agent),
-            '--seconds',
-            str(PING_S + 3 * MARGIN_S),
-        )
-    )
-    await asyncio.sleep(MARGIN_S)
-    result = await role(
+    call = role(
         'ping',
-        '--target',
-        str(relay.front),
-        '--bind',
-        f'127.{NETWORK}.7.9:{5000 + caller}',
-        '--seconds',
-        str(PING_S),
+        target=relay.front,
+        bind=f'127.{NETWORK}.7.9:{5000 + number}',
+        seconds=PING_S,
     )
-    await echo
-    return result
+    seconds = PING_S + 3 * MARGIN_S
+    return await beside_agent('echo', seconds, relay, key, call)
 
 
 async def open_many(relay: Relay, flows: int) -> tuple[float, int]:
@@ -195,7 +183,7 @@
     """
     before = relay.process.memory_info().rss
     sink = asyncio.ensure_future(
-        role('sink', '--bind', str(relay.agent), '--seconds', '25')
+        role('sink', bind=relay.agent, seconds=OPEN_S)
     )
     await asyncio.sleep(MARGIN_S)
     share = flows // OPENERS
@@ -203,12 +191,9 @@
         *(
             role(
                 'open',
-                '--target',
-                str(relay.front),
-                '--flows',
-                str(share),
-                '--first',
-                str(index * share),
+                target=relay.front,
+                flows=share,
+                first=index * share,
             )
             for index in range(OPENERS)
         )
