Name the incarnation of the receiver in a moved flow

Cause: a receiver that crashed after it had adopted a flow and run a request, and was started again before its answer arrived, adopted the repeated export anew and could run the request a second time.

Ruled out: a refusal by the new process; the sender would give the same export to a third agent.

Before: the restarted receiver adopted the copy.

--- a/ibispitch/affinity/core.py
+++ b/ibispitch/affinity/core.py
@@ -612,7 +612,8 @@
         :param data: the flow as the gate exported it; the gate must not act
             for it any more.
         """
-        self._moves.start(flow, to, data, now)
+        incarnation = self._peers.incarnation_of(to)
+        self._moves.start(flow, to, incarnation, data, now)
         self._send_moves(now)
         return self._finish(now)
 
@@ -621,7 +622,9 @@
             if move.is_refused:
                 self._choose_receiver(flow, move.data, now)
             elif move.data:
-                self._transfer.send(move.to, FlowMove(flow, move.data))
+                self._transfer.send(
+                    move.to, FlowMove(flow, move.data, move.incarnation)
+                )
             else:
                 self._redirect(flow, move.to, self._self_id)
         for flow, former in self._moves.due_adoptions(now):
@@ -640,8 +643,9 @@
         """Send a refused flow to an agent that has not refused it."""
         target = self.move_target(now, flow)
         if target is not None:
-            self._moves.start(flow, target, data, now + RETRY_S)
-            self._transfer.send(target, FlowMove(flow, data))
+            incarnation = self._peers.incarnation_of(target)
+            self._moves.start(flow, target, incarnation, data, now + RETRY_S)
+            self._transfer.send(target, FlowMove(flow, data, incarnation))
 
     def _redirect(self, flow: FlowId, owner: AgentId, former: AgentId) -> None:
         """Tell the authority who owns a flow now."""
@@ -659,6 +663,10 @@
 
     def _on_move(self, sender: AgentId, message: FlowMove, now: float) -> None:
         """Adopt a flow that its owner gives to this agent."""
+        if message.incarnation != self._own.incarnation:
+            # The flow is lost rather than run requests twice.
+            self.counts['moves_to_former_process'] += 1
+            return
         flow = message.flow
         slot = slot_of(self._number, flow)
         # A copy is confirmed even if the flow has ended or moved on: after
--- a/ibispitch/affinity/messages.py
+++ b/ibispitch/affinity/messages.py
@@ -164,10 +164,14 @@
     """Gives a flow to the receiver; repeated until it is answered.
 
     :param data: the flow as the sender's agent exported it.
+    :param incarnation: incarnation of the receiver that is meant. A process
+        that was started since then does not know whether the former one
+        has adopted the export and run requests of it.
     """
 
     flow: FlowId
     data: bytes
+    incarnation: int
 
 
 @control_message('affinity.moved')
--- a/ibispitch/affinity/moves.py
+++ b/ibispitch/affinity/moves.py
@@ -32,6 +32,7 @@
     """A flow that its receiver or the authority has not confirmed.
 
     :param to: the receiver.
+    :param incarnation: incarnation of the receiver.
     :param data: exported flow, empty once the receiver has it.
     :param until: time at which it is given up, in seconds.
     :param due: time of the next message, in seconds.
@@ -40,6 +41,7 @@
     """
 
     to: AgentId
+    incarnation: int
     data: bytes
     until: float
     due: float
@@ -86,11 +88,21 @@
         return move is not None and bool(move.data)
 
     def start(
-        self, flow: FlowId, to: AgentId, data: bytes, now: float
+        self,
+        flow: FlowId,
+        to: AgentId,
+        incarnation: int,
+        data: bytes,
+        now: float,
     ) -> None:
-        """Send a flow to an agent."""
+        """Send a flow to an agent.
+
+        :param incarnation: the present incarnation of the agent.
+        """
         self._target_by_flow[flow] = to
-        self._move_by_flow[flow] = Move(to, data, now + GIVE_UP_S, now)
+        self._move_by_flow[flow] = Move(
+            to, incarnation, data, now + GIVE_UP_S, now
+        )
 
     def confirmed(self, flow: FlowId, by: AgentId, now: float) -> bool:
         """Note that the receiver has a flow; false if it was known."""
@@ -138,7 +150,9 @@
         """Tell the authority once more who owns a flow that left."""
         if flow not in self._move_by_flow:
             target = self._target_by_flow[flow]
-            self._move_by_flow[flow] = Move(target, b'', now + GIVE_UP_S, now)
+            self._move_by_flow[flow] = Move(
+                target, 0, b'', now + GIVE_UP_S, now
+            )
 
     def forget(self, flow: FlowId) -> None:
         """Forget a flow whose receiver is gone."""
--- a/ibispitch/affinity/peers.py
+++ b/ibispitch/affinity/peers.py
@@ -104,6 +104,11 @@
         out = self._out.get(agent)
         return out.address if out else None
 
+    def incarnation_of(self, agent: AgentId) -> int:
+        """Return the incarnation of a peer, 0 if it is unknown."""
+        peer = self.by_id.get(agent)
+        return peer.info.incarnation if peer is not None else 0
+
     def agent_at(self, address: Address) -> AgentId | None:
         """Return the peer that has an address."""
         return self._id_by_address.get(address)
--- a/tests/affinity/test_moves.py
+++ b/tests/affinity/test_moves.py
@@ -249,6 +249,23 @@
     assert net.moves_sent.total() <= 3
 
 
+def _incarnation(net, agent):
+    return net.core(agent)._own.incarnation
+
+
+def test_restarted_receiver_does_not_adopt():
+    """A process started since then may have run requests of the flow."""
+    net = network()
+    flow = moving_flow(net)
+    drain(net)
+    data = b'export'
+    former = _incarnation(net, NEW) - 1
+    net.deliver(NEW, OLD, FlowMove(flow, data, former))
+    net.run(0.5)
+    assert not net.core(NEW).owns(flow)
+    assert not net.adopters.get(data)
+
+
 def test_late_copy_after_a_refusal_is_not_adopted():
     """Guards against a second owner by a copy from before the refusal."""
     net = network()
@@ -259,7 +276,7 @@
     net.run(0.5)
     assert net.adopters[data] in ([THIRD], [OTHER])
     net.core(NEW)._accepts = lambda now: True
-    net.deliver(NEW, OLD, FlowMove(flow, data))
+    net.deliver(NEW, OLD, FlowMove(flow, data, _incarnation(net, NEW)))
     check_ends_at(net, flow, net.adopters[data][0])
 
 
