Bound the imbalance after a return, and note a failed try to meet it

Cause: the flows of a returned data centre stay at 1.53 times the mean, as established flows do not move (bound 1.25 within 10 s of a change). The figure was printed without its bound.

Tried and reverted: agents with over 1.1 times the mean of flows gave up to 10 flows with each load report to peers below the mean, until 1.03. Drains, which use the same moves, break none, so that the fault lies in moves from an agent that stays authority of the slot or that gets a flow back; the cause was not found.

Conclusion: find the cause with the state machine of moves, then give flows away.

--- a/testbed/bench_processes.py
+++ b/testbed/bench_processes.py
@@ -299,12 +299,7 @@
         await self._add_imbalance('after_out', CHANGED_BOUND, hosts)
         await self.scenario.editor.back(name)
         await self._change('datacentre_back', asyncio.sleep(CHANGE_S))
-        # Established flows stay where they are; only new ones can fill the
-        # upstreams that are back.
-        ratio = await self._imbalance()
-        self._add(
-            informative('processes.imbalance_after_return', ratio, 'ratio')
-        )
+        await self._add_imbalance('after_return', CHANGED_BOUND)
 
     async def _finish(self) -> None:
         await self.scenario.stop_load()
