--- a/testbed/callers.py
+++ b/testbed/callers.py
@@ -21,17 +21,11 @@
 from aiocoap import UNAUTHORIZED
 from aiocoap.error import UnparsableMessage
 from aiocoap.numbers.codes import Code
-from aiocoap.numbers.optionnumbers import OptionNumber
-from aiocoap.optiontypes import OpaqueOption
-from aiocoap.optiontypes import UintOption
 
 from ibispitch.ids import Address
+from ibispitch.requests import coap
 from ibispitch.wire.sockets import DatagramSocket
 
-REQUEST_ID = 65004
-DEADLINE_MS = 65008
-OUTCOME = 65012
-
 ACK_TIMEOUT_S = 1.0
 MAX_RETRANSMIT = 4
 CALLER_BUFFER_BYTES = 1 << 17
@@ -198,12 +192,8 @@
             self._acked.discard(message.mid)
 
     def _options(self, message, request_id, timeout_s, echo) -> None:
-        message.opt.add_option(
-            OpaqueOption(OptionNumber(REQUEST_ID), request_id)
-        )
-        message.opt.add_option(
-            UintOption(OptionNumber(DEADLINE_MS), int(timeout_s * 1000))
-        )
+        coap.set_opaque_option(message, coap.REQUEST_ID, request_id)
+        coap.set_uint_option(message, coap.DEADLINE_MS, int(timeout_s * 1000))
         if echo is not None:
             message.opt.echo = echo
 
@@ -252,13 +242,9 @@
             return Answer(Outcome.NO_ANSWER, request_id)
         if response.code.is_successful():
             return Answer(Outcome.RESULT, request_id, response.payload)
-        marks = [
-            int.from_bytes(option.encode(), 'big')
-            for option in response.opt.option_list()
-            if option.number == OUTCOME
-        ]
+        mark = coap.uint_option(response, coap.OUTCOME)
         outcome = {1: Outcome.NOT_RUN, 2: Outcome.UNKNOWN}.get(
-            marks[0] if marks else 0, Outcome.ERROR
+            mark, Outcome.ERROR
         )
         return Answer(
             outcome,
