--- a/ibispitch/agent/datapath.py
+++ b/ibispitch/agent/datapath.py
@@ -28,6 +28,7 @@
 from ibispitch.agent.service import ServiceCores
 from ibispitch.agent.upstream import UpstreamSockets
 from ibispitch.catalogue.documents import Entry
+from ibispitch.datagrams import DatagramSocket
 from ibispitch.ids import Address
 from ibispitch.ids import AgentId
 from ibispitch.ids import FlowId
@@ -52,7 +53,6 @@
 from ibispitch.wire import Keyring
 from ibispitch.wire import NO_ADDRESS
 from ibispitch.wire import WireError
-from ibispitch.wire.sockets import DatagramSocket
 
 RUN_MESSAGES = (RunRequest, RunReply, RunCancel, IssuedRequest)
 
--- a/ibispitch/agent/peers.py
+++ b/ibispitch/agent/peers.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from typing import Any
 
+from ibispitch.datagrams import DatagramSocket
 from ibispitch.ids import Address
 from ibispitch.ids import AgentId
 from ibispitch.ids import flow_id
@@ -15,7 +16,6 @@
 from ibispitch.wire import FrameKind
 from ibispitch.wire import Keyring
 from ibispitch.wire import NO_ADDRESS
-from ibispitch.wire.sockets import DatagramSocket
 
 
 class Peers:
--- a/ibispitch/agent/upstream.py
+++ b/ibispitch/agent/upstream.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from collections.abc import Hashable
 
+from ibispitch.datagrams import DatagramSocket
 from ibispitch.ids import Address
-from ibispitch.wire.sockets import DatagramSocket
 
 #: Socket buffers of one flow; a few datagrams of a blockwise transfer.
 FLOW_BUFFER_BYTES = 1 << 17
--- a/ibispitch/balancer/forwarder.py
+++ b/ibispitch/balancer/forwarder.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from ibispitch.catalogue.documents import Entry
+from ibispitch.datagrams import DatagramSocket
 from ibispitch.ids import Address
 from ibispitch.ids import flow_address
 from ibispitch.ids import flow_id
@@ -28,7 +29,6 @@
 from ibispitch.wire.frames import MAGIC
 from ibispitch.wire.frames import NO_ADDRESS
 from ibispitch.wire.frames import VERSION
-from ibispitch.wire.sockets import DatagramSocket
 
 Route = Callable[[ServiceNumber, FlowId], tuple[str, int] | None]
 
--- /dev/null
+++ b/ibispitch/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of balancers and agents by status messages."""
--- /dev/null
+++ b/ibispitch/fleet/core.py
@@ -0,0 +1,211 @@
+"""What a process knows of the balancers and agents of the fleet.
+
+Everything rests on status messages that the processes send each other;
+nothing is kept in the store but the addresses of balancers. A process that
+falls silent is not used for new flows after :data:`SUSPECT_S` and is
+forgotten after :data:`FORGET_S`.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from itertools import islice
+
+from ibispitch.fleet.messages import AgentState
+from ibispitch.fleet.messages import AgentStatus
+from ibispitch.fleet.messages import BalancerStatus
+from ibispitch.ids import ServiceName
+
+#: Interval of status messages to each process that is known. A quarter of
+#: the shortest objective that users have stated (100 ms to 500 ms) would
+#: cost 4 KB/s with 60 agents; 0.4 s keeps it under 1 KB/s.
+STATUS_INTERVAL_S = 0.4
+#: Silence after which a process gets no new flows: two lost messages and
+#: the time of a busy event loop.
+SUSPECT_S = 1.0
+#: Silence after which flows of an agent are given up, unless it said that
+#: it restarts: longer than a killed process takes to come back (about 1.5 s
+#: with the start of the interpreter).
+LOST_S = 2.5
+#: How long a restarting agent's flows are kept: the longest grace time of a
+#: stop (6 s) and the start.
+RESTART_S = 8.0
+#: Silence after which a process is forgotten; a partition that heals before
+#: needs no new introduction.
+FORGET_S = 30.0
+#: Most processes that one round of status messages addresses.
+MAX_ROUND = 64
+
+
+class AgentView:
+    """An agent as this process sees it.
+
+    :param ip: IP number of the agent.
+    """
+
+    __slots__ = ('heard_at', 'ip', 'is_mute', 'sent', 'status')
+
+    def __init__(self, ip: str, status: AgentStatus, now: float):
+        self.ip = ip
+        self.status = status
+        self.heard_at = now
+        #: New flows forwarded since the last status.
+        self.sent = 0
+        #: Whether a copy of an opening showed that the agent is silent.
+        self.is_mute = False
+
+    @property
+    def load(self) -> float:
+        """Requests in progress for each slot, as far as is known."""
+        return (self.status.running + self.sent) / max(1, self.status.slots)
+
+
+class BalancerView:
+    """A balancer as this process sees it."""
+
+    __slots__ = ('heard_at', 'ip', 'status')
+
+    def __init__(self, ip: str, status: BalancerStatus | None, now: float):
+        self.ip = ip
+        self.status = status
+        self.heard_at = now
+
+
+def _is_older(new, old) -> bool:
+    return (new.started_ms, new.number) <= (old.started_ms, old.number)
+
+
+class Fleet:
+    """Balancers and agents that are known, by their IP numbers."""
+
+    def __init__(self, own_ip: str):
+        self._own_ip = own_ip
+        self.agents_by_ip: dict[str, AgentView] = {}
+        self.balancers_by_ip: dict[str, BalancerView] = {}
+        self._ips_by_service: dict[ServiceName, set[str]] = {}
+        self._round_at = 0
+
+    def hear_agent(
+        self, ip: str, status: AgentStatus, now: float
+    ) -> AgentStatus | None:
+        """Take in the status of an agent.
+
+        :returns: the status that was known before; the new one itself if it
+            is older than that and was ignored; ``None`` for a new agent.
+        """
+        view = self.agents_by_ip.get(ip)
+        if view is None:
+            self.agents_by_ip[ip] = AgentView(ip, status, now)
+            self._ips_by_service.setdefault(status.service, set()).add(ip)
+            return None
+        former = view.status
+        if _is_older(status, former):
+            return status
+        if former.service != status.service:
+            self._ips_by_service[former.service].discard(ip)
+            self._ips_by_service.setdefault(status.service, set()).add(ip)
+        view.status = status
+        view.heard_at = now
+        view.sent = 0
+        view.is_mute = False
+        return former
+
+    def hear_balancer(
+        self, ip: str, status: BalancerStatus, now: float
+    ) -> bool:
+        """Take in the status of a balancer.
+
+        :returns: whether it was not known, or is a new process.
+        """
+        for known in status.balancers:
+            self.introduce(known, now)
+        view = self.balancers_by_ip.get(ip)
+        if status.is_leaving:
+            self.balancers_by_ip.pop(ip, None)
+            return False
+        if view is None:
+            self.balancers_by_ip[ip] = BalancerView(ip, status, now)
+            return True
+        former = view.status
+        if former is not None and _is_older(status, former):
+            return False
+        view.status = status
+        view.heard_at = now
+        return former is None or former.started_ms != status.started_ms
+
+    def introduce(self, ip: str, now: float) -> None:
+        """Add a balancer of which only the address is known."""
+        if ip != self._own_ip and ip not in self.balancers_by_ip:
+            self.balancers_by_ip[ip] = BalancerView(ip, None, now)
+
+    def agents_of(self, service: ServiceName) -> Iterator[AgentView]:
+        """Return the agents of a service that are not forgotten."""
+        by_ip = self.agents_by_ip
+        return (by_ip[ip] for ip in self._ips_by_service.get(service, ()))
+
+    def hears(self, view: AgentView | BalancerView, now: float) -> bool:
+        """Return whether a process was heard a short time ago."""
+        return view.status is not None and now - view.heard_at < SUSPECT_S
+
+    def heard_balancers(self, now: float) -> list[BalancerView]:
+        """Return the balancers that were heard a short time ago."""
+        return [
+            view
+            for view in self.balancers_by_ip.values()
+            if self.hears(view, now)
+        ]
+
+    def has_ended(self, ip: str, incarnation: int, now: float) -> bool:
+        """Return whether the flows of an upstream are certainly lost.
+
+        True if its agent says that the upstream has ended or is another
+        one, or if the agent has been silent for long while most others are
+        heard: then it is not this process that is cut off.
+        """
+        view = self.agents_by_ip.get(ip)
+        if view is None:
+            return False
+        status = view.status
+        if status.incarnation not in (0, incarnation):
+            return True
+        if status.state is AgentState.ENDED:
+            return status.incarnation == incarnation
+        silence = now - view.heard_at
+        limit = RESTART_S if status.state is AgentState.RESTARTING else LOST_S
+        return silence > limit and self._hears_most(now)
+
+    def _hears_most(self, now: float) -> bool:
+        views = self.agents_by_ip.values()
+        recent = [v for v in views if now - v.heard_at < RESTART_S]
+        heard = sum(now - view.heard_at < SUSPECT_S for view in recent)
+        return 2 * heard > len(recent)
+
+    def forget(self, now: float) -> list[str]:
+        """Drop processes that have been silent for long.
+
+        :returns: their IP numbers.
+        """
+        silent = [
+            view
+            for by_ip in (self.agents_by_ip, self.balancers_by_ip)
+            for view in by_ip.values()
+            if now - view.heard_at > FORGET_S
+        ]
+        for view in silent:
+            if isinstance(view, AgentView):
+                del self.agents_by_ip[view.ip]
+                self._ips_by_service[view.status.service].discard(view.ip)
+            else:
+                del self.balancers_by_ip[view.ip]
+        return [view.ip for view in silent]
+
+    def next_round(self, ips: Iterable[str]) -> list[str]:
+        """Return the processes that the next status message goes to.
+
+        All of a small fleet; of a large one a part, in rotation.
+        """
+        ordered = sorted(ips)
+        if len(ordered) <= MAX_ROUND:
+            return ordered
+        start = self._round_at % len(ordered)
+        self._round_at = start + MAX_ROUND
+        return list(islice(ordered + ordered, start, start + MAX_ROUND))
--- /dev/null
+++ b/ibispitch/fleet/messages.py
@@ -0,0 +1,100 @@
+"""Status messages of balancers and agents.
+
+They are msgpack arrays in datagrams, encoded with a tag for their type.
+"""
+
+import enum
+
+import msgspec
+
+from ibispitch.ids import DatacentreName
+from ibispitch.ids import ServiceName
+
+
+class AgentState(enum.IntEnum):
+    """Whether an upstream takes new flows, as its agent says."""
+
+    #: The agent has not heard from its upstream since it started.
+    UNKNOWN = 0
+    READY = 1
+    #: The upstream finishes its flows and leaves.
+    DRAINING = 2
+    #: The upstream is silent; its flows may still be served.
+    SILENT = 3
+    #: The upstream has ended, and its flows with it.
+    ENDED = 4
+    #: The agent's process stops and is expected back; flows live on.
+    RESTARTING = 5
+
+
+class AgentStatus(msgspec.Struct, frozen=True, array_like=True, tag='agent'):
+    """State and load of an agent and its upstream.
+
+    :param started_ms: start of the agent's process, Unix time.
+    :param number: counts the messages of this process.
+    :param incarnation: identifies the start of the upstream, 0 for none.
+    :param slots: requests that the upstream runs at a time.
+    :param running: requests that the upstream runs or has waiting.
+    :param long_flows: open flows on which more requests may come.
+    :param cold_openings: new flows that it bears now, ``None`` if warm.
+    :param revision: revision of the agent's routes.
+    :param wants_answer: whether the receiver is asked for its own status.
+    """
+
+    datacentre: DatacentreName
+    service: ServiceName
+    started_ms: int
+    number: int
+    incarnation: int
+    state: AgentState
+    slots: int
+    running: int
+    long_flows: int
+    cold_openings: int | None
+    revision: int
+    wants_answer: bool
+
+
+class BalancerStatus(
+    msgspec.Struct, frozen=True, array_like=True, tag='balancer'
+):
+    """Routes and acquaintances of a balancer.
+
+    :param started_ms: start of the process, Unix time.
+    :param number: counts the messages of this process.
+    :param revision: revision of its routes, 0 for none.
+    :param age_s: time since the store confirmed these routes.
+    :param is_leaving: whether the process stops.
+    :param balancers: IP numbers of the balancers that it hears.
+    :param agents: IP numbers of agents that it hears; sent to balancers.
+    :param wants_answer: whether the receiver is asked for its own status.
+    """
+
+    datacentre: DatacentreName
+    started_ms: int
+    number: int
+    revision: int
+    age_s: float
+    is_leaving: bool
+    balancers: tuple[str, ...]
+    agents: tuple[str, ...]
+    wants_answer: bool
+
+
+Status = AgentStatus | BalancerStatus
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Status)
+
+
+def encode_status(status: Status) -> bytes:
+    """Return the datagram of a status message."""
+    return _encoder.encode(status)
+
+
+def decode_status(data: bytes) -> Status | None:
+    """Decode a status message, ``None`` if it is not valid."""
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError:
+        return None
--- /dev/null
+++ b/ibispitch/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""The path of packets: frames, and the cores of balancer and agent."""
--- /dev/null
+++ b/ibispitch/forwarding/agent.py
@@ -0,0 +1,416 @@
+"""Decisions of an agent on the packets of its upstream's flows."""
+
+from typing import Protocol
+
+from ibispitch.decisionlog import DecisionLog
+from ibispitch.forwarding import frames
+from ibispitch.forwarding.frames import Purpose
+from ibispitch.forwarding.frames import Reason
+from ibispitch.forwarding.frames import Verdict
+from ibispitch.forwarding.packets import ACK
+from ibispitch.forwarding.packets import BOUNCED
+from ibispitch.forwarding.packets import FIN
+from ibispitch.forwarding.packets import FlowKey
+from ibispitch.forwarding.packets import MAX_WINDOW_BYTES
+from ibispitch.forwarding.packets import Packet
+from ibispitch.forwarding.packets import PacketCodec
+from ibispitch.forwarding.packets import RST
+from ibispitch.forwarding.packets import sequence_distance
+from ibispitch.forwarding.packets import SYN
+from ibispitch.gate.core import Gate
+from ibispitch.gate.core import UpstreamReport
+from ibispitch.routes.model import RequestKind
+from ibispitch.routes.model import RouteIndex
+
+#: Time after which an opening that led to no request is no longer counted
+#: as load: callers give up after 1.4 s.
+OPENING_S = 1.5
+#: Time for which a closed flow is known, for late and repeated packets: some
+#: rounds of the longest interval between repeated packets (1.6 s).
+LINGER_S = 5.0
+#: Flows that an upstream turned out not to hold, remembered at most.
+MAX_DENIED = 4096
+#: Balancers that sent an opening within this time get each change of load.
+USER_S = 2.0
+
+
+class AgentOutbox(Protocol):
+    """Where an agent sends datagrams."""
+
+    def to_balancer(self, ip: str, data: bytes) -> None:
+        """Send a frame to a balancer."""
+
+    def to_upstream(self, raw: bytes) -> None:
+        """Send a caller's packet to the upstream."""
+
+    def to_caller(self, flow: FlowKey, raw: bytes) -> None:
+        """Send an upstream's packet to the caller of a flow."""
+
+
+class FlowState:
+    """A flow of the upstream."""
+
+    __slots__ = (
+        'balancer', 'caller_next', 'closed_at', 'is_answered', 'is_long',
+        'is_on_trial', 'is_running', 'opened_at', 'seen_at', 'tried',
+        'upstream_next',
+    )  # fmt: skip
+
+    def __init__(self, balancer: str | None, now: float):
+        #: The balancer that forwarded its last packet.
+        self.balancer = balancer
+        self.opened_at = now
+        self.seen_at = now
+        self.closed_at: float | None = None
+        #: Next sequence numbers of both ends, ``None`` if not known.
+        self.caller_next: int | None = None
+        self.upstream_next: int | None = None
+        #: Whether the upstream has sent a packet of the flow.
+        self.is_answered = False
+        #: Whether it is not certain that the upstream holds the flow.
+        self.is_on_trial = False
+        self.is_long = False
+        #: Whether a request waits for its answer.
+        self.is_running = False
+        #: Agents that handed the opening back before.
+        self.tried: tuple[int, ...] = ()
+
+
+class AgentCore:
+    """Passes packets between balancers, one upstream and callers.
+
+    :param gate: decides on new flows.
+    :param codec: reads the packets.
+    :param outbox: where datagrams go.
+    :param log: lines on decisions.
+    :param knows_all: whether the upstream cannot hold a flow that began
+        before this process.
+    """
+
+    def __init__(
+        self,
+        gate: Gate,
+        codec: PacketCodec,
+        outbox: AgentOutbox,
+        log: DecisionLog,
+        knows_all: bool,
+    ):
+        self.gate = gate
+        self._codec = codec
+        self._outbox = outbox
+        self._log = log
+        self._knows_all = knows_all
+        self._state_by_flow: dict[FlowKey, FlowState] = {}
+        self._denied: dict[FlowKey, None] = {}
+        self._used_at_by_balancer: dict[str, float] = {}
+        self.routes: RouteIndex | None = None
+        #: Requests that run or wait at the upstream.
+        self.running = 0
+        #: Open flows on which more requests may come.
+        self.long_flows = 0
+        #: Whether the balancers should hear of a change of load.
+        self.is_changed = False
+
+    def set_routes(self, routes: RouteIndex, now: float) -> None:
+        """Use new routes for new flows."""
+        self.routes = routes
+        self.gate.set_routes(routes, now)
+        self.is_changed = True
+
+    def hear(self, report: UpstreamReport, now: float) -> bool:
+        """Take in a heartbeat of the upstream.
+
+        :returns: whether the state of the upstream has changed.
+        """
+        former = self.gate.incarnation
+        state = self.gate.state(now)
+        if not self.gate.hear(report, now):
+            return False
+        if former not in (0, report.born_ms):
+            self._forget_all(now)
+        is_changed = (
+            state is not self.gate.state(now) or former != report.born_ms
+        )
+        if is_changed:
+            self._log.change(
+                'upstream.state', now, state=self.gate.state(now).name,
+                incarnation=report.born_ms, sequence=report.sequence,
+                cold_left_s=report.cold_left_s,
+            )  # fmt: skip
+            self.is_changed = True
+        return is_changed
+
+    def leave(self, upstream_id: str, now: float) -> bool:
+        """Note that the upstream said that it ends."""
+        if not self.gate.leave(upstream_id):
+            return False
+        self._log.change('upstream.left', now, upstream=upstream_id)
+        self._forget_all(now)
+        self.is_changed = True
+        return True
+
+    def _forget_all(self, now: float) -> None:
+        self._log.change(
+            'upstream.flows_ended', now, flows=len(self._state_by_flow)
+        )
+        self._state_by_flow.clear()
+        self._denied.clear()
+        self._knows_all = True
+        self.running = 0
+        self.long_flows = 0
+
+    def users(self, now: float) -> list[str]:
+        """Return the balancers that sent openings a short time ago."""
+        return [
+            ip
+            for ip, used_at in self._used_at_by_balancer.items()
+            if now - used_at < USER_S
+        ]
+
+    # From balancers.
+
+    def receive(self, ip: str, forward: frames.Forward, now: float) -> None:
+        """Handle a packet that a balancer forwarded."""
+        packet = self._codec.from_caller(forward.raw)
+        if packet is None:
+            return
+        own = self.gate.incarnation
+        if own and forward.incarnation and forward.incarnation != own:
+            self._return(ip, Reason.OTHER_UPSTREAM, forward)
+        elif forward.purpose is Purpose.OPENING:
+            self._open(ip, forward, packet, now)
+        else:
+            self._pass(ip, forward, packet, now)
+
+    def _open(
+        self, ip: str, forward: frames.Forward, packet: Packet, now: float
+    ) -> None:
+        flow = packet.flow
+        self._used_at_by_balancer[ip] = now
+        reason = self.gate.admit(flow, self.routes, forward.revision, now)
+        if reason is not None:
+            self._return(ip, reason, forward)
+            self.is_changed = True
+            return
+        state = self._state_by_flow.get(flow)
+        if state is None or state.closed_at is not None:
+            self._drop(flow)
+            state = self._add(flow, ip, now)
+            self._set_running(state, True)
+        state.balancer = ip
+        state.tried = forward.tried
+        state.caller_next = (packet.sequence + 1) & 0xFFFFFFFF
+        self._outbox.to_upstream(packet.raw)
+
+    def _pass(
+        self, ip: str, forward: frames.Forward, packet: Packet, now: float
+    ) -> None:
+        flow = packet.flow
+        state = self._state_by_flow.get(flow)
+        if state is None:
+            if self._knows_all or flow in self._denied:
+                self._return(ip, Reason.NOT_OWNED, forward)
+                return
+            state = self._add(flow, ip, now)
+            state.is_on_trial = True
+        elif not self._fits(state, packet):
+            self._return(ip, Reason.NOT_OWNED, forward)
+            return
+        state.balancer = ip
+        state.seen_at = now
+        self._follow_caller(state, packet, now)
+        self._outbox.to_upstream(packet.raw)
+
+    @staticmethod
+    def _fits(state: FlowState, packet: Packet) -> bool:
+        """Return whether the packet acknowledges this upstream's bytes."""
+        if state.upstream_next is None or not packet.flags & ACK:
+            return True
+        distance = sequence_distance(packet.acknowledged, state.upstream_next)
+        return abs(distance) <= MAX_WINDOW_BYTES
+
+    def _follow_caller(
+        self, state: FlowState, packet: Packet, now: float
+    ) -> None:
+        if packet.size:
+            end = (packet.sequence + packet.size) & 0xFFFFFFFF
+            if (
+                state.caller_next is None
+                or sequence_distance(end, state.caller_next) > 0
+            ):
+                state.caller_next = end
+                self._set_running(state, True)
+        if packet.flags & (FIN | RST):
+            self._close(state, now)
+
+    def ask(self, ip: str, ask: frames.Ask, now: float) -> None:
+        """Answer whether the upstream holds a flow."""
+        state = self._state_by_flow.get(ask.flow)
+        if state is not None and not state.is_on_trial:
+            distance = (
+                0
+                if state.upstream_next is None
+                else sequence_distance(ask.acknowledged, state.upstream_next)
+            )
+            verdict = (
+                Verdict.OWNED
+                if abs(distance) <= MAX_WINDOW_BYTES
+                else Verdict.NOT_OWNED
+            )
+        elif self._knows_all or ask.flow in self._denied:
+            verdict = Verdict.NOT_OWNED
+        else:
+            verdict = Verdict.UNKNOWN
+        self._outbox.to_balancer(
+            ip,
+            frames.encode_tell(ask.flow, verdict, self.gate.incarnation),
+        )
+
+    def _return(
+        self, ip: str, reason: Reason, forward: frames.Forward
+    ) -> None:
+        revision = self.routes.revision if self.routes else 0
+        self._outbox.to_balancer(
+            ip,
+            frames.encode_return(
+                reason, revision, self.gate.incarnation, forward.raw,
+                forward.tried,
+            ),
+        )  # fmt: skip
+
+    # From the upstream.
+
+    def receive_upstream(self, packet: Packet, now: float) -> None:
+        """Handle a packet that the upstream sent or handed back."""
+        if packet.flags & BOUNCED:
+            self._take_back(packet, now)
+            return
+        flow = packet.flow
+        state = self._state_by_flow.get(flow)
+        if state is None:
+            state = self._add(flow, None, now)
+        elif state.is_on_trial:
+            state.is_on_trial = False
+            if state.balancer is not None:
+                self._outbox.to_balancer(
+                    state.balancer,
+                    frames.encode_tell(
+                        flow, Verdict.OWNED, self.gate.incarnation
+                    ),
+                )
+        state.seen_at = now
+        state.is_answered = True
+        self._follow_upstream(state, packet, now)
+        self._outbox.to_caller(flow, packet.raw)
+
+    def _follow_upstream(
+        self, state: FlowState, packet: Packet, now: float
+    ) -> None:
+        length = packet.size + bool(packet.flags & SYN)
+        end = (packet.sequence + length) & 0xFFFFFFFF
+        if (
+            state.upstream_next is None
+            or sequence_distance(end, state.upstream_next) > 0
+        ):
+            state.upstream_next = end
+        if packet.size:
+            self._set_running(state, False)
+        if packet.flags & (FIN | RST):
+            self._close(state, now)
+
+    def _take_back(self, packet: Packet, now: float) -> None:
+        """Handle a packet that the upstream does not take."""
+        flow = packet.flow
+        state = self._state_by_flow.get(flow)
+        if state is None or state.balancer is None:
+            return
+        if packet.is_opening:
+            if state.is_answered:
+                return
+            reason = Reason.FULL
+        elif state.is_answered:
+            reason = Reason.ENDED
+        else:
+            reason = Reason.NOT_OWNED
+            self._deny(flow)
+        self._drop(flow)
+        self.is_changed = True
+        self._log.decision(
+            'upstream.handed_back', flow, now, reason=reason.name
+        )
+        self._outbox.to_balancer(
+            state.balancer,
+            frames.encode_return(
+                reason, self.routes.revision if self.routes else 0,
+                self.gate.incarnation, packet.raw, state.tried,
+            ),
+        )  # fmt: skip
+
+    def _deny(self, flow: FlowKey) -> None:
+        self._denied[flow] = None
+        if len(self._denied) > MAX_DENIED:
+            del self._denied[next(iter(self._denied))]
+
+    # Flows.
+
+    def _add(
+        self, flow: FlowKey, balancer: str | None, now: float
+    ) -> FlowState:
+        state = FlowState(balancer, now)
+        route = (
+            self.routes.route_by_destination.get(flow[6:])
+            if self.routes
+            else None
+        )
+        state.is_long = route is not None and route.kind is RequestKind.SAFE
+        self.long_flows += state.is_long
+        self._state_by_flow[flow] = state
+        return state
+
+    def _drop(self, flow: FlowKey) -> None:
+        state = self._state_by_flow.pop(flow, None)
+        if state is not None:
+            self._set_running(state, False)
+            if state.closed_at is None:
+                self.long_flows -= state.is_long
+
+    def _set_running(self, state: FlowState, is_running: bool) -> None:
+        if state.is_running != is_running:
+            state.is_running = is_running
+            self.running += 1 if is_running else -1
+            self.is_changed = True
+
+    def _close(self, state: FlowState, now: float) -> None:
+        if state.closed_at is None:
+            state.closed_at = now
+            self.long_flows -= state.is_long
+            self._set_running(state, False)
+
+    def tick(self, now: float) -> None:
+        """Forget flows that are closed or idle."""
+        idle_s = self.routes.table.idle_timeout_s if self.routes else 60.0
+        over = [
+            flow
+            for flow, state in self._state_by_flow.items()
+            if now - state.seen_at > idle_s
+            or (
+                state.closed_at is not None
+                and now - state.closed_at > LINGER_S
+            )
+        ]
+        unanswered = (
+            state
+            for state in self._state_by_flow.values()
+            if state.is_running
+            and state.upstream_next is None
+            and now - state.opened_at > OPENING_S
+        )
+        for state in list(unanswered):
+            self._set_running(state, False)
+        for flow in over:
+            self._drop(flow)
+
+    @property
+    def flow_count(self) -> int:
+        """Flows that are known."""
+        return len(self._state_by_flow)
--- /dev/null
+++ b/ibispitch/forwarding/balancer.py
@@ -0,0 +1,323 @@
+"""Decisions of a balancer on the packets of callers."""
+
+import random
+import socket
+from typing import NamedTuple
+from typing import Protocol
+
+from ibispitch.decisionlog import DecisionLog
+from ibispitch.fleet.core import AgentView
+from ibispitch.fleet.core import Fleet
+from ibispitch.fleet.messages import AgentState
+from ibispitch.forwarding import frames
+from ibispitch.forwarding.frames import MAX_TRIED
+from ibispitch.forwarding.frames import Purpose
+from ibispitch.forwarding.frames import Reason
+from ibispitch.forwarding.packets import Destination
+from ibispitch.forwarding.packets import FlowKey
+from ibispitch.forwarding.packets import Packet
+from ibispitch.forwarding.packets import PacketCodec
+from ibispitch.ids import DatacentreName
+from ibispitch.locating import core as locating
+from ibispitch.locating.core import Locator
+from ibispitch.locating.table import FlowTable
+from ibispitch.locating.table import Owner
+from ibispitch.placement.core import choose
+from ibispitch.routes.model import Route
+from ibispitch.routes.model import RouteIndex
+
+#: Part of a route's objective that an opening may wait for an upstream. It
+#: leaves the rest for the request itself.
+WAIT_SHARE = 0.25
+#: Openings that wait at a time; more are refused at once.
+MAX_WAITING = 2048
+#: Age at which a balancer knows enough of the fleet to say that a flow is
+#: nowhere: several rounds of status messages.
+SETTLE_S = 3.0
+#: Silence of an agent after an opening that a copy of the opening takes as
+#: a sign that the agent is gone.
+MUTE_S = 0.15
+
+
+class BalancerOutbox(Protocol):
+    """Where a balancer sends datagrams."""
+
+    def to_agent(self, ip: str, data: bytes) -> None:
+        """Send a frame to an agent."""
+
+    def to_caller(self, flow: FlowKey, data: bytes) -> None:
+        """Send a packet to the caller of a flow."""
+
+
+class Waiting(NamedTuple):
+    """An opening that waits for an upstream."""
+
+    packet: Packet
+    tried: tuple[int, ...]
+    deadline: float
+
+
+def ip_number(ip: str) -> int:
+    """Return an IPv4 address as a number.
+
+    >>> ip_number('10.1.0.12')
+    167837708
+    """
+    return int.from_bytes(socket.inet_aton(ip), 'big')
+
+
+class BalancerCore:
+    """Places new flows and forwards the packets of open ones.
+
+    :param datacentre: the data centre of the balancer.
+    :param fleet: agents and balancers that are known.
+    :param codec: reads the packets.
+    :param outbox: where datagrams go.
+    :param log: lines on decisions.
+    :param rng: breaks ties.
+    :param now: time of the start, in seconds.
+    """
+
+    def __init__(
+        self,
+        datacentre: DatacentreName,
+        fleet: Fleet,
+        codec: PacketCodec,
+        outbox: BalancerOutbox,
+        log: DecisionLog,
+        rng: random.Random,
+        now: float,
+    ):
+        self._datacentre = datacentre
+        self._fleet = fleet
+        self._codec = codec
+        self._outbox = outbox
+        self._log = log
+        self._rng = rng
+        self._started_at = now
+        self._table = FlowTable()
+        self._locator = Locator(fleet)
+        self._waiting_by_flow: dict[FlowKey, Waiting] = {}
+        self.routes: RouteIndex | None = None
+
+    def set_routes(self, routes: RouteIndex) -> None:
+        """Use new routes for new flows; open flows stay where they are."""
+        self.routes = routes
+
+    def receive(self, packet: Packet, now: float) -> None:
+        """Handle a packet of a caller."""
+        if packet.is_opening:
+            self._open(packet, (), now)
+            return
+        owner = self._table.get(packet.flow)
+        if owner is None:
+            self._search(packet, now)
+        elif self._fleet.has_ended(owner.ip, owner.incarnation, now):
+            self._reset(packet, 'upstream ended', now, owner.ip)
+        else:
+            self._forward(owner, packet)
+
+    def receive_return(
+        self, ip: str, returned: frames.Return, now: float
+    ) -> None:
+        """Handle a packet that an agent handed back."""
+        packet = self._codec.from_caller(returned.raw)
+        if packet is None:
+            return
+        reason = returned.reason
+        if packet.is_opening:
+            tried = (*returned.tried, ip_number(ip))
+            self._log.decision(
+                'flow.handed_back', packet.flow, now,
+                agent=ip, reason=reason.name,
+            )  # fmt: skip
+            self._open(packet, tried[-MAX_TRIED:], now)
+        elif reason in (Reason.ENDED, Reason.OTHER_UPSTREAM):
+            owner = self._table.get(packet.flow)
+            if owner is None or owner.ip == ip:
+                self._reset(packet, reason.name.lower(), now, ip)
+        else:
+            owner = self._table.get(packet.flow)
+            if owner is not None and owner.ip == ip:
+                self._table.pop(packet.flow)
+                self._search(packet, now)
+
+    def receive_tell(self, ip: str, tell: frames.Tell, now: float) -> None:
+        """Handle an agent's answer on a flow."""
+        self._take(self._locator.tell(ip, tell, now), now)
+
+    def tick(self, now: float) -> None:
+        """Handle what is due."""
+        self._take(self._locator.expire(now), now)
+        for waiting in list(self._waiting_by_flow.values()):
+            self._retry(waiting, now)
+        if self.routes is not None:
+            self._table.expire(self.routes.table.idle_timeout_s, now)
+
+    @property
+    def flow_count(self) -> int:
+        """Flows that are remembered."""
+        return len(self._table)
+
+    # New flows.
+
+    def _open(
+        self, packet: Packet, tried: tuple[int, ...], now: float
+    ) -> None:
+        flow = packet.flow
+        route = self._route(flow)
+        if route is None:
+            self._reset(packet, 'no route', now)
+            return
+        view = None
+        owner = self._table.get(flow)
+        if owner is not None and packet.acknowledged and not tried:
+            view = self._view_for_copy(owner, packet, now)
+        if view is None:
+            view = self._place(route, flow, tried, now)
+        if view is None:
+            self._wait(packet, route, tried, now)
+            return
+        self._waiting_by_flow.pop(flow, None)
+        view.sent += 1
+        status = view.status
+        self._table.put(flow, Owner(view.ip, status.incarnation, now))
+        self._outbox.to_agent(
+            view.ip,
+            frames.encode_forward(
+                Purpose.OPENING, self.routes.revision, status.incarnation,
+                packet.raw, tried,
+            ),
+        )  # fmt: skip
+        self._log.decision(
+            'flow.placed', flow, now,
+            agent=view.ip, load=round(view.load, 2),
+            age_ms=round(1000 * (now - view.heard_at)),
+            copy=packet.acknowledged, revision=self.routes.revision,
+        )  # fmt: skip
+
+    def _view_for_copy(
+        self, owner: Owner, packet: Packet, now: float
+    ) -> AgentView | None:
+        """Return the agent that got the first copy, unless it is silent."""
+        view = self._fleet.agents_by_ip.get(owner.ip)
+        if view is None or not self._takes_openings(view, now):
+            return None
+        if view.heard_at < owner.placed_at and (
+            now - owner.placed_at > MUTE_S
+        ):
+            view.is_mute = True
+            return None
+        return view
+
+    def _place(
+        self, route: Route, flow: FlowKey, tried: tuple[int, ...], now: float
+    ) -> AgentView | None:
+        views = (
+            view
+            for view in self._fleet.agents_of(route.service_for(flow))
+            if self._takes_openings(view, now)
+            and not (tried and ip_number(view.ip) in tried)
+        )
+        return choose(views, route.kind, self._datacentre, self._rng)
+
+    def _takes_openings(self, view: AgentView, now: float) -> bool:
+        status = view.status
+        return (
+            status.state is AgentState.READY
+            and not view.is_mute
+            and status.datacentre not in self.routes.table.out
+            and self._fleet.hears(view, now)
+        )
+
+    def _wait(
+        self, packet: Packet, route: Route, tried: tuple[int, ...], now: float
+    ) -> None:
+        flow = packet.flow
+        waiting = self._waiting_by_flow.get(flow)
+        if waiting is None:
+            if len(self._waiting_by_flow) >= MAX_WAITING:
+                self._reset(packet, 'too many wait', now)
+                return
+            deadline = now + WAIT_SHARE * route.objective_s
+            waiting = Waiting(packet, tried, deadline)
+            self._waiting_by_flow[flow] = waiting
+        if now >= waiting.deadline:
+            self._reset(packet, 'no upstream in time', now)
+
+    def _retry(self, waiting: Waiting, now: float) -> None:
+        tried = () if now >= waiting.deadline else waiting.tried
+        self._open(waiting.packet, tried, now)
+
+    def _route(self, flow: FlowKey) -> Route | None:
+        if self.routes is None:
+            return None
+        return self.routes.route_by_destination.get(Destination(flow[6:]))
+
+    # Open flows.
+
+    def _forward(self, owner: Owner, packet: Packet) -> None:
+        revision = self.routes.revision if self.routes else 0
+        self._outbox.to_agent(
+            owner.ip,
+            frames.encode_forward(
+                Purpose.OWNED, revision, owner.incarnation, packet.raw
+            ),
+        )
+
+    def _search(self, packet: Packet, now: float) -> None:
+        route = self._route(packet.flow)
+        service = route.service_for(packet.flow) if route else None
+        self._take(self._locator.search(packet, service, now), now)
+
+    def _take(self, steps: list[locating.Step], now: float) -> None:
+        for step in steps:
+            match step:
+                case locating.AskAgents(flow, acknowledged, ips):
+                    data = frames.encode_ask(flow, acknowledged)
+                    for ip in ips:
+                        self._outbox.to_agent(ip, data)
+                case locating.Found(ip, incarnation, packets):
+                    owner = Owner(ip, incarnation, 0.0)
+                    self._table.put(packets[0].flow, owner)
+                    self._log.decision(
+                        'flow.found', packets[0].flow, now, agent=ip
+                    )
+                    for packet in packets:
+                        self._forward(owner, packet)
+                case locating.TryAgent(ip, packet):
+                    self._try(ip, packet, now)
+                case locating.Nowhere(packet):
+                    self._give_up(packet, now)
+                case locating.Unanswered(flow, missing):
+                    self._log.failure(
+                        'flow.not_found', flow, now, missing=list(missing)
+                    )
+
+    def _try(self, ip: str, packet: Packet, now: float) -> None:
+        view = self._fleet.agents_by_ip.get(ip)
+        if view is None:
+            return
+        revision = self.routes.revision if self.routes else 0
+        self._outbox.to_agent(
+            ip,
+            frames.encode_forward(
+                Purpose.TRIAL, revision, view.status.incarnation, packet.raw
+            ),
+        )
+        self._log.decision('flow.tried', packet.flow, now, agent=ip)
+
+    def _give_up(self, packet: Packet, now: float) -> None:
+        if now - self._started_at >= SETTLE_S:
+            self._reset(packet, 'no agent has the flow', now)
+
+    def _reset(
+        self, packet: Packet, why: str, now: float, agent: str | None = None
+    ) -> None:
+        flow = packet.flow
+        self._table.pop(flow)
+        self._waiting_by_flow.pop(flow, None)
+        self._outbox.to_caller(
+            flow, self._codec.reset(flow, packet.acknowledged)
+        )
+        self._log.failure('flow.reset', flow, now, why=why, agent=agent)
--- /dev/null
+++ b/ibispitch/forwarding/frames.py
@@ -0,0 +1,186 @@
+"""Frames that balancers and agents exchange for packets of flows.
+
+Each frame is one datagram whose first byte is its kind. Status messages use
+the same port; they are msgpack arrays, whose first byte is at least 0x90.
+"""
+
+import enum
+import struct
+from typing import NamedTuple
+
+from ibispitch.forwarding.packets import FLOW_KEY_BYTES
+from ibispitch.forwarding.packets import FlowKey
+
+FORWARD = 1
+RETURN = 2
+ASK = 3
+TELL = 4
+
+#: Agents that a returned opening names at most.
+MAX_TRIED = 4
+
+
+class Purpose(enum.IntEnum):
+    """Why a balancer forwards a packet to an agent."""
+
+    OPENING = 0
+    #: The balancer believes that the agent owns the flow.
+    OWNED = 1
+    #: No agent is known to own the flow; the agent may ask its upstream.
+    TRIAL = 2
+
+
+class Reason(enum.IntEnum):
+    """Why an agent hands a packet back to the balancer."""
+
+    #: The upstream does not accept more flows.
+    FULL = 0
+    #: The upstream takes no new flows: it is cold, leaving or not known.
+    CLOSED = 1
+    #: The agent serves another upstream than the balancer believes.
+    OTHER_UPSTREAM = 2
+    #: The newer routes of the agent do not lead here.
+    NO_ROUTE = 3
+    #: The flow is not at this upstream.
+    NOT_OWNED = 4
+    #: The upstream held the flow and holds it no longer.
+    ENDED = 5
+
+
+class Verdict(enum.IntEnum):
+    """What an agent knows of a flow."""
+
+    OWNED = 0
+    NOT_OWNED = 1
+    #: The agent started after its upstream and has not heard of the flow.
+    UNKNOWN = 2
+
+
+class Forward(NamedTuple):
+    """A packet of a caller on its way to an upstream.
+
+    :param revision: revision of the routes that the balancer used.
+    :param incarnation: the upstream that is meant, 0 for any.
+    :param tried: agents that handed this opening back, as IPv4 numbers.
+    """
+
+    purpose: Purpose
+    revision: int
+    incarnation: int
+    tried: tuple[int, ...]
+    raw: bytes
+
+
+class Return(NamedTuple):
+    """A packet that an agent hands back."""
+
+    reason: Reason
+    revision: int
+    incarnation: int
+    tried: tuple[int, ...]
+    raw: bytes
+
+
+class Ask(NamedTuple):
+    """Question whether an agent owns a flow.
+
+    :param acknowledged: the caller's last acknowledgement, which only the
+        owner's upstream can have led to.
+    """
+
+    flow: FlowKey
+    acknowledged: int
+
+
+class Tell(NamedTuple):
+    """Answer of an agent on a flow."""
+
+    flow: FlowKey
+    verdict: Verdict
+    incarnation: int
+
+
+Frame = Forward | Return | Ask | Tell
+
+#: kind, purpose or reason, number of tried agents, revision, incarnation.
+_CARRIER = struct.Struct('<BBBQQ')
+_ASK = struct.Struct(f'<B{FLOW_KEY_BYTES}sI')
+_TELL = struct.Struct(f'<B{FLOW_KEY_BYTES}sBQ')
+_TRIED = [struct.Struct(f'<{count}I') for count in range(MAX_TRIED + 1)]
+_PURPOSES = tuple(Purpose)
+_REASONS = tuple(Reason)
+_VERDICTS = tuple(Verdict)
+
+
+def encode_forward(
+    purpose: Purpose,
+    revision: int,
+    incarnation: int,
+    raw: bytes,
+    tried: tuple[int, ...] = (),
+) -> bytes:
+    """Return the datagram of a :class:`Forward` frame."""
+    return _carry(FORWARD, purpose, revision, incarnation, tried, raw)
+
+
+def encode_return(
+    reason: Reason,
+    revision: int,
+    incarnation: int,
+    raw: bytes,
+    tried: tuple[int, ...] = (),
+) -> bytes:
+    """Return the datagram of a :class:`Return` frame."""
+    return _carry(RETURN, reason, revision, incarnation, tried, raw)
+
+
+def _carry(kind, code, revision, incarnation, tried, raw) -> bytes:
+    head = _CARRIER.pack(kind, code, len(tried), revision, incarnation)
+    return head + _TRIED[len(tried)].pack(*tried) + raw
+
+
+def encode_ask(flow: FlowKey, acknowledged: int) -> bytes:
+    """Return the datagram of an :class:`Ask` frame."""
+    return _ASK.pack(ASK, flow, acknowledged)
+
+
+def encode_tell(flow: FlowKey, verdict: Verdict, incarnation: int) -> bytes:
+    """Return the datagram of a :class:`Tell` frame."""
+    return _TELL.pack(TELL, flow, verdict, incarnation)
+
+
+def decode_frame(data: bytes) -> Frame | None:
+    """Decode a frame.
+
+    :returns: the frame, ``None`` if the datagram is not a valid one.
+
+    >>> decode_frame(encode_forward(Purpose.OPENING, 7, 9, b'raw', (1,)))
+    Forward(purpose=<Purpose.OPENING: 0>, revision=7, incarnation=9, \
+tried=(1,), raw=b'raw')
+    >>> decode_frame(b'') is None
+    True
+    """
+    try:
+        return _decode_frame(data)
+    except (IndexError, struct.error):
+        return None
+
+
+def _decode_frame(data: bytes) -> Frame | None:
+    kind = data[0]
+    if kind in (FORWARD, RETURN):
+        _kind, code, count, revision, incarnation = _CARRIER.unpack_from(data)
+        head = _CARRIER.size + 4 * count
+        tried = _TRIED[count].unpack_from(data, _CARRIER.size)
+        if kind == FORWARD:
+            purpose = _PURPOSES[code]
+            return Forward(purpose, revision, incarnation, tried, data[head:])
+        reason = _REASONS[code]
+        return Return(reason, revision, incarnation, tried, data[head:])
+    if kind == ASK:
+        _kind, flow, acknowledged = _ASK.unpack(data)
+        return Ask(FlowKey(flow), acknowledged)
+    if kind == TELL:
+        _kind, flow, verdict, incarnation = _TELL.unpack(data)
+        return Tell(FlowKey(flow), _VERDICTS[verdict], incarnation)
+    return None
--- /dev/null
+++ b/ibispitch/gate/core.py
@@ -0,0 +1,207 @@
+"""Gate in front of an upstream.
+
+Only the agent beside an upstream can reach it. What an upstream may receive
+is therefore decided here, whatever the balancers believe.
+"""
+
+from collections import deque
+import enum
+from typing import NamedTuple
+
+from ibispitch.fleet.messages import AgentState
+from ibispitch.forwarding.frames import Reason
+from ibispitch.forwarding.packets import FlowKey
+from ibispitch.ids import DatacentreName
+from ibispitch.ids import ServiceName
+from ibispitch.routes.model import RouteIndex
+
+#: Heartbeats that may be missed before an upstream counts as silent: one
+#: lost, one late.
+MISSED_HEARTBEATS = 2.6
+#: Window over which new flows to a cold upstream are counted.
+COLD_WINDOW_S = 1.0
+#: Margin on the window, for packets that wait in the upstream's socket.
+COLD_MARGIN_S = 0.15
+#: Part of the greatest rate that a cold upstream gets.
+COLD_SHARE = 0.9
+
+
+class UpstreamState(enum.Enum):
+    """What an upstream says of itself."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+
+
+class UpstreamReport(NamedTuple):
+    """A heartbeat of an upstream.
+
+    :param upstream_id: name of this start, may be used again.
+    :param born_ms: start of its process, Unix time; identifies it.
+    :param sequence: counts its heartbeats.
+    :param cold_left_s: time for which it stays cold.
+    """
+
+    upstream_id: str
+    born_ms: int
+    service: ServiceName
+    slots: int
+    state: UpstreamState
+    sequence: int
+    cold_left_s: float
+
+
+class ColdLimits(NamedTuple):
+    """Bound on the new flows of a cold upstream.
+
+    It is ``openings_per_s * factor + slack`` in any second.
+    """
+
+    factor: float
+    slack: float
+
+
+class Gate:
+    """Decides which new flows an upstream gets.
+
+    :param service: the service of the agent.
+    :param datacentre: the data centre of the agent.
+    :param heartbeat_s: interval of the upstream's heartbeats.
+    :param cold: bound on the new flows of a cold upstream.
+    """
+
+    def __init__(
+        self,
+        service: ServiceName,
+        datacentre: DatacentreName,
+        heartbeat_s: float,
+        cold: ColdLimits,
+    ):
+        self._service = service
+        self._datacentre = datacentre
+        self._silent_after_s = MISSED_HEARTBEATS * heartbeat_s
+        self._cold = cold
+        self.report: UpstreamReport | None = None
+        self._heard_at = 0.0
+        self._cold_until = 0.0
+        self._is_refused = False
+        self._has_ended = False
+        self._is_out = False
+        self._openings: deque[float] = deque()
+
+    @property
+    def incarnation(self) -> int:
+        """The upstream's incarnation, 0 if none is known."""
+        return self.report.born_ms if self.report else 0
+
+    def hear(self, report: UpstreamReport, now: float) -> bool:
+        """Take in a heartbeat.
+
+        :returns: whether it is newer than what was known; a heartbeat of an
+            earlier start or with a smaller sequence is ignored.
+        """
+        former = self.report
+        if former is not None and (
+            (report.born_ms, report.sequence)
+            <= (former.born_ms, former.sequence)
+        ):
+            return False
+        self.report = report
+        self._heard_at = now
+        self._is_refused = False
+        self._has_ended = False
+        self._cold_until = now + report.cold_left_s
+        return True
+
+    def leave(self, upstream_id: str) -> bool:
+        """Note that the upstream said that it ends.
+
+        :returns: whether it is the upstream that the gate knows.
+        """
+        if self.report is None or self.report.upstream_id != upstream_id:
+            return False
+        self._has_ended = True
+        return True
+
+    def refuse(self) -> None:
+        """Note that nothing listens at the upstream's address."""
+        self._is_refused = True
+
+    def answered(self) -> None:
+        """Note that the upstream sent a packet."""
+        self._is_refused = False
+
+    def set_routes(self, routes: RouteIndex, now: float) -> None:
+        """Take in new routes.
+
+        The upstreams of a data centre that returns may have turned cold
+        since their last heartbeat.
+        """
+        is_out = self._datacentre in routes.table.out
+        if self._is_out and not is_out:
+            limits = routes.limits_by_service.get(self._service)
+            if limits is not None:
+                self._cold_until = max(
+                    self._cold_until, now + limits.cold_start_s
+                )
+        self._is_out = is_out
+
+    def state(self, now: float) -> AgentState:
+        """Return the state that the balancers are told."""
+        if self.report is None:
+            return AgentState.UNKNOWN
+        if self._has_ended:
+            return AgentState.ENDED
+        if self.report.state is UpstreamState.DRAINING:
+            return AgentState.DRAINING
+        if self._is_refused or now - self._heard_at > self._silent_after_s:
+            return AgentState.SILENT
+        return AgentState.READY
+
+    def cold_openings(
+        self, routes: RouteIndex | None, now: float
+    ) -> int | None:
+        """Return the new flows that the upstream bears now, if it is cold."""
+        if now >= self._cold_until:
+            return None
+        limits = (
+            routes.limits_by_service.get(self._service) if routes else None
+        )
+        per_s = limits.cold_openings_per_s if limits else 0.0
+        most = COLD_SHARE * (per_s * self._cold.factor + self._cold.slack)
+        self._expire(now)
+        return max(0, int(most) - len(self._openings))
+
+    def admit(
+        self,
+        flow: FlowKey,
+        routes: RouteIndex | None,
+        revision: int,
+        now: float,
+    ) -> Reason | None:
+        """Decide on the opening packet of a flow.
+
+        :param flow: the flow.
+        :param routes: the agent's routes.
+        :param revision: revision of the balancer that routed the flow.
+        :param now: time in seconds.
+        :returns: why the upstream must not get it, ``None`` if it may.
+        """
+        if self.state(now) is not AgentState.READY:
+            return Reason.CLOSED
+        if routes is not None and routes.revision >= revision:
+            if self._is_out:
+                return Reason.CLOSED
+            if not routes.leads_to(flow, self._service):
+                return Reason.NO_ROUTE
+        if self.cold_openings(routes, now) == 0:
+            return Reason.CLOSED
+        self._openings.append(now)
+        self._expire(now)
+        return None
+
+    def _expire(self, now: float) -> None:
+        openings = self._openings
+        oldest = now - COLD_WINDOW_S - COLD_MARGIN_S
+        while openings and openings[0] < oldest:
+            openings.popleft()
--- /dev/null
+++ b/ibispitch/locating/__init__.py
@@ -0,0 +1,1 @@
+"""Search for the agent that owns an open flow."""
--- a/ibispitch/membership/server.py
+++ b/ibispitch/membership/server.py
@@ -11,6 +11,7 @@
 from reactivex.subject import Subject
 
 from ibispitch.catalogue.documents import Entry
+from ibispitch.datagrams import DatagramSocket
 from ibispitch.ids import Address
 from ibispitch.ids import DatacentreName
 from ibispitch.ids import FlowId
@@ -45,7 +46,6 @@
 from ibispitch.wire import Keyring
 from ibispitch.wire import NO_ADDRESS
 from ibispitch.wire import WireError
-from ibispitch.wire.sockets import DatagramSocket
 from ibispitch.wire.streams import accept_stream
 from ibispitch.wire.streams import MessageStream
 from ibispitch.wire.streams import open_stream
--- /dev/null
+++ b/ibispitch/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the agent that gets a new flow."""
--- /dev/null
+++ b/ibispitch/placement/core.py
@@ -0,0 +1,82 @@
+"""Choice of the agent that gets a new flow.
+
+Answers the load patterns in ``tests/placement``: few slots an upstream, so
+that a queue of two already doubles the latency; long flows that pin their
+later requests; data centres whose callers outnumber their upstreams.
+"""
+
+from collections.abc import Iterable
+import random
+from typing import NamedTuple
+
+from ibispitch.fleet.core import AgentView
+from ibispitch.ids import DatacentreName
+from ibispitch.routes.model import RequestKind
+
+#: Load, in requests for each slot, that a choice in another data centre has
+#: to save. Bytes between data centres cost money, most of all the body of
+#: an upload, and a round trip of some milliseconds.
+REMOTE_LOAD_BY_KIND = {
+    RequestKind.SAFE: 0.4,
+    RequestKind.UNSAFE: 0.5,
+    RequestKind.UPLOAD: 2.0,
+}
+#: Load that an average number of long flows stands for: they pin further
+#: requests to their upstream.
+LONG_FLOW_LOAD = 1.0
+
+
+class Candidate(NamedTuple):
+    """What the choice looks at, smaller is better."""
+
+    cost: float
+    tie: float
+    view: AgentView
+
+
+def choose(
+    views: Iterable[AgentView],
+    kind: RequestKind,
+    datacentre: DatacentreName,
+    rng: random.Random,
+) -> AgentView | None:
+    """Return the agent for a new flow.
+
+    :param views: agents that may get it.
+    :param kind: what the flow's requests are like.
+    :param datacentre: the data centre of this balancer.
+    :param rng: breaks ties.
+    :returns: ``None`` if there are no agents.
+    """
+    views = [view for view in views if _bears_opening(view)]
+    if not views:
+        return None
+    slots = sum(max(1, view.status.slots) for view in views)
+    long_flows = sum(_long_flows(view, kind) for view in views)
+    mean = max(1.0, long_flows / slots)
+    remote_load = REMOTE_LOAD_BY_KIND[kind]
+    candidates = (
+        Candidate(
+            view.load
+            + LONG_FLOW_LOAD
+            * _long_flows(view, kind)
+            / (max(1, view.status.slots) * mean)
+            * (kind is RequestKind.SAFE)
+            + remote_load * (view.status.datacentre != datacentre),
+            rng.random(),
+            view,
+        )
+        for view in views
+    )
+    return min(candidates).view
+
+
+def _bears_opening(view: AgentView) -> bool:
+    left = view.status.cold_openings
+    return left is None or left > view.sent
+
+
+def _long_flows(view: AgentView, kind: RequestKind) -> int:
+    if kind is not RequestKind.SAFE:
+        return 0
+    return view.status.long_flows + view.sent
--- /dev/null
+++ b/ibispitch/platform/agent.py
@@ -0,0 +1,213 @@
+"""The agent as a process of this platform."""
+
+import asyncio
+
+from ibispitch.fleet.messages import AgentState
+from ibispitch.fleet.messages import AgentStatus
+from ibispitch.fleet.messages import BalancerStatus
+from ibispitch.fleet.messages import Status
+from ibispitch.forwarding.agent import AgentCore
+from ibispitch.forwarding.frames import Ask
+from ibispitch.forwarding.frames import Forward
+from ibispitch.forwarding.frames import Frame
+from ibispitch.forwarding.packets import FlowKey
+from ibispitch.gate.core import Gate
+from ibispitch.platform.http import Request
+from ibispitch.platform.http import Response
+from ibispitch.platform.node import Node
+from ibispitch.platform.node import STATUS_INTERVAL_S
+from ibispitch.platform.packets import PlatformPacketCodec
+from ibispitch.platform.upstreams import decode_heartbeat
+from ibispitch.platform.upstreams import upstream_id
+
+#: Delay of a status message after a change of load, so that changes that
+#: come together cost one message.
+NOTIFY_S = 0.002
+#: Age of the routes at which an agent reads the store itself: longer than
+#: balancers, which hold a call for most of the bound, take to confirm them.
+STALE_SHARE = 1.3
+#: Interval at which closed and idle flows are forgotten.
+SWEEP_S = 0.5
+#: Time that a stopping agent gives its last messages to leave.
+FAREWELL_S = 0.02
+
+
+class Agent:
+    """Connects the core of an agent to the platform."""
+
+    def __init__(self, node: Node):
+        settings = node.settings
+        self._node = node
+        self._codec = PlatformPacketCodec()
+        self._upstream = settings.upstream
+        self._outbound = None
+        self._notification: asyncio.TimerHandle | None = None
+        gate = Gate(
+            settings.service, settings.datacentre, settings.heartbeat_s,
+            settings.bounds.cold,
+        )  # fmt: skip
+        self._core = AgentCore(
+            gate, self._codec, self, node.log, settings.is_first_start
+        )
+        node.on_status = self._on_status
+        node.on_frame = self._on_frame
+        node.on_routes = self._on_routes
+
+    async def run(self) -> None:
+        """Serve until the process is asked to stop."""
+        node = self._node
+        settings = node.settings
+        node.open(self._ignore_packet)
+        self._outbound = node.bind(self._on_upstream, settings.from_upstream)
+        await node.serve(settings.heartbeats, self._answer_heartbeat)
+        await node.serve(settings.readiness, self._answer_readiness)
+        for ip in settings.seed_ips:
+            node.fleet.introduce(ip, node.clock())
+        limit_s = STALE_SHARE * settings.bounds.configuration_s
+        node.start(node.route_reader().follow_when_stale(limit_s))
+        node.every(STATUS_INTERVAL_S, self._send_round)
+        node.every(SWEEP_S, lambda: self._core.tick(node.clock()))
+        await node.is_stopping.wait()
+        node.send_status(self._status(False), list(self._balancers()))
+        await asyncio.sleep(FAREWELL_S)
+
+    # The outbox of the core.
+
+    def to_balancer(self, ip: str, data: bytes) -> None:
+        """Send a frame to a balancer."""
+        self._node.to_peer(ip, data)
+
+    def to_upstream(self, raw: bytes) -> None:
+        """Send a caller's packet to the upstream."""
+        self._outbound.send(raw, self._upstream)
+
+    def to_caller(self, flow: FlowKey, raw: bytes) -> None:
+        """Send an upstream's packet to the caller of a flow."""
+        self._node.to_caller(flow, raw)
+
+    # Input.
+
+    def _ignore_packet(self, _raw: bytes, _sender: tuple[str, int]) -> None:
+        """Take no packets from elsewhere; balancers use the peer port."""
+
+    def _on_upstream(self, raw: bytes, _sender: tuple[str, int]) -> None:
+        packet = self._codec.from_upstream(raw)
+        if packet is not None:
+            self._core.receive_upstream(packet, self._node.clock())
+            self._notify()
+
+    def _on_frame(self, ip: str, frame: Frame) -> None:
+        node = self._node
+        now = node.clock()
+        if isinstance(frame, Forward):
+            self._core.receive(ip, frame, now)
+            if frame.revision > node.routes.revision:
+                node.learn_revision(ip, frame.revision)
+            self._notify()
+        elif isinstance(frame, Ask):
+            self._core.ask(ip, frame, now)
+
+    def _on_status(self, ip: str, status: Status) -> None:
+        node = self._node
+        if not isinstance(status, BalancerStatus):
+            return
+        now = node.clock()
+        if node.fleet.hear_balancer(ip, status, now):
+            node.log.change('fleet.balancer', now, balancer=ip)
+            node.send_status(self._status(False), [ip])
+        elif status.wants_answer:
+            node.send_status(self._status(False), [ip])
+        node.learn_revision(ip, status.revision)
+        if status.revision == node.routes.revision:
+            node.routes.confirm(status.revision, now - status.age_s)
+
+    def _on_routes(self) -> None:
+        self._core.set_routes(self._node.routes.index, self._node.clock())
+        self._notify()
+
+    # Status.
+
+    def _balancers(self) -> list[str]:
+        return list(self._node.fleet.balancers_by_ip)
+
+    def _status(self, wants_answer: bool) -> AgentStatus:
+        node = self._node
+        core = self._core
+        gate = core.gate
+        now = node.clock()
+        state = gate.state(now)
+        if node.is_stopping.is_set() and state is not AgentState.ENDED:
+            state = AgentState.RESTARTING
+        return AgentStatus(
+            datacentre=node.settings.datacentre,
+            service=node.settings.service,
+            started_ms=node.started_ms,
+            number=node.next_number(),
+            incarnation=gate.incarnation,
+            state=state,
+            slots=gate.report.slots if gate.report else 1,
+            running=core.running,
+            long_flows=core.long_flows,
+            cold_openings=gate.cold_openings(node.routes.index, now),
+            revision=node.routes.revision,
+            wants_answer=wants_answer,
+        )
+
+    def _send_round(self) -> None:
+        node = self._node
+        now = node.clock()
+        for ip in node.fleet.forget(now):
+            node.log.change('fleet.forgotten', now, peer=ip)
+        for ip in node.settings.seed_ips:
+            node.fleet.introduce(ip, now)
+        ips = node.fleet.next_round(self._balancers())
+        node.send_status(self._status(True), ips)
+
+    def _notify(self) -> None:
+        """Send a changed load to the balancers that use this agent soon."""
+        if self._core.is_changed and self._notification is None:
+            self._notification = asyncio.get_running_loop().call_later(
+                NOTIFY_S, self._send_change
+            )
+
+    def _send_change(self) -> None:
+        self._notification = None
+        self._core.is_changed = False
+        ips = self._core.users(self._node.clock())
+        if ips:
+            self._node.send_status(self._status(False), ips)
+
+    # HTTP.
+
+    async def _answer_heartbeat(self, request: Request) -> Response:
+        node = self._node
+        name = upstream_id(request)
+        if name is None:
+            return Response(404)
+        now = node.clock()
+        if request.method == 'DELETE':
+            if self._core.leave(name, now):
+                self._announce()
+            return Response(200, b'{}')
+        if request.method != 'PUT':
+            return Response(405)
+        try:
+            report = decode_heartbeat(name, request.body)
+        except ValueError as error:
+            node.log.change('upstream.unreadable', now, error=str(error))
+            return Response(400)
+        if report.service != node.settings.service:
+            node.log.change(
+                'upstream.other_service', now, service=report.service
+            )
+            return Response(400)
+        if self._core.hear(report, now):
+            self._announce()
+        return Response(200, b'{}')
+
+    def _announce(self) -> None:
+        """Tell all balancers at once of a changed state."""
+        self._node.send_status(self._status(False), self._balancers())
+
+    async def _answer_readiness(self, _request: Request) -> Response:
+        return Response(200)
--- /dev/null
+++ b/ibispitch/platform/balancer.py
@@ -0,0 +1,198 @@
+"""The balancer as a process of this platform."""
+
+import asyncio
+import random
+
+from ibispitch.fleet.core import AgentView
+from ibispitch.fleet.messages import AgentStatus
+from ibispitch.fleet.messages import BalancerStatus
+from ibispitch.fleet.messages import Status
+from ibispitch.forwarding.balancer import BalancerCore
+from ibispitch.forwarding.frames import Frame
+from ibispitch.forwarding.frames import Return
+from ibispitch.forwarding.frames import Tell
+from ibispitch.forwarding.packets import FlowKey
+from ibispitch.platform.http import Request
+from ibispitch.platform.http import Response
+from ibispitch.platform.node import Node
+from ibispitch.platform.node import STATUS_INTERVAL_S
+from ibispitch.platform.node import TICK_S
+from ibispitch.platform.packets import PlatformPacketCodec
+from ibispitch.routes.transfer import serve_table
+
+READINESS_PATH = '/v1/readyz'
+#: Time after the start at which a balancer calls itself ready even if it
+#: knows no agent.
+PATIENCE_S = 2.0
+#: The platform asks for readiness twice a second and takes a host out of
+#: rotation after two misses. A balancer that stops waits for that.
+ROTATION_S = 1.3
+#: Silence of callers after which a stopping balancer ends.
+QUIET_S = 0.3
+#: Part of the time to stop that the balancer uses at most.
+STOP_SHARE = 0.8
+
+
+class Balancer:
+    """Connects the core of a balancer to the platform."""
+
+    def __init__(self, node: Node):
+        self._node = node
+        self._codec = PlatformPacketCodec()
+        self._packet_at = 0.0
+        self._started_at = node.clock()
+        self._core = BalancerCore(
+            node.settings.datacentre, node.fleet, self._codec, self,
+            node.log, random.Random(), node.clock(),
+        )  # fmt: skip
+        node.on_status = self._on_status
+        node.on_frame = self._on_frame
+        node.on_routes = self._on_routes
+
+    async def run(self) -> None:
+        """Serve until the process is asked to stop."""
+        node = self._node
+        settings = node.settings
+        node.open(self._on_packet)
+        await node.serve(settings.readiness, self._answer_readiness)
+        if settings.heartbeats is not None:
+            await node.serve(settings.heartbeats, self._refuse_heartbeat)
+        node.keep(
+            await serve_table(
+                settings.peers,
+                lambda: node.routes.index and node.routes.index.table,
+            )
+        )
+        for ip in settings.seed_ips:
+            node.fleet.introduce(ip, node.clock())
+        node.start(node.route_reader().follow())
+        node.every(STATUS_INTERVAL_S, self._send_round)
+        node.every(TICK_S, lambda: self._core.tick(node.clock()))
+        await node.is_stopping.wait()
+        await self._stop()
+
+    async def _stop(self) -> None:
+        """Leave the rotation, then pass on what still arrives."""
+        node = self._node
+        node.log.change('process.stopping', node.clock())
+        asked_at = node.clock()
+        limit_s = STOP_SHARE * node.settings.bounds.stop_s
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = node.clock()
+            is_out = now - asked_at > ROTATION_S
+            is_quiet = now - self._packet_at > QUIET_S
+            if (is_out and is_quiet) or now - asked_at > limit_s:
+                break
+        node.send_status(self._status(False), self._known_ips())
+
+    # The outbox of the core.
+
+    def to_agent(self, ip: str, data: bytes) -> None:
+        """Send a frame to an agent."""
+        self._node.to_peer(ip, data)
+
+    def to_caller(self, flow: FlowKey, data: bytes) -> None:
+        """Send a packet to the caller of a flow."""
+        self._node.to_caller(flow, data)
+
+    # Input.
+
+    def _on_packet(self, raw: bytes, _sender: tuple[str, int]) -> None:
+        packet = self._codec.from_caller(raw)
+        if packet is not None:
+            self._packet_at = now = self._node.clock()
+            self._core.receive(packet, now)
+
+    def _on_frame(self, ip: str, frame: Frame) -> None:
+        now = self._node.clock()
+        if isinstance(frame, Return):
+            self._core.receive_return(ip, frame, now)
+        elif isinstance(frame, Tell):
+            self._core.receive_tell(ip, frame, now)
+
+    def _on_status(self, ip: str, status: Status) -> None:
+        node = self._node
+        now = node.clock()
+        if isinstance(status, AgentStatus):
+            former = node.fleet.hear_agent(ip, status, now)
+            if former is None or former.state is not status.state:
+                node.log.change(
+                    'fleet.agent', now, agent=ip, state=status.state.name,
+                    service=status.service, incarnation=status.incarnation,
+                )  # fmt: skip
+        else:
+            if node.fleet.hear_balancer(ip, status, now):
+                node.log.change('fleet.balancer', now, balancer=ip)
+                node.send_status(self._status(True), list(status.agents))
+            for agent in status.agents:
+                if agent not in node.fleet.agents_by_ip:
+                    node.send_status(self._status(True), [agent])
+            node.learn_revision(ip, status.revision)
+            if status.revision == node.routes.revision:
+                node.routes.confirm(status.revision, now - status.age_s)
+        if status.wants_answer:
+            node.send_status(self._status(False), [ip])
+
+    def _on_routes(self) -> None:
+        self._core.set_routes(self._node.routes.index)
+        self._node.send_status(self._status(False), self._known_ips())
+
+    # Status.
+
+    def _status(self, wants_answer: bool) -> BalancerStatus:
+        node = self._node
+        now = node.clock()
+        return BalancerStatus(
+            datacentre=node.settings.datacentre,
+            started_ms=node.started_ms,
+            number=node.next_number(),
+            revision=node.routes.revision,
+            age_s=min(1e6, node.routes.age_s(now)),
+            is_leaving=node.is_stopping.is_set(),
+            balancers=tuple(
+                view.ip for view in node.fleet.heard_balancers(now)
+            ),
+            agents=tuple(self._heard_agents(now)),
+            wants_answer=wants_answer,
+        )
+
+    def _heard_agents(self, now: float) -> list[str]:
+        fleet = self._node.fleet
+        views: list[AgentView] = list(fleet.agents_by_ip.values())
+        return [view.ip for view in views if fleet.hears(view, now)]
+
+    def _known_ips(self) -> list[str]:
+        fleet = self._node.fleet
+        return [*fleet.balancers_by_ip, *fleet.agents_by_ip]
+
+    def _send_round(self) -> None:
+        node = self._node
+        now = node.clock()
+        for ip in node.fleet.forget(now):
+            node.log.change('fleet.forgotten', now, peer=ip)
+        for ip in node.settings.seed_ips:
+            node.fleet.introduce(ip, now)
+        if not node.is_stopping.is_set():
+            ips = node.fleet.next_round(node.fleet.balancers_by_ip)
+            node.send_status(self._status(False), ips)
+
+    # HTTP.
+
+    async def _answer_readiness(self, request: Request) -> Response:
+        if request.path.split('?')[0] != READINESS_PATH:
+            return Response(404)
+        return Response(200 if self._is_ready() else 503)
+
+    def _is_ready(self) -> bool:
+        node = self._node
+        if node.is_stopping.is_set() or node.routes.index is None:
+            return False
+        if node.fleet.agents_by_ip:
+            return True
+        return node.clock() - self._started_at > PATIENCE_S
+
+    async def _refuse_heartbeat(self, _request: Request) -> Response:
+        # Only the agent beside an upstream can pass packets to it, so that
+        # a heartbeat that arrives here must not be acknowledged.
+        return Response(503)
--- /dev/null
+++ b/ibispitch/platform/http.py
@@ -0,0 +1,188 @@
+"""HTTP/1.1 over asyncio streams, for the platform's small calls.
+
+``httptools`` parses. A full HTTP library would take longer to import than a
+killed agent may be away.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import NamedTuple
+
+import httptools
+
+from ibispitch.ids import Address
+
+READ_BYTES = 65536
+#: Largest body of a call; route configurations are below 1 MB and base64
+#: adds a third.
+MAX_BODY_BYTES = 8 << 20
+#: Time for an idle connection or a slow sender of a request.
+IDLE_S = 30.0
+
+_REASONS = {
+    200: 'OK', 400: 'Bad Request', 404: 'Not Found',
+    405: 'Method Not Allowed', 503: 'Service Unavailable',
+}  # fmt: skip
+
+
+class Request(NamedTuple):
+    """A call that arrived."""
+
+    method: str
+    path: str
+    body: bytes
+
+
+class Response(NamedTuple):
+    """An answer to a call."""
+
+    status: int
+    body: bytes = b''
+    content_type: str = 'application/json'
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class _Message:
+    """Collects one message that ``httptools`` parses."""
+
+    def __init__(self):
+        self.reset()
+
+    def reset(self) -> None:
+        self.url = b''
+        self.parts: list[bytes] = []
+        self.size = 0
+        self.is_complete = False
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+
+    def on_body(self, body: bytes) -> None:
+        self.size += len(body)
+        if self.size > MAX_BODY_BYTES:
+            raise ValueError('body too large')
+        self.parts.append(body)
+
+    def on_message_complete(self) -> None:
+        self.is_complete = True
+
+
+async def serve(address: Address, handler: Handler) -> asyncio.Server:
+    """Answer calls at an address.
+
+    :param handler: gets one call at a time of each connection.
+    :raises OSError: if the address cannot be bound.
+    """
+
+    async def serve_connection(reader, writer):
+        try:
+            await _answer_all(reader, writer, handler)
+        except (OSError, TimeoutError, httptools.HttpParserError):
+            # The caller went away or does not speak HTTP; it will call
+            # again if it needs an answer.
+            pass
+        finally:
+            writer.close()
+
+    return await asyncio.start_server(serve_connection, *address, backlog=64)
+
+
+async def _answer_all(reader, writer, handler: Handler) -> None:
+    message = _Message()
+    parser = httptools.HttpRequestParser(message)
+    while True:
+        async with asyncio.timeout(IDLE_S):
+            data = await reader.read(READ_BYTES)
+        if not data:
+            return
+        parser.feed_data(data)
+        if not message.is_complete:
+            continue
+        request = Request(
+            parser.get_method().decode(),
+            message.url.decode('latin-1'),
+            b''.join(message.parts),
+        )
+        keeps_alive = parser.should_keep_alive()
+        response = await handler(request)
+        writer.write(_render(response, keeps_alive))
+        await writer.drain()
+        if not keeps_alive:
+            return
+        message.reset()
+        parser = httptools.HttpRequestParser(message)
+
+
+def _render(response: Response, keeps_alive: bool) -> bytes:
+    reason = _REASONS.get(response.status, 'Status')
+    connection = 'keep-alive' if keeps_alive else 'close'
+    return (
+        f'HTTP/1.1 {response.status} {reason}\r\n'
+        f'Content-Type: {response.content_type}\r\n'
+        f'Content-Length: {len(response.body)}\r\n'
+        f'Connection: {connection}\r\n\r\n'
+    ).encode() + response.body
+
+
+class HttpClient:
+    """Calls one server, over one connection at a time.
+
+    A connection on which a call failed is closed: an answer that is late
+    must not be taken for the answer to the next call.
+
+    :param server: the server's address.
+    """
+
+    def __init__(self, server: Address):
+        self._server = server
+        self._connection: tuple | None = None
+
+    async def call(
+        self, method: str, path: str, body: bytes, timeout_s: float
+    ) -> Response:
+        """Make one call.
+
+        :param timeout_s: time for the whole call, in seconds.
+        :raises OSError: if the connection failed.
+        :raises TimeoutError: if there was no answer in time.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._exchange(method, path, body)
+        except (ValueError, httptools.HttpParserError) as error:
+            self.close()
+            raise ConnectionError(f'malformed answer: {error}') from error
+        except BaseException:
+            self.close()
+            raise
+
+    async def _exchange(self, method: str, path: str, body: bytes) -> Response:
+        if self._connection is None:
+            self._connection = await asyncio.open_connection(*self._server)
+        reader, writer = self._connection
+        host = f'{self._server.ip}:{self._server.port}'
+        writer.write(
+            f'{method} {path} HTTP/1.1\r\nHost: {host}\r\n'
+            f'Content-Type: application/json\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'.encode()
+            + body
+        )
+        message = _Message()
+        parser = httptools.HttpResponseParser(message)
+        while not message.is_complete:
+            data = await reader.read(READ_BYTES)
+            if not data:
+                raise ConnectionResetError('connection closed by the server')
+            parser.feed_data(data)
+        if not parser.should_keep_alive():
+            self.close()
+        return Response(parser.get_status_code(), b''.join(message.parts))
+
+    def close(self) -> None:
+        """Close the connection; the next call opens a new one."""
+        if self._connection is not None:
+            self._connection[1].transport.abort()
+            self._connection = None
--- /dev/null
+++ b/ibispitch/platform/node.py
@@ -0,0 +1,287 @@
+"""What balancer and agent have in common on this platform.
+
+Sockets, timers, status messages, the transfer of routes and the stop. The
+decisions are in the cores of the other packages.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import signal
+import sys
+import time
+
+from ibispitch.datagrams import DatagramSocket
+from ibispitch.datagrams import OnDatagram
+from ibispitch.decisionlog import DecisionLog
+from ibispitch.decisionlog import standard_output
+from ibispitch.fleet.core import Fleet
+from ibispitch.fleet.core import STATUS_INTERVAL_S
+from ibispitch.fleet.messages import decode_status
+from ibispitch.fleet.messages import encode_status
+from ibispitch.fleet.messages import Status
+from ibispitch.forwarding.frames import decode_frame
+from ibispitch.forwarding.frames import Frame
+from ibispitch.forwarding.packets import FlowKey
+from ibispitch.ids import Address
+from ibispitch.platform.http import Handler
+from ibispitch.platform.http import serve
+from ibispitch.platform.routes import PlatformRoutes
+from ibispitch.platform.settings import EXIT_SETTINGS
+from ibispitch.platform.settings import load_settings
+from ibispitch.platform.settings import NodeSettings
+from ibispitch.platform.settings import SettingsError
+from ibispitch.platform.store import MetadataStore
+from ibispitch.routes.core import RoutesCore
+from ibispitch.routes.reader import RouteReader
+from ibispitch.routes.transfer import fetch_table
+
+#: Interval of the cores' timers. A search of a flow and an opening that
+#: waits are looked at again after this time.
+TICK_S = 0.02
+#: Interval at which log lines are written.
+FLUSH_S = 0.1
+#: Kernel buffers of a datagram socket; bytes in them count as memory.
+BUFFER_BYTES = 1 << 20
+#: First byte of a status message is at least this; frames start lower.
+FIRST_STATUS_BYTE = 0x90
+#: Part of the bound on configuration changes for which a call waits.
+WAIT_SHARE = 0.8
+
+
+def boot_clock() -> float:
+    """Return the time since the host's start, suspension included."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Node:
+    """A process of the fleet.
+
+    :param settings: its settings.
+    """
+
+    def __init__(self, settings: NodeSettings):
+        self.settings = settings
+        self.log = DecisionLog(settings.name, standard_output())
+        self.clock = boot_clock
+        self.fleet = Fleet(settings.ip)
+        self.routes = RoutesCore()
+        self.started_ms = round(time.time() * 1000)
+        self.is_stopping = asyncio.Event()
+        self._loop = asyncio.get_running_loop()
+        self._number = 0
+        self._caller_port = settings.packets.port
+        self._peer_port = settings.peers.port
+        self._ips: dict[bytes, str] = {}
+        self._fetches: set[str] = set()
+        self._tasks: set[asyncio.Task] = set()
+        self._servers: list[asyncio.Server] = []
+        self._packets: DatagramSocket | None = None
+        self._peers: DatagramSocket | None = None
+        self.on_status: Callable[[str, Status], None] | None = None
+        self.on_frame: Callable[[str, Frame], None] | None = None
+        self.on_routes: Callable[[], None] | None = None
+
+    # Start and stop.
+
+    def open(self, on_packet: OnDatagram) -> None:
+        """Bind the datagram sockets.
+
+        :raises OSError: if an address cannot be bound.
+        """
+        self._packets = self.bind(on_packet, self.settings.packets)
+        self._peers = self.bind(self._receive_peer, self.settings.peers)
+
+    def bind(
+        self, on_datagram: OnDatagram, address: Address
+    ) -> DatagramSocket:
+        """Open a datagram socket."""
+        return DatagramSocket(on_datagram, address, buffer_bytes=BUFFER_BYTES)
+
+    async def serve(self, address: Address, handler: Handler) -> None:
+        """Answer HTTP calls at an address."""
+        self._servers.append(await serve(address, handler))
+
+    def keep(self, server: asyncio.Server) -> None:
+        """Close a server when the process stops."""
+        self._servers.append(server)
+
+    def start(self, work: Awaitable) -> None:
+        """Run a coroutine until it ends; a failure ends the process."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish)
+
+    def _finish(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._loop.call_exception_handler(
+                {'message': 'task failed', 'exception': task.exception()}
+            )
+
+    def every(self, interval_s: float, action: Callable[[], None]) -> None:
+        """Call an action in intervals; a failure is logged, not fatal."""
+
+        def run():
+            self._loop.call_later(interval_s, run)
+            action()
+
+        run()
+
+    def handle_signals(self, on_reload: Callable[[], None]) -> None:
+        """Stop on SIGTERM and SIGINT, read the settings on SIGHUP."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self.is_stopping.set)
+        self._loop.add_signal_handler(signal.SIGHUP, on_reload)
+        self._loop.set_exception_handler(self._log_exception)
+
+    def _log_exception(self, _loop, context: dict) -> None:
+        error = context.get('exception')
+        self.log.change(
+            'process.error', self.clock(), error=repr(error),
+            message=context.get('message'),
+            where=_place_of(error),
+        )  # fmt: skip
+
+    def reload(self) -> None:
+        """Take in a changed settings file."""
+        now = self.clock()
+        try:
+            settings = load_settings()
+        except SettingsError as error:
+            self.log.change('settings.refused', now, error=str(error))
+            return
+        # Addresses are fixed for the life of a process.
+        self.settings = self.settings._replace(
+            seed_ips=settings.seed_ips, bounds=settings.bounds
+        )
+        self.log.change('settings.read', now, seeds=settings.seed_ips)
+
+    def close(self) -> None:
+        """Close sockets and servers."""
+        for server in self._servers:
+            server.close()
+        self.log.flush()
+
+    # Peers.
+
+    def next_number(self) -> int:
+        """Return the number of the next status message."""
+        self._number += 1
+        return self._number
+
+    def send_status(self, status: Status, ips: list[str]) -> None:
+        """Send a status message to processes."""
+        data = encode_status(status)
+        for ip in ips:
+            self.to_peer(ip, data)
+
+    def to_peer(self, ip: str, data: bytes) -> None:
+        """Send a datagram to another process of the fleet."""
+        self._peers.send(data, (ip, self._peer_port))
+
+    def to_caller(self, flow: FlowKey, data: bytes) -> None:
+        """Send a packet to the caller of a flow."""
+        caller = flow[:4]
+        ip = self._ips.get(caller)
+        if ip is None:
+            if len(self._ips) > 65536:
+                self._ips.clear()
+            ip = '.'.join(str(byte) for byte in caller[::-1])
+            self._ips[caller] = ip
+        self._packets.send(data, (ip, self._caller_port))
+
+    def _receive_peer(self, data: bytes, sender: tuple[str, int]) -> None:
+        if not data:
+            return
+        if data[0] >= FIRST_STATUS_BYTE:
+            status = decode_status(data)
+            if status is not None:
+                self.on_status(sender[0], status)
+            return
+        frame = decode_frame(data)
+        if frame is not None:
+            self.on_frame(sender[0], frame)
+
+    # Routes.
+
+    def route_reader(self) -> RouteReader:
+        """Return a reader of the routes in the store."""
+        store = MetadataStore(self.settings.store)
+        wait_s = WAIT_SHARE * self.settings.bounds.configuration_s
+        return RouteReader(
+            self.routes, PlatformRoutes(store), self.clock, self.log,
+            self._change_routes, wait_s,
+        )  # fmt: skip
+
+    def learn_revision(self, ip: str, revision: int) -> None:
+        """Fetch the routes of a process if they are newer."""
+        if revision > self.routes.revision and ip not in self._fetches:
+            if len(self._fetches) < 2:
+                self._fetches.add(ip)
+                self.start(self._fetch(ip))
+
+    async def _fetch(self, ip: str) -> None:
+        try:
+            table = await fetch_table(Address(ip, self._peer_port))
+        except (OSError, TimeoutError, ValueError) as error:
+            self.log.change(
+                'routes.fetch_failed', self.clock(), peer=ip,
+                error=repr(error),
+            )  # fmt: skip
+            return
+        finally:
+            self._fetches.discard(ip)
+        if self.routes.offer(table):
+            self._change_routes()
+
+    def _change_routes(self) -> None:
+        index = self.routes.index
+        self.log.change(
+            'routes.changed', self.clock(), revision=index.revision,
+            version=index.table.version, routes=len(index.table.routes),
+            out=sorted(index.table.out),
+        )  # fmt: skip
+        self.on_routes()
+
+
+def _place_of(error: BaseException | None) -> str:
+    """Return the file and line where an exception was raised."""
+    trace = error.__traceback__ if error is not None else None
+    if trace is None:
+        return ''
+    while trace.tb_next is not None:
+        trace = trace.tb_next
+    return f'{trace.tb_frame.f_code.co_filename}:{trace.tb_lineno}'
+
+
+def run_node(work: Callable[[Node], Awaitable[None]]) -> None:
+    """Run a process until it is stopped.
+
+    Exits with 2 if the settings are at fault.
+
+    :param work: the program, given the node.
+    """
+    try:
+        settings = load_settings()
+    except SettingsError as error:
+        sys.stderr.write(f'{error}\n')
+        raise SystemExit(EXIT_SETTINGS) from None
+
+    async def run():
+        node = Node(settings)
+        node.log.change(
+            'process.started', node.clock(), ip=settings.ip,
+            datacentre=settings.datacentre, service=settings.service,
+            first_start=settings.is_first_start,
+        )  # fmt: skip
+        node.every(FLUSH_S, node.log.flush)
+        node.handle_signals(node.reload)
+        await work(node)
+        node.log.change('process.stopped', node.clock())
+        node.close()
+
+    asyncio.run(run())
+
+
+__all__ = ['STATUS_INTERVAL_S', 'TICK_S', 'Node', 'boot_clock', 'run_node']
--- /dev/null
+++ b/ibispitch/platform/routes.py
@@ -0,0 +1,166 @@
+"""The operator's keys in the store, as routes of the project."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from ibispitch.forwarding.packets import Destination
+from ibispitch.ids import DatacentreName
+from ibispitch.ids import ServiceName
+from ibispitch.platform.store import Item
+from ibispitch.platform.store import MetadataStore
+from ibispitch.platform.store import StoreCallError
+from ibispitch.routes.model import RequestKind
+from ibispitch.routes.model import Route
+from ibispitch.routes.model import RouteTable
+from ibispitch.routes.model import ServiceLimits
+from ibispitch.routes.model import Share
+from ibispitch.routes.source import Change
+from ibispitch.routes.source import Changes
+from ibispitch.routes.source import DatacentreChange
+from ibispitch.routes.source import HistoryLostError
+from ibispitch.routes.source import RoutesChange
+from ibispitch.routes.source import SourceError
+
+PREFIX = 'op/'
+CONFIGURATION_KEY = 'op/config'
+OUT_PREFIX = 'op/evacuate/'
+HISTORY_LOST_STATUS = 410
+#: Idle time after which a flow may be forgotten, if the configuration does
+#: not say; the oldest that flows become on this platform.
+DEFAULT_IDLE_S = 60.0
+
+
+class PlatformRoutes:
+    """Reads the routes of the platform's operator.
+
+    :param store: a client used for nothing else, since a call may wait.
+    """
+
+    def __init__(self, store: MetadataStore):
+        self._store = store
+
+    async def read(self) -> RouteTable:
+        """Return the whole table, see :class:`RouteSource`."""
+        try:
+            listing = await self._store.list(PREFIX)
+        except StoreCallError as error:
+            raise SourceError(str(error)) from error
+        table = None
+        out = set()
+        for change in _changes(listing.items):
+            if isinstance(change, RoutesChange):
+                table = change.table
+            else:
+                out.add(change.datacentre)
+        if table is None:
+            raise SourceError('the operator has not written routes yet')
+        return msgspec.structs.replace(
+            table, revision=listing.revision, out=frozenset(out)
+        )
+
+    async def wait(self, after: int, wait_s: float) -> Changes:
+        """Return the changes after a revision, see :class:`RouteSource`."""
+        try:
+            listing = await self._store.watch(PREFIX, after, wait_s)
+        except StoreCallError as error:
+            if error.status == HISTORY_LOST_STATUS:
+                raise HistoryLostError(str(error)) from error
+            raise SourceError(str(error)) from error
+        return Changes(listing.revision, tuple(_changes(listing.items)))
+
+
+def _changes(items: tuple[Item, ...]) -> Iterator[Change]:
+    for item in items:
+        if item.key.startswith(OUT_PREFIX):
+            name = DatacentreName(item.key.removeprefix(OUT_PREFIX))
+            is_out = item.value is not None
+            yield DatacentreChange(item.revision, name, is_out)
+        elif item.key == CONFIGURATION_KEY and item.value is not None:
+            table = decode_configuration(item.value)
+            if table is not None:
+                yield RoutesChange(item.revision, table)
+
+
+def decode_configuration(data: bytes) -> RouteTable | None:
+    """Decode the operator's configuration.
+
+    :param data: the value of its key.
+    :returns: the table without revision and data centres, ``None`` if the
+        data is not a configuration. Single routes that cannot be read are
+        left out.
+    """
+    try:
+        raw = msgspec.json.decode(data)
+        return RouteTable(
+            revision=0,
+            version=int(raw['version']),
+            routes=tuple(
+                route
+                for entry in raw['routes']
+                if (route := _route(entry)) is not None
+            ),
+            services=tuple(
+                service
+                for entry in raw['services']
+                if (service := _service(entry)) is not None
+            ),
+            idle_timeout_s=_idle_s(raw.get('limits')),
+            out=frozenset(),
+        )
+    except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
+        return None
+
+
+def _idle_s(limits: Any) -> float:
+    if not isinstance(limits, dict):
+        return DEFAULT_IDLE_S
+    return float(limits.get('idle_timeout_ms', DEFAULT_IDLE_S * 1000)) / 1000
+
+
+def _route(raw: dict) -> Route | None:
+    try:
+        # A route's host name is an IPv4 address, its prefix a port between
+        # slashes: what callers' packets have as their destination.
+        address = bytes(int(part) for part in raw['hostname'].split('.'))
+        port = int(raw['prefix'].strip('/'))
+        if len(address) != 4:
+            return None
+        return Route(
+            destination=Destination(
+                address[::-1] + port.to_bytes(2, 'little')
+            ),
+            shares=_shares(raw),
+            kind=RequestKind(raw['type']),
+            objective_s=float(raw['aim_ms']) / 1000,
+            timeout_s=float(raw['timeout_ms']) / 1000,
+            priority=int(raw.get('priority', 0)),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError, OverflowError):
+        return None
+
+
+def _shares(raw: dict) -> tuple[Share, ...]:
+    """Return the services of a route, one or several with weights."""
+    if raw.get('service'):
+        return (Share(ServiceName(str(raw['service'])), 1),)
+    shares = tuple(
+        Share(ServiceName(str(part['service'])), int(part['weight']))
+        for part in raw['backends']
+        if int(part['weight']) > 0
+    )
+    if not shares:
+        raise ValueError('route without a service')
+    return shares
+
+
+def _service(raw: dict) -> ServiceLimits | None:
+    try:
+        return ServiceLimits(
+            name=ServiceName(str(raw['name'])),
+            cold_start_s=float(raw.get('cold_start_s', 0.0)),
+            cold_openings_per_s=float(raw.get('cold_per_s', 0.0)),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError):
+        return None
--- /dev/null
+++ b/ibispitch/platform/store.py
@@ -0,0 +1,218 @@
+"""Calls of the platform's metadata store."""
+
+from base64 import b64decode
+from base64 import b64encode
+import binascii
+from typing import Any
+from typing import NamedTuple
+from urllib.parse import urlencode
+
+import msgspec
+
+from ibispitch.ids import Address
+from ibispitch.platform.http import HttpClient
+from ibispitch.platform.http import Response
+
+#: Time for an answer, over the store's usual 4 ms; a store that is slow 100
+#: times still answers in time.
+CALL_TIMEOUT_S = 1.5
+
+
+class StoreCallError(Exception):
+    """A call failed; it may or may not have been executed.
+
+    :param status: HTTP status, 0 if there was no answer.
+    """
+
+    def __init__(self, status: int, detail: str):
+        super().__init__(
+            f'store call failed ({status or "no answer"}): {detail}; it is '
+            'tried again, check that the store is up'
+        )
+        self.status = status
+
+
+class Item(NamedTuple):
+    """A key of the store, or its removal."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class Listing(NamedTuple):
+    """Items under a prefix and the store's revision."""
+
+    revision: int
+    items: tuple[Item, ...]
+
+
+class Lease(NamedTuple):
+    """A lease and its time to live in seconds."""
+
+    lease_id: int
+    ttl_s: float
+
+
+class MetadataStore:
+    """Client of the store, with one connection for each use.
+
+    :param address: address of the store.
+    """
+
+    def __init__(self, address: Address):
+        self._http = HttpClient(address)
+
+    async def list(self, prefix: str, is_stale_ok: bool = False) -> Listing:
+        """Return all items under a prefix.
+
+        Items that cannot be read are left out. The pages are not a
+        snapshot; the revision is that of the first page, so that a watch
+        from there repeats what changed between the pages.
+
+        :raises StoreCallError: if a page could not be read.
+        """
+        items: list[Item] = []
+        revision = None
+        query = {'prefix': prefix}
+        if is_stale_ok:
+            query['stale_ok'] = '1'
+        while True:
+            page = await self._read(f'/v1/kv-range?{urlencode(query)}')
+            raw_items = _list_of(page, 'items')
+            items.extend(
+                item for raw in raw_items if (item := _item(raw)) is not None
+            )
+            if revision is None:
+                revision = _revision(page, 'current_rev')
+            if not page.get('has_more') or not raw_items:
+                return Listing(revision, tuple(items))
+            query['after'] = str(raw_items[-1].get('key', ''))
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> Listing:
+        """Return the changes under a prefix after a revision.
+
+        :param wait_s: time that the store waits for a change.
+        :raises StoreCallError: with status 410 if the history is lost.
+        """
+        query = urlencode(
+            {
+                'prefix': prefix,
+                'after': after,
+                'wait_ms': round(wait_s * 1000),
+            }
+        )
+        answer = await self._read(
+            f'/v1/kv-watch?{query}', wait_s + CALL_TIMEOUT_S
+        )
+        events = tuple(
+            item
+            for raw in _list_of(answer, 'events')
+            if (item := _item(raw)) is not None
+        )
+        return Listing(_revision(answer, 'current_rev'), events)
+
+    async def grant(self, ttl_s: float) -> Lease:
+        """Ask for a lease.
+
+        :raises StoreCallError: if there was no lease.
+        """
+        answer = await self._write('/v1/kv-lease', {'ttl_ms': _ms(ttl_s)})
+        return Lease(
+            _revision(answer, 'lease'), _revision(answer, 'ttl_ms') / 1000
+        )
+
+    async def renew(self, lease: Lease) -> None:
+        """Renew a lease.
+
+        :raises StoreCallError: with status 404 if it has ended.
+        """
+        await self._write(f'/v1/kv-keep/{lease.lease_id}', {})
+
+    async def put(self, key: str, value: bytes, lease: Lease) -> None:
+        """Write a key that is removed when a lease ends.
+
+        :raises StoreCallError: if the write was not acknowledged.
+        """
+        await self._write(
+            '/v1/kv-txn',
+            {
+                'expected_rev': [],
+                'puts': [
+                    {
+                        'key': key,
+                        'value': b64encode(value).decode(),
+                        'lease': lease.lease_id,
+                    }
+                ],
+                'deletes': [],
+            },
+        )
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._http.close()
+
+    async def _read(
+        self, path: str, timeout_s: float = CALL_TIMEOUT_S
+    ) -> dict[str, Any]:
+        return await self._call('GET', path, b'', timeout_s)
+
+    async def _write(self, path: str, body: dict) -> dict[str, Any]:
+        data = msgspec.json.encode(body)
+        return await self._call('POST', path, data, CALL_TIMEOUT_S)
+
+    async def _call(
+        self, method: str, path: str, body: bytes, timeout_s: float
+    ) -> dict[str, Any]:
+        try:
+            response = await self._http.call(method, path, body, timeout_s)
+        except (OSError, TimeoutError) as error:
+            detail = str(error) or type(error).__name__
+            raise StoreCallError(0, detail) from error
+        return _decoded(response)
+
+
+def _decoded(response: Response) -> dict[str, Any]:
+    if response.status != 200:
+        raise StoreCallError(
+            response.status, response.body[:200].decode('utf-8', 'replace')
+        )
+    try:
+        answer = msgspec.json.decode(response.body)
+    except msgspec.MsgspecError as error:
+        raise StoreCallError(0, f'answer is not JSON: {error}') from error
+    if not isinstance(answer, dict):
+        raise StoreCallError(0, 'answer is not an object')
+    return answer
+
+
+def _list_of(answer: dict[str, Any], field: str) -> list[dict]:
+    value = answer.get(field)
+    if not isinstance(value, list):
+        raise StoreCallError(0, f'answer has no {field}')
+    return [raw for raw in value if isinstance(raw, dict)]
+
+
+def _revision(answer: dict[str, Any], field: str) -> int:
+    value = answer.get(field)
+    if not isinstance(value, int):
+        raise StoreCallError(0, f'answer has no {field}')
+    return value
+
+
+def _item(raw: dict) -> Item | None:
+    key, revision = raw.get('key'), raw.get('revision')
+    if not isinstance(key, str) or not isinstance(revision, int):
+        return None
+    if raw.get('removed'):
+        return Item(key, None, revision)
+    try:
+        value = b64decode(raw.get('value') or '', validate=True)
+    except (TypeError, binascii.Error):
+        return None
+    return Item(key, value, revision)
+
+
+def _ms(seconds: float) -> int:
+    return round(seconds * 1000)
--- /dev/null
+++ b/ibispitch/routes/transfer.py
@@ -0,0 +1,70 @@
+"""Route tables from process to process.
+
+A stream connection for each transfer: the length of the compressed table as
+four bytes, then the table.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from ibispitch.ids import Address
+from ibispitch.routes.model import decode_table
+from ibispitch.routes.model import encode_table
+from ibispitch.routes.model import RouteTable
+
+#: Time for a transfer: connections between hosts can go silent for good.
+TRANSFER_TIMEOUT_S = 1.0
+_LENGTH_BYTES = 4
+#: Far above the largest configuration that the store takes (1 MB).
+MAX_TABLE_BYTES = 8 << 20
+
+
+async def serve_table(
+    address: Address, read: Callable[[], RouteTable | None]
+) -> asyncio.Server:
+    """Send the present table to each process that connects.
+
+    :param read: returns the table, ``None`` if there is none yet.
+    :raises OSError: if the address cannot be bound.
+    """
+    encoded: tuple[int, bytes] = (0, b'')
+
+    async def send(_reader, writer):
+        nonlocal encoded
+        try:
+            table = read()
+            if table is not None:
+                if encoded[0] != table.revision:
+                    encoded = (table.revision, encode_table(table))
+                size = len(encoded[1]).to_bytes(_LENGTH_BYTES, 'big')
+                writer.write(size + encoded[1])
+                async with asyncio.timeout(TRANSFER_TIMEOUT_S):
+                    await writer.drain()
+        except (OSError, TimeoutError):
+            # The other process asks again, here or elsewhere.
+            pass
+        finally:
+            writer.close()
+
+    return await asyncio.start_server(send, *address, backlog=256)
+
+
+async def fetch_table(address: Address) -> RouteTable:
+    """Fetch the table of another process.
+
+    :raises OSError: if the connection failed or there is no table.
+    :raises TimeoutError: if it took too long.
+    :raises ValueError: if the answer is not a table.
+    """
+    async with asyncio.timeout(TRANSFER_TIMEOUT_S):
+        reader, writer = await asyncio.open_connection(*address)
+        try:
+            head = await reader.readexactly(_LENGTH_BYTES)
+            size = int.from_bytes(head, 'big')
+            if size > MAX_TABLE_BYTES:
+                raise ValueError(f'table of {size} bytes is too large')
+            return decode_table(await reader.readexactly(size))
+        except asyncio.IncompleteReadError as error:
+            raise ConnectionResetError('no table') from error
+        finally:
+            writer.close()
--- a/testbed/callers.py
+++ b/testbed/callers.py
@@ -22,9 +22,9 @@
 from aiocoap.error import UnparsableMessage
 from aiocoap.numbers.codes import Code
 
+from ibispitch.datagrams import DatagramSocket
 from ibispitch.ids import Address
 from ibispitch.requests import coap
-from ibispitch.wire.sockets import DatagramSocket
 
 ACK_TIMEOUT_S = 1.0
 MAX_RETRANSMIT = 4
--- a/testbed/datapath.py
+++ b/testbed/datapath.py
@@ -10,6 +10,8 @@
 import socket
 import time
 
+from ibispitch.datagrams import BUFFER_BYTES
+from ibispitch.datagrams import DatagramSocket
 from ibispitch.ids import Address
 from ibispitch.ids import flow_address
 from ibispitch.ids import FlowId
@@ -18,8 +20,6 @@
 from ibispitch.wire import encode_frame
 from ibispitch.wire import FrameKind
 from ibispitch.wire import Keyring
-from ibispitch.wire.sockets import BUFFER_BYTES
-from ibispitch.wire.sockets import DatagramSocket
 
 PAYLOAD_BYTES = 200
 BATCH = 50
--- a/testbed/fabric.py
+++ b/testbed/fabric.py
@@ -11,8 +11,8 @@
 import ipaddress
 import random
 
+from ibispitch.datagrams import DatagramSocket
 from ibispitch.ids import Address
-from ibispitch.wire.sockets import DatagramSocket
 
 FIRST_SOURCE = int(ipaddress.IPv4Address('127.40.0.1'))
 SOURCE_PORT = 40000
