Let openings wait in a line that orders them by objective

Ruled out: slow start of the processes (power at 35.85 s, all up by 36.4 s). Change: openings wait at the balancer, those still in time first, by priority; what cannot be served in the caller's attempt is refused at once; queues at upstreams are bounded by a part of the objective; agents know that a fresh upstream holds no earlier flows.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -83,6 +83,9 @@
         self.balancers_by_ip: dict[str, BalancerView] = {}
         self._ips_by_service: dict[ServiceName, set[str]] = {}
         self._round_at = 0
+        #: Agents that balancers named and that were not heard, with the
+        #: time of the latest mention.
+        self._expected: dict[str, float] = {}
 
     def hear_agent(
         self, ip: str, status: AgentStatus, now: float
@@ -92,6 +95,7 @@
         :returns: the status that was known before; the new one itself if it
             is older than that and was ignored; ``None`` for a new agent.
         """
+        self._expected.pop(ip, None)
         view = self.agents_by_ip.get(ip)
         if view is None:
             self.agents_by_ip[ip] = AgentView(ip, status, now)
@@ -118,6 +122,9 @@
         """
         for known in status.balancers:
             self.introduce(known, now)
+        for agent in status.agents:
+            if agent not in self.agents_by_ip:
+                self._expected[agent] = now
         view = self.balancers_by_ip.get(ip)
         if status.is_leaving:
             self.balancers_by_ip.pop(ip, None)
@@ -137,6 +144,24 @@
         if ip != self._own_ip and ip not in self.balancers_by_ip:
             self.balancers_by_ip[ip] = BalancerView(ip, None, now)
 
+    def expects_agents(self, now: float) -> bool:
+        """Return whether others know agents that this process has not heard.
+
+        The flows of such an agent cannot be told from flows that are lost.
+        """
+        self._expected = {
+            ip: at for ip, at in self._expected.items() if now - at < SUSPECT_S
+        }
+        return bool(self._expected)
+
+    def recent_agents(self, now: float) -> list[str]:
+        """Return the agents that are alive or expected back."""
+        return [
+            view.ip
+            for view in self.agents_by_ip.values()
+            if now - view.heard_at < RESTART_S
+        ]
+
     def agents_of(self, service: ServiceName) -> Iterator[AgentView]:
         """Return the agents of a service that are not forgotten."""
         by_ip = self.agents_by_ip
--- a/ibispitch/fleet/messages.py
+++ b/ibispitch/fleet/messages.py
@@ -35,8 +35,10 @@
     :param incarnation: identifies the start of the upstream, 0 for none.
     :param slots: requests that the upstream runs at a time.
     :param running: requests that the upstream runs or has waiting.
+    :param work_s: mean time that it takes for a request, 0 if not known.
     :param long_flows: open flows on which more requests may come.
     :param cold_openings: new flows that it bears now, ``None`` if warm.
+    :param cold_left_s: time until it is warm.
     :param revision: revision of the agent's routes.
     :param wants_answer: whether the receiver is asked for its own status.
     """
@@ -49,8 +51,10 @@
     state: AgentState
     slots: int
     running: int
+    work_s: float
     long_flows: int
     cold_openings: int | None
+    cold_left_s: float
     revision: int
     wants_answer: bool
 
--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -30,6 +30,9 @@
 LINGER_S = 5.0
 #: Flows that an upstream turned out not to hold, remembered at most.
 MAX_DENIED = 4096
+#: Weight of a new measurement in the mean time of a request: about the last
+#: ten requests count.
+WORK_WEIGHT = 0.1
 #: Balancers that sent an opening within this time get each change of load.
 USER_S = 2.0
 
@@ -51,8 +54,17 @@
     """A flow of the upstream."""
 
     __slots__ = (
-        'balancer', 'caller_next', 'closed_at', 'is_answered', 'is_long',
-        'is_on_trial', 'is_running', 'opened_at', 'seen_at', 'tried',
+        'balancer',
+        'caller_next',
+        'closed_at',
+        'is_answered',
+        'is_long',
+        'is_on_trial',
+        'is_running',
+        'opened_at',
+        'request_at',
+        'seen_at',
+        'tried',
         'upstream_next',
     )  # fmt: skip
 
@@ -72,6 +84,8 @@
         self.is_long = False
         #: Whether a request waits for its answer.
         self.is_running = False
+        #: Time of the last packet of the request that runs.
+        self.request_at: float | None = None
         #: Agents that handed the opening back before.
         self.tried: tuple[int, ...] = ()
 
@@ -85,6 +99,7 @@
     :param log: lines on decisions.
     :param knows_all: whether the upstream cannot hold a flow that began
         before this process.
+    :param now: time of the start, in seconds.
     """
 
     def __init__(
@@ -94,18 +109,23 @@
         outbox: AgentOutbox,
         log: DecisionLog,
         knows_all: bool,
+        now: float,
     ):
         self.gate = gate
         self._codec = codec
         self._outbox = outbox
         self._log = log
         self._knows_all = knows_all
+        self._started_at = now
+        self._told_openings: int | None = None
         self._state_by_flow: dict[FlowKey, FlowState] = {}
         self._denied: dict[FlowKey, None] = {}
         self._used_at_by_balancer: dict[str, float] = {}
         self.routes: RouteIndex | None = None
         #: Requests that run or wait at the upstream.
         self.running = 0
+        #: Mean time that the upstream takes for a request, queue excluded.
+        self.work_s = 0.0
         #: Open flows on which more requests may come.
         self.long_flows = 0
         #: Whether the balancers should hear of a change of load.
@@ -115,6 +135,7 @@
         """Use new routes for new flows."""
         self.routes = routes
         self.gate.set_routes(routes, now)
+        self._check_age(now)
         self.is_changed = True
 
     def hear(self, report: UpstreamReport, now: float) -> bool:
@@ -128,6 +149,7 @@
             return False
         if former not in (0, report.born_ms):
             self._forget_all(now)
+        self._check_age(now)
         is_changed = (
             state is not self.gate.state(now) or former != report.born_ms
         )
@@ -136,10 +158,18 @@
                 'upstream.state', now, state=self.gate.state(now).name,
                 incarnation=report.born_ms, sequence=report.sequence,
                 cold_left_s=report.cold_left_s,
+                cold_openings=self.gate.cold_openings(self.routes, now),
             )  # fmt: skip
             self.is_changed = True
         return is_changed
 
+    def _check_age(self, now: float) -> None:
+        if not self._knows_all and self.gate.was_born_after(
+            self._started_at, self.routes
+        ):
+            self._knows_all = True
+            self._log.change('upstream.holds_no_earlier_flows', now)
+
     def leave(self, upstream_id: str, now: float) -> bool:
         """Note that the upstream said that it ends."""
         if not self.gate.leave(upstream_id):
@@ -239,6 +269,7 @@
                 or sequence_distance(end, state.caller_next) > 0
             ):
                 state.caller_next = end
+                state.request_at = now
                 self._set_running(state, True)
         if packet.flags & (FIN | RST):
             self._close(state, now)
@@ -314,10 +345,22 @@
         ):
             state.upstream_next = end
         if packet.size:
+            if state.request_at is not None:
+                self._measure(now - state.request_at)
+                state.request_at = None
             self._set_running(state, False)
         if packet.flags & (FIN | RST):
             self._close(state, now)
 
+    def _measure(self, took_s: float) -> None:
+        """Take in the time from a request's last byte to its answer."""
+        queued = max(1.0, self.running / max(1, self._slots))
+        self.work_s += WORK_WEIGHT * (took_s / queued - self.work_s)
+
+    @property
+    def _slots(self) -> int:
+        return self.gate.report.slots if self.gate.report else 1
+
     def _take_back(self, packet: Packet, now: float) -> None:
         """Handle a packet that the upstream does not take."""
         flow = packet.flow
@@ -386,7 +429,14 @@
             self.long_flows -= state.is_long
             self._set_running(state, False)
 
-    def tick(self, now: float) -> None:
+    def watch_gate(self, now: float) -> None:
+        """Notice when a cold upstream bears more new flows than before."""
+        left = self.gate.cold_openings(self.routes, now)
+        if left != self._told_openings:
+            self._told_openings = left
+            self.is_changed = True
+
+    def sweep(self, now: float) -> None:
         """Forget flows that are closed or idle."""
         idle_s = self.routes.table.idle_timeout_s if self.routes else 60.0
         over = [
--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -1,8 +1,8 @@
 """Decisions of a balancer on the packets of callers."""
 
+import math
 import random
 import socket
-from typing import NamedTuple
 from typing import Protocol
 
 from ibispitch.decisionlog import DecisionLog
@@ -25,15 +25,13 @@
 from ibispitch.placement.core import choose
 from ibispitch.routes.model import Route
 from ibispitch.routes.model import RouteIndex
+from ibispitch.waiting.core import Opening
+from ibispitch.waiting.core import sent_at
+from ibispitch.waiting.core import WaitingLine
 
-#: Part of a route's objective that an opening may wait for an upstream. It
-#: leaves the rest for the request itself.
-WAIT_SHARE = 0.25
-#: Openings that wait at a time; more are refused at once.
-MAX_WAITING = 2048
 #: Age at which a balancer knows enough of the fleet to say that a flow is
-#: nowhere: several rounds of status messages.
-SETTLE_S = 3.0
+#: nowhere: two rounds of status messages.
+SETTLE_S = 0.8
 #: Silence of an agent after an opening that a copy of the opening takes as
 #: a sign that the agent is gone.
 MUTE_S = 0.15
@@ -49,14 +47,6 @@
         """Send a packet to the caller of a flow."""
 
 
-class Waiting(NamedTuple):
-    """An opening that waits for an upstream."""
-
-    packet: Packet
-    tried: tuple[int, ...]
-    deadline: float
-
-
 def ip_number(ip: str) -> int:
     """Return an IPv4 address as a number.
 
@@ -97,7 +87,7 @@
         self._started_at = now
         self._table = FlowTable()
         self._locator = Locator(fleet)
-        self._waiting_by_flow: dict[FlowKey, Waiting] = {}
+        self._line = WaitingLine()
         self.routes: RouteIndex | None = None
 
     def set_routes(self, routes: RouteIndex) -> None:
@@ -149,8 +139,8 @@
     def tick(self, now: float) -> None:
         """Handle what is due."""
         self._take(self._locator.expire(now), now)
-        for waiting in list(self._waiting_by_flow.values()):
-            self._retry(waiting, now)
+        if self._line:
+            self._place_waiting(now)
         if self.routes is not None:
             self._table.expire(self.routes.table.idle_timeout_s, now)
 
@@ -165,6 +155,9 @@
         self, packet: Packet, tried: tuple[int, ...], now: float
     ) -> None:
         flow = packet.flow
+        if self.routes is None:
+            self._wait(packet, now)
+            return
         route = self._route(flow)
         if route is None:
             self._reset(packet, 'no route', now)
@@ -176,9 +169,9 @@
         if view is None:
             view = self._place(route, flow, tried, now)
         if view is None:
-            self._wait(packet, route, tried, now)
+            self._wait(packet, now)
             return
-        self._waiting_by_flow.pop(flow, None)
+        self._line.placed(flow, now)
         view.sent += 1
         status = view.status
         self._table.put(flow, Owner(view.ip, status.incarnation, now))
@@ -219,7 +212,7 @@
             if self._takes_openings(view, now)
             and not (tried and ip_number(view.ip) in tried)
         )
-        return choose(views, route.kind, self._datacentre, self._rng)
+        return choose(views, route, self._datacentre, self._rng)
 
     def _takes_openings(self, view: AgentView, now: float) -> bool:
         status = view.status
@@ -230,24 +223,34 @@
             and self._fleet.hears(view, now)
         )
 
-    def _wait(
-        self, packet: Packet, route: Route, tried: tuple[int, ...], now: float
-    ) -> None:
-        flow = packet.flow
-        waiting = self._waiting_by_flow.get(flow)
-        if waiting is None:
-            if len(self._waiting_by_flow) >= MAX_WAITING:
-                self._reset(packet, 'too many wait', now)
-                return
-            deadline = now + WAIT_SHARE * route.objective_s
-            waiting = Waiting(packet, tried, deadline)
-            self._waiting_by_flow[flow] = waiting
-        if now >= waiting.deadline:
-            self._reset(packet, 'no upstream in time', now)
-
-    def _retry(self, waiting: Waiting, now: float) -> None:
-        tried = () if now >= waiting.deadline else waiting.tried
-        self._open(waiting.packet, tried, now)
+    def _wait(self, packet: Packet, now: float) -> None:
+        """Keep an opening until an upstream can take it."""
+        route = self._route(packet.flow)
+        opening = Opening(
+            packet,
+            route.service_for(packet.flow) if route else None,
+            route,
+            sent_at(packet, now),
+        )
+        relief_s = min(
+            (
+                view.status.cold_left_s
+                for view in self._fleet.agents_of(opening.service)
+                if view.status.cold_left_s > 0.0
+            ),
+            default=math.inf,
+        )
+        if not self._line.add(opening, relief_s, now):
+            self._reset(packet, 'cannot be served in time', now)
+
+    def _place_waiting(self, now: float) -> None:
+        for opening in self._line.expire(now):
+            self._log.failure(
+                'flow.not_placed', opening.packet.flow, now,
+                waited_ms=round(1000 * (now - opening.since)),
+            )  # fmt: skip
+        for opening in self._line.in_order(now):
+            self._open(opening.packet, (), now)
 
     def _route(self, flow: FlowKey) -> Route | None:
         if self.routes is None:
@@ -308,7 +311,10 @@
         self._log.decision('flow.tried', packet.flow, now, agent=ip)
 
     def _give_up(self, packet: Packet, now: float) -> None:
-        if now - self._started_at >= SETTLE_S:
+        if (
+            now - self._started_at >= SETTLE_S
+            and not self._fleet.expects_agents(now)
+        ):
             self._reset(packet, 'no agent has the flow', now)
 
     def _reset(
@@ -316,7 +322,7 @@
     ) -> None:
         flow = packet.flow
         self._table.pop(flow)
-        self._waiting_by_flow.pop(flow, None)
+        self._line.remove(flow)
         self._outbox.to_caller(
             flow, self._codec.reset(flow, packet.acknowledged)
         )
--- a/ibispitch/gate/core.py
+++ b/ibispitch/gate/core.py
@@ -21,9 +21,11 @@
 #: Window over which new flows to a cold upstream are counted.
 COLD_WINDOW_S = 1.0
 #: Margin on the window, for packets that wait in the upstream's socket.
-COLD_MARGIN_S = 0.15
-#: Part of the greatest rate that a cold upstream gets.
-COLD_SHARE = 0.9
+COLD_MARGIN_S = 0.03
+#: Age of an upstream at the start of its agent up to which the agent knows
+#: that it holds no flows: an earlier agent would have had to hear its first
+#: heartbeat, to pass flows, to end and to be started again.
+FRESH_S = 0.4
 
 
 class UpstreamState(enum.Enum):
@@ -168,10 +170,31 @@
             routes.limits_by_service.get(self._service) if routes else None
         )
         per_s = limits.cold_openings_per_s if limits else 0.0
-        most = COLD_SHARE * (per_s * self._cold.factor + self._cold.slack)
+        most = per_s * self._cold.factor + self._cold.slack
         self._expire(now)
         return max(0, int(most) - len(self._openings))
 
+    def cold_left_s(self, now: float) -> float:
+        """Return the time until the upstream is warm."""
+        return max(0.0, self._cold_until - now)
+
+    def was_born_after(self, time: float, routes: RouteIndex | None) -> bool:
+        """Return whether the upstream started after a time, or just before.
+
+        The time that it stays cold tells its age; its clock might jump.
+
+        :param time: time in seconds, such as the start of this process.
+        """
+        limits = (
+            routes.limits_by_service.get(self._service) if routes else None
+        )
+        if self.report is None or limits is None:
+            return False
+        if self.report.cold_left_s <= 0.0:
+            return False
+        age_s = limits.cold_start_s - self.report.cold_left_s
+        return self._heard_at - age_s > time - FRESH_S
+
     def admit(
         self,
         flow: FlowKey,
--- a/ibispitch/locating/core.py
+++ b/ibispitch/locating/core.py
@@ -11,8 +11,11 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from ibispitch.fleet.core import AgentView
 from ibispitch.fleet.core import Fleet
+from ibispitch.fleet.core import LOST_S
 from ibispitch.fleet.core import RESTART_S
+from ibispitch.fleet.messages import AgentState
 from ibispitch.forwarding.frames import Tell
 from ibispitch.forwarding.frames import Verdict
 from ibispitch.forwarding.packets import FlowKey
@@ -154,8 +157,11 @@
         self._drop_trials(now)
         return steps
 
-    def _may_answer(self, view, now: float) -> bool:
-        return now - view.heard_at < RESTART_S
+    @staticmethod
+    def _may_answer(view: AgentView, now: float) -> bool:
+        is_back_soon = view.status.state is AgentState.RESTARTING
+        limit = RESTART_S if is_back_soon else LOST_S
+        return now - view.heard_at < limit
 
     def _ask(
         self, search: _Search, ips: Iterable[str], now: float
--- a/ibispitch/placement/core.py
+++ b/ibispitch/placement/core.py
@@ -12,6 +12,7 @@
 from ibispitch.fleet.core import AgentView
 from ibispitch.ids import DatacentreName
 from ibispitch.routes.model import RequestKind
+from ibispitch.routes.model import Route
 
 #: Load, in requests for each slot, that a choice in another data centre has
 #: to save. Bytes between data centres cost money, most of all the body of
@@ -24,6 +25,9 @@
 #: Load that an average number of long flows stands for: they pin further
 #: requests to their upstream.
 LONG_FLOW_LOAD = 1.0
+#: Part of the objective that a request may wait in its upstream's queue. A
+#: longer queue would hold requests that the balancer could order better.
+QUEUE_SHARE = 0.35
 
 
 class Candidate(NamedTuple):
@@ -36,19 +40,25 @@
 
 def choose(
     views: Iterable[AgentView],
-    kind: RequestKind,
+    route: Route,
     datacentre: DatacentreName,
     rng: random.Random,
 ) -> AgentView | None:
     """Return the agent for a new flow.
 
     :param views: agents that may get it.
-    :param kind: what the flow's requests are like.
+    :param route: route of the flow.
     :param datacentre: the data centre of this balancer.
     :param rng: breaks ties.
-    :returns: ``None`` if there are no agents.
+    :returns: ``None`` if no agent can run a request soon; it waits at the
+        balancer then, where others may go first.
     """
-    views = [view for view in views if _bears_opening(view)]
+    kind = route.kind
+    views = [
+        view
+        for view in views
+        if _bears_opening(view) and _starts_soon(view, route)
+    ]
     if not views:
         return None
     slots = sum(max(1, view.status.slots) for view in views)
@@ -76,6 +86,13 @@
     return left is None or left > view.sent
 
 
+def _starts_soon(view: AgentView, route: Route) -> bool:
+    status = view.status
+    slots = max(1, status.slots)
+    queued = max(0, status.running + view.sent + 1 - slots)
+    return queued * status.work_s / slots <= QUEUE_SHARE * route.objective_s
+
+
 def _long_flows(view: AgentView, kind: RequestKind) -> int:
     if kind is not RequestKind.SAFE:
         return 0
--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -28,6 +28,8 @@
 STALE_SHARE = 1.3
 #: Interval at which closed and idle flows are forgotten.
 SWEEP_S = 0.5
+#: Interval at which the gate of a cold upstream is looked at.
+GATE_S = 0.05
 #: Time that a stopping agent gives its last messages to leave.
 FAREWELL_S = 0.02
 
@@ -47,7 +49,12 @@
             settings.bounds.cold,
         )  # fmt: skip
         self._core = AgentCore(
-            gate, self._codec, self, node.log, settings.is_first_start
+            gate,
+            self._codec,
+            self,
+            node.log,
+            settings.is_first_start,
+            node.clock(),
         )
         node.on_status = self._on_status
         node.on_frame = self._on_frame
@@ -66,7 +73,8 @@
         limit_s = STALE_SHARE * settings.bounds.configuration_s
         node.start(node.route_reader().follow_when_stale(limit_s))
         node.every(STATUS_INTERVAL_S, self._send_round)
-        node.every(SWEEP_S, lambda: self._core.tick(node.clock()))
+        node.every(SWEEP_S, lambda: self._core.sweep(node.clock()))
+        node.every(GATE_S, self._watch_gate)
         await node.is_stopping.wait()
         node.send_status(self._status(False), list(self._balancers()))
         await asyncio.sleep(FAREWELL_S)
@@ -147,8 +155,10 @@
             state=state,
             slots=gate.report.slots if gate.report else 1,
             running=core.running,
+            work_s=core.work_s,
             long_flows=core.long_flows,
             cold_openings=gate.cold_openings(node.routes.index, now),
+            cold_left_s=gate.cold_left_s(now),
             revision=node.routes.revision,
             wants_answer=wants_answer,
         )
@@ -163,6 +173,10 @@
         ips = node.fleet.next_round(self._balancers())
         node.send_status(self._status(True), ips)
 
+    def _watch_gate(self) -> None:
+        self._core.watch_gate(self._node.clock())
+        self._notify()
+
     def _notify(self) -> None:
         """Send a changed load to the balancers that use this agent soon."""
         if self._core.is_changed and self._notification is None:
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 
-from ibispitch.fleet.core import AgentView
 from ibispitch.fleet.messages import AgentStatus
 from ibispitch.fleet.messages import BalancerStatus
 from ibispitch.fleet.messages import Status
@@ -153,15 +152,10 @@
             balancers=tuple(
                 view.ip for view in node.fleet.heard_balancers(now)
             ),
-            agents=tuple(self._heard_agents(now)),
+            agents=tuple(node.fleet.recent_agents(now)),
             wants_answer=wants_answer,
         )
 
-    def _heard_agents(self, now: float) -> list[str]:
-        fleet = self._node.fleet
-        views: list[AgentView] = list(fleet.agents_by_ip.values())
-        return [view.ip for view in views if fleet.hears(view, now)]
-
     def _known_ips(self) -> list[str]:
         fleet = self._node.fleet
         return [*fleet.balancers_by_ip, *fleet.agents_by_ip]
--- /dev/null
+++ b/ibispitch/waiting/core.py
@@ -0,0 +1,176 @@
+"""The line of openings that wait at a balancer.
+
+Answers these load patterns: all upstreams were lost and come back cold, so
+that a backlog meets a small rate of new flows; and a burst above what the
+upstreams can do. Openings whose objective is still in reach go first, by
+priority and age; those that are late already follow. In a first-come line
+every request would be late until the backlog is gone. What cannot be served
+within the caller's attempt is refused at once.
+"""
+
+from collections import deque
+from typing import NamedTuple
+
+from ibispitch.forwarding.packets import FlowKey
+from ibispitch.forwarding.packets import Packet
+from ibispitch.ids import ServiceName
+from ibispitch.routes.model import Route
+
+#: Time after which a caller gives up an opening that nobody answers, and
+#: starts the next attempt itself.
+ATTEMPT_S = 1.4
+#: Times at which a caller sends copies of an opening, by their number.
+COPY_AFTER_S = (0.0, 0.2, 0.6)
+#: Openings that wait at a time; more are refused at once.
+MAX_WAITING = 2048
+#: Time over which the rate of placements is counted.
+RATE_WINDOW_S = 0.5
+#: Part of the objective that remains for the request itself: an opening is
+#: late if it could only be placed after the rest.
+LATE_SHARE = 0.6
+
+
+class Opening(NamedTuple):
+    """An opening that waits.
+
+    :param route: its route, ``None`` while there are no routes.
+    :param since: time at which the caller sent the first copy.
+    """
+
+    packet: Packet
+    service: ServiceName | None
+    route: Route | None
+    since: float
+
+    def is_late(self, now: float) -> bool:
+        """Return whether the objective is out of reach."""
+        if self.route is None:
+            return False
+        return now - self.since > LATE_SHARE * self.route.objective_s
+
+
+def sent_at(packet: Packet, now: float) -> float:
+    """Return when the caller sent the first copy of an opening."""
+    copies = min(packet.acknowledged, len(COPY_AFTER_S) - 1)
+    return now - COPY_AFTER_S[copies]
+
+
+class _Line:
+    """Counts the openings and the placements of one service."""
+
+    def __init__(self, now: float):
+        self.waiting = 0
+        self.busy_since = now
+        self.placed: deque[float] = deque()
+
+    def rate(self, now: float) -> float | None:
+        """Return placements a second, ``None`` if that is not known yet."""
+        if now - self.busy_since < RATE_WINDOW_S:
+            return None
+        while self.placed and now - self.placed[0] > RATE_WINDOW_S:
+            self.placed.popleft()
+        if not self.placed:
+            return None
+        return len(self.placed) / RATE_WINDOW_S
+
+
+class WaitingLine:
+    """Openings that wait, by their flow."""
+
+    def __init__(self):
+        self._opening_by_flow: dict[FlowKey, Opening] = {}
+        self._line_by_service: dict[ServiceName | None, _Line] = {}
+
+    def __len__(self) -> int:
+        return len(self._opening_by_flow)
+
+    def __contains__(self, flow: FlowKey) -> bool:
+        return flow in self._opening_by_flow
+
+    def add(self, opening: Opening, relief_s: float, now: float) -> bool:
+        """Let an opening wait.
+
+        :param opening: the opening, or a later copy of it.
+        :param relief_s: time until upstreams that bear little now bear
+            more, infinite if that is not expected.
+        :param now: time in seconds.
+        :returns: whether it waits; ``False`` if it cannot be served within
+            the caller's attempt.
+        """
+        flow = opening.packet.flow
+        former = self.remove(flow)
+        if former is not None:
+            since = min(former.since, opening.since)
+            opening = opening._replace(since=since)
+        line = self._line_by_service.get(opening.service)
+        if line is None:
+            line = self._line_by_service[opening.service] = _Line(now)
+        if former is None and (
+            len(self) >= MAX_WAITING
+            or not self._is_in_time(opening, line, relief_s, now)
+        ):
+            self._tidy(opening.service)
+            return False
+        line.waiting += 1
+        self._opening_by_flow[flow] = opening
+        return True
+
+    def _is_in_time(
+        self, opening: Opening, line: _Line, relief_s: float, now: float
+    ) -> bool:
+        rate = line.rate(now)
+        left_s = ATTEMPT_S - (now - opening.since)
+        if rate is None or relief_s < left_s:
+            return True
+        ahead = sum(
+            other.service == opening.service
+            and self._key(other, now) < self._key(opening, now)
+            for other in self._opening_by_flow.values()
+        )
+        return ahead / rate < left_s
+
+    def placed(self, flow: FlowKey, now: float) -> None:
+        """Note that an opening was placed."""
+        opening = self.remove(flow)
+        if opening is not None:
+            line = self._line_by_service.get(opening.service)
+            if line is not None:
+                line.placed.append(now)
+
+    def remove(self, flow: FlowKey) -> Opening | None:
+        """Take an opening out of the line."""
+        opening = self._opening_by_flow.pop(flow, None)
+        if opening is not None:
+            self._line_by_service[opening.service].waiting -= 1
+            self._tidy(opening.service)
+        return opening
+
+    def _tidy(self, service: ServiceName | None) -> None:
+        if not self._line_by_service[service].waiting:
+            del self._line_by_service[service]
+
+    def expire(self, now: float) -> list[Opening]:
+        """Remove the openings whose callers have given up.
+
+        :returns: these openings.
+        """
+        over = [
+            opening
+            for opening in self._opening_by_flow.values()
+            if now - opening.since > ATTEMPT_S
+        ]
+        for opening in over:
+            self.remove(opening.packet.flow)
+        return over
+
+    def in_order(self, now: float) -> list[Opening]:
+        """Return the openings in the order in which to place them."""
+        return sorted(
+            self._opening_by_flow.values(),
+            key=lambda opening: self._key(opening, now),
+        )
+
+    @staticmethod
+    def _key(opening: Opening, now: float) -> tuple[bool, int, float]:
+        priority = opening.route.priority if opening.route else 0
+        return opening.is_late(now), priority, opening.since
