--- a/ibispitch/decisionlog.py
+++ b/ibispitch/decisionlog.py
@@ -92,18 +92,24 @@
             self._left_out[event] += 1
 
     def _add(self, event: str, now: float, fields: dict[str, Any]) -> None:
-        if self._left_out and self._size < MAX_WAITING_BYTES:
-            left_out, self._left_out = self._left_out, Counter()
-            self._add('log.left_out', now, dict(left_out))
+        if self._left_out and self._append(
+            'log.left_out', now, dict(self._left_out)
+        ):
+            self._left_out.clear()
+        if not self._append(event, now, fields):
+            self._left_out[event] += 1
+
+    def _append(self, event: str, now: float, fields: dict[str, Any]) -> bool:
+        """Add a line if there is room for it."""
         line = self._encoder.encode(
             {'at': round(now, 3), 'event': event, 'process': self._process}
             | fields
         )
-        if self._size + len(line) > MAX_WAITING_BYTES:
-            self._left_out[event] += 1
-            return
+        if self._size + len(line) >= MAX_WAITING_BYTES:
+            return False
         self._lines.append(line)
         self._size += len(line) + 1
+        return True
 
     def flush(self) -> None:
         """Write what the reader takes now and keep the rest."""
--- a/ibispitch/fleet/messages.py
+++ b/ibispitch/fleet/messages.py
@@ -27,6 +27,9 @@
     ENDED = 4
     #: The agent's process stops and is expected back; flows live on.
     RESTARTING = 5
+    #: The agent has not heard from its upstream since it started, but the
+    #: upstream answered a health check; it gets as few flows as a cold one.
+    PRESUMED = 6
 
 
 class AgentStatus(msgspec.Struct, frozen=True, array_like=True, tag='agent'):
--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -8,7 +8,6 @@
 from ibispitch.decisionlog import DecisionLog
 from ibispitch.fleet.core import AgentView
 from ibispitch.fleet.core import Fleet
-from ibispitch.fleet.messages import AgentState
 from ibispitch.forwarding import frames
 from ibispitch.forwarding.frames import MAX_TRIED
 from ibispitch.forwarding.frames import Purpose
@@ -17,6 +16,7 @@
 from ibispitch.forwarding.packets import FlowKey
 from ibispitch.forwarding.packets import Packet
 from ibispitch.forwarding.packets import PacketCodec
+from ibispitch.gate.core import TAKES_FLOWS
 from ibispitch.ids import DatacentreName
 from ibispitch.ids import ServiceName
 from ibispitch.locating import core as locating
@@ -221,7 +221,7 @@
     def _takes_openings(self, view: AgentView, now: float) -> bool:
         status = view.status
         return (
-            status.state is AgentState.READY
+            status.state in TAKES_FLOWS
             and not view.is_mute
             and status.datacentre not in self.routes.table.out
             and self._fleet.hears(view, now)
@@ -236,18 +236,24 @@
             route,
             sent_at(packet, now),
         )
-        relief_s = min(
+        relief_s = self._relief_s(opening.service)
+        if not self._line.add(opening, relief_s, now):
+            self._reset(packet, 'cannot be served in time', now)
+
+    def _relief_s(self, service: ServiceName | None) -> float:
+        """Return the time until upstreams that are cold are warm."""
+        return min(
             (
                 view.status.cold_left_s
-                for view in self._fleet.agents_of(opening.service)
+                for view in self._fleet.agents_of(service)
                 if view.status.cold_left_s > 0.0
             ),
             default=math.inf,
         )
-        if not self._line.add(opening, relief_s, now):
-            self._reset(packet, 'cannot be served in time', now)
 
     def _place_waiting(self, now: float) -> None:
+        for opening in self._line.shed(self._relief_s, now):
+            self._reset(opening.packet, 'cannot be served in time', now)
         for opening in self._line.expire(now):
             self._log.failure(
                 'flow.not_placed', opening.packet.flow, now,
--- a/ibispitch/gate/core.py
+++ b/ibispitch/gate/core.py
@@ -26,6 +26,8 @@
 #: that it holds no flows: an earlier agent would have had to hear its first
 #: heartbeat, to pass flows, to end and to be started again.
 FRESH_S = 0.4
+#: States in which an upstream may get new flows.
+TAKES_FLOWS = (AgentState.READY, AgentState.PRESUMED)
 
 
 class UpstreamState(enum.Enum):
@@ -89,6 +91,7 @@
         self._has_ended = False
         self._is_out = False
         self._is_closed = False
+        self._presumed_until = 0.0
         self._openings: deque[float] = deque()
 
     @property
@@ -124,6 +127,13 @@
         self._has_ended = True
         return True
 
+    def presume(self, now: float) -> None:
+        """Note that an upstream answered a health check after a restart.
+
+        Until its heartbeat it counts as cold, since it may be.
+        """
+        self._presumed_until = now + self._silent_after_s
+
     def close(self) -> None:
         """Admit no flows from now on, since this process stops."""
         self._is_closed = True
@@ -148,7 +158,8 @@
         if self._is_closed and not self._has_ended:
             return AgentState.RESTARTING
         if self.report is None:
-            return AgentState.UNKNOWN
+            is_presumed = now < self._presumed_until
+            return AgentState.PRESUMED if is_presumed else AgentState.UNKNOWN
         if self._has_ended:
             return AgentState.ENDED
         if self.report.state is UpstreamState.DRAINING:
@@ -161,7 +172,7 @@
         self, routes: RouteIndex | None, now: float
     ) -> int | None:
         """Return the new flows that the upstream bears now, if it is cold."""
-        if now >= self._cold_until:
+        if now >= self._cold_until and self.report is not None:
             return None
         limits = (
             routes.limits_by_service.get(self._service) if routes else None
@@ -207,7 +218,7 @@
         :param now: time in seconds.
         :returns: why the upstream must not get it, ``None`` if it may.
         """
-        if self.state(now) is not AgentState.READY:
+        if self.state(now) not in TAKES_FLOWS:
             return Reason.CLOSED
         if routes is not None and routes.revision >= revision:
             if self._is_out:
--- a/ibispitch/placement/core.py
+++ b/ibispitch/placement/core.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from ibispitch.fleet.core import AgentView
+from ibispitch.fleet.messages import AgentState
 from ibispitch.ids import DatacentreName
 from ibispitch.routes.model import RequestKind
 from ibispitch.routes.model import Route
@@ -25,6 +26,9 @@
 #: Load that an average number of long flows stands for: they pin further
 #: requests to their upstream.
 LONG_FLOW_LOAD = 1.0
+#: Load that an upstream that is only presumed to be alive stands for: one
+#: that is known to be ready goes first unless it is busy in all slots.
+PRESUMED_LOAD = 1.0
 #: Part of the objective that a request may wait in its upstream's queue. A
 #: longer queue would hold requests that the balancer could order better.
 QUEUE_SHARE = 0.35
@@ -72,7 +76,8 @@
             * _long_flows(view, kind)
             / (max(1, view.status.slots) * mean)
             * (kind is RequestKind.SAFE)
-            + remote_load * (view.status.datacentre != datacentre),
+            + remote_load * (view.status.datacentre != datacentre)
+            + PRESUMED_LOAD * (view.status.state is AgentState.PRESUMED),
             rng.random(),
             view,
         )
--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -5,6 +5,7 @@
 from ibispitch.checkpoint.core import CheckpointCollector
 from ibispitch.checkpoint.messages import CheckpointPart
 from ibispitch.checkpoint.messages import CheckpointRequest
+from ibispitch.fleet.core import STATUS_INTERVAL_S
 from ibispitch.fleet.messages import AgentStatus
 from ibispitch.fleet.messages import BalancerStatus
 from ibispitch.fleet.messages import Message
@@ -17,7 +18,6 @@
 from ibispitch.platform.http import Request
 from ibispitch.platform.http import Response
 from ibispitch.platform.node import Node
-from ibispitch.platform.node import STATUS_INTERVAL_S
 from ibispitch.platform.packets import PlatformPacketCodec
 from ibispitch.platform.upstreams import decode_heartbeat
 from ibispitch.platform.upstreams import upstream_id
@@ -40,6 +40,10 @@
 CHECKPOINT_COPIES = 3
 #: Time after its start for which an agent asks balancers for its flows.
 RESTORE_S = 5.0
+#: Time for the health check after a restart. The upstream is on the same
+#: host; a late answer would not be ahead of the heartbeat.
+HEALTH_TIMEOUT_S = 0.4
+HEALTHY_STATUS = 200
 #: Time that a stopping agent gives its last messages to leave.
 FAREWELL_S = 0.02
 
@@ -53,6 +57,7 @@
         self._codec = PlatformPacketCodec()
         self._upstream = settings.upstream
         self._outbound = None
+        self._has_checked = False
         self._started_at = node.clock()
         self._collector = CheckpointCollector()
         self._notification: asyncio.TimerHandle | None = None
@@ -171,8 +176,38 @@
             node.routes.confirm(status.revision, now - status.age_s)
 
     def _on_routes(self) -> None:
-        self._core.set_routes(self._node.routes.index, self._node.clock())
+        node = self._node
+        self._core.set_routes(node.routes.index, node.clock())
         self._notify()
+        if not self._has_checked and not node.settings.is_first_start:
+            self._has_checked = True
+            node.start(self._check_health())
+
+    async def _check_health(self) -> None:
+        """Ask the upstream once, after a restart, whether it is alive.
+
+        Its next heartbeat may be more than a second away.
+        """
+        node = self._node
+        gate = self._core.gate
+        limits = node.routes.index.limits_by_service.get(node.settings.service)
+        if gate.report is not None or limits is None:
+            return
+        client = node.transport.http_client(self._upstream)
+        try:
+            response = await client.call(
+                'GET', limits.health_path, b'', HEALTH_TIMEOUT_S
+            )
+        except (OSError, TimeoutError) as error:
+            detail = repr(error)
+        else:
+            detail = response.status
+        client.close()
+        now = node.clock()
+        if detail == HEALTHY_STATUS and gate.report is None:
+            gate.presume(now)
+            self._announce()
+        node.log.change('upstream.checked', now, result=detail)
 
     # Status.
 
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -6,6 +6,7 @@
 from ibispitch.checkpoint.core import CheckpointKeeper
 from ibispitch.checkpoint.messages import CheckpointPart
 from ibispitch.checkpoint.messages import CheckpointRequest
+from ibispitch.fleet.core import STATUS_INTERVAL_S
 from ibispitch.fleet.messages import AgentStatus
 from ibispitch.fleet.messages import BalancerStatus
 from ibispitch.fleet.messages import Message
@@ -18,10 +19,8 @@
 from ibispitch.platform.http import Request
 from ibispitch.platform.http import Response
 from ibispitch.platform.node import Node
-from ibispitch.platform.node import STATUS_INTERVAL_S
 from ibispitch.platform.node import TICK_S
 from ibispitch.platform.packets import PlatformPacketCodec
-from ibispitch.routes.transfer import serve_table
 
 READINESS_PATH = '/v1/readyz'
 #: Time after the start at which a balancer calls itself ready even if it
@@ -61,12 +60,7 @@
         await node.serve(settings.readiness, self._answer_readiness)
         if settings.heartbeats is not None:
             await node.serve(settings.heartbeats, self._refuse_heartbeat)
-        node.keep(
-            await serve_table(
-                settings.peers,
-                lambda: node.routes.index and node.routes.index.table,
-            )
-        )
+        await node.serve_routes()
         for ip in settings.seed_ips:
             node.fleet.introduce(ip, node.clock())
         node.start(node.route_reader().follow())
--- a/ibispitch/platform/node.py
+++ b/ibispitch/platform/node.py
@@ -9,14 +9,11 @@
 from collections.abc import Callable
 import signal
 import sys
-import time
 
-from ibispitch.datagrams import DatagramSocket
 from ibispitch.datagrams import OnDatagram
 from ibispitch.decisionlog import DecisionLog
 from ibispitch.decisionlog import standard_output
 from ibispitch.fleet.core import Fleet
-from ibispitch.fleet.core import STATUS_INTERVAL_S
 from ibispitch.fleet.messages import decode_message
 from ibispitch.fleet.messages import encode_message
 from ibispitch.fleet.messages import Message
@@ -25,59 +22,59 @@
 from ibispitch.forwarding.packets import FlowKey
 from ibispitch.ids import Address
 from ibispitch.platform.http import Handler
-from ibispitch.platform.http import serve
 from ibispitch.platform.routes import PlatformRoutes
 from ibispitch.platform.settings import EXIT_SETTINGS
 from ibispitch.platform.settings import load_settings
 from ibispitch.platform.settings import NodeSettings
 from ibispitch.platform.settings import SettingsError
-from ibispitch.platform.store import MetadataStore
+from ibispitch.platform.transport import Closable
+from ibispitch.platform.transport import DatagramEnd
+from ibispitch.platform.transport import HostTransport
+from ibispitch.platform.transport import Transport
 from ibispitch.routes.core import RoutesCore
 from ibispitch.routes.reader import RouteReader
-from ibispitch.routes.transfer import fetch_table
 
 #: Interval of the cores' timers. A search of a flow and an opening that
 #: waits are looked at again after this time.
 TICK_S = 0.02
 #: Interval at which log lines are written.
 FLUSH_S = 0.1
-#: Kernel buffers of a datagram socket; bytes in them count as memory.
-BUFFER_BYTES = 1 << 20
 #: First byte of a status message is at least this; frames start lower.
 FIRST_STATUS_BYTE = 0x90
 #: Part of the bound on configuration changes for which a call waits.
 WAIT_SHARE = 0.8
 
 
-def boot_clock() -> float:
-    """Return the time since the host's start, suspension included."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class Node:
     """A process of the fleet.
 
     :param settings: its settings.
+    :param transport: the host's sockets and clocks.
+    :param log: lines on decisions.
     """
 
-    def __init__(self, settings: NodeSettings):
+    def __init__(
+        self, settings: NodeSettings, transport: Transport, log: DecisionLog
+    ):
         self.settings = settings
-        self.log = DecisionLog(settings.name, standard_output())
-        self.clock = boot_clock
+        self.log = log
+        self.transport = transport
+        self.clock = transport.clock
         self.fleet = Fleet(settings.ip)
         self.routes = RoutesCore()
-        self.started_ms = round(time.time() * 1000)
+        self.started_ms = transport.unix_ms()
         self.is_stopping = asyncio.Event()
         self._loop = asyncio.get_running_loop()
         self._number = 0
+        self._is_halted = False
         self._caller_port = settings.packets.port
         self._peer_port = settings.peers.port
         self._ips: dict[bytes, str] = {}
         self._fetches: set[str] = set()
         self._tasks: set[asyncio.Task] = set()
-        self._servers: list[asyncio.Server] = []
-        self._packets: DatagramSocket | None = None
-        self._peers: DatagramSocket | None = None
+        self._servers: list[Closable] = []
+        self._packets: DatagramEnd | None = None
+        self._peers: DatagramEnd | None = None
         self.on_message: Callable[[str, Message], None] | None = None
         self.on_frame: Callable[[str, Frame], None] | None = None
         self.on_routes: Callable[[], None] | None = None
@@ -92,19 +89,22 @@
         self._packets = self.bind(on_packet, self.settings.packets)
         self._peers = self.bind(self._receive_peer, self.settings.peers)
 
-    def bind(
-        self, on_datagram: OnDatagram, address: Address
-    ) -> DatagramSocket:
+    def bind(self, on_datagram: OnDatagram, address: Address) -> DatagramEnd:
         """Open a datagram socket."""
-        return DatagramSocket(on_datagram, address, buffer_bytes=BUFFER_BYTES)
+        return self.transport.bind(on_datagram, address)
 
     async def serve(self, address: Address, handler: Handler) -> None:
         """Answer HTTP calls at an address."""
-        self._servers.append(await serve(address, handler))
-
-    def keep(self, server: asyncio.Server) -> None:
-        """Close a server when the process stops."""
-        self._servers.append(server)
+        self._servers.append(await self.transport.serve(address, handler))
+
+    async def serve_routes(self) -> None:
+        """Give the routes to processes that ask for them."""
+        self._servers.append(
+            await self.transport.serve_table(
+                self.settings.peers,
+                lambda: self.routes.index and self.routes.index.table,
+            )
+        )
 
     def start(self, work: Awaitable) -> None:
         """Run a coroutine until it ends; a failure ends the process."""
@@ -123,8 +123,9 @@
         """Call an action in intervals; a failure is logged, not fatal."""
 
         def run():
-            self._loop.call_later(interval_s, run)
-            action()
+            if not self._is_halted:
+                self._loop.call_later(interval_s, run)
+                action()
 
         run()
 
@@ -157,8 +158,15 @@
         )
         self.log.change('settings.read', now, seeds=settings.seed_ips)
 
+    def halt(self) -> None:
+        """End all work of this process in the loop, as its end would."""
+        self._is_halted = True
+        for task in self._tasks:
+            task.cancel()
+
     def close(self) -> None:
         """Close sockets and servers."""
+        self.halt()
         for server in self._servers:
             server.close()
         self.log.flush()
@@ -207,7 +215,7 @@
 
     def route_reader(self) -> RouteReader:
         """Return a reader of the routes in the store."""
-        store = MetadataStore(self.settings.store)
+        store = self.transport.store(self.settings.store)
         wait_s = WAIT_SHARE * self.settings.bounds.configuration_s
         return RouteReader(
             self.routes, PlatformRoutes(store), self.clock, self.log,
@@ -223,7 +231,9 @@
 
     async def _fetch(self, ip: str) -> None:
         try:
-            table = await fetch_table(Address(ip, self._peer_port))
+            table = await self.transport.fetch_table(
+                Address(ip, self._peer_port)
+            )
         except (OSError, TimeoutError, ValueError) as error:
             self.log.change(
                 'routes.fetch_failed', self.clock(), peer=ip,
@@ -269,7 +279,8 @@
         raise SystemExit(EXIT_SETTINGS) from None
 
     async def run():
-        node = Node(settings)
+        log = DecisionLog(settings.name, standard_output())
+        node = Node(settings, HostTransport(), log)
         node.log.change(
             'process.started', node.clock(), ip=settings.ip,
             datacentre=settings.datacentre, service=settings.service,
@@ -282,6 +293,3 @@
         node.close()
 
     asyncio.run(run())
-
-
-__all__ = ['STATUS_INTERVAL_S', 'TICK_S', 'Node', 'boot_clock', 'run_node']
--- a/ibispitch/platform/routes.py
+++ b/ibispitch/platform/routes.py
@@ -161,6 +161,7 @@
             name=ServiceName(str(raw['name'])),
             cold_start_s=float(raw.get('cold_start_s', 0.0)),
             cold_openings_per_s=float(raw.get('cold_per_s', 0.0)),
+            health_path=str(raw.get('health_path', '')),
         )
     except (AttributeError, KeyError, TypeError, ValueError):
         return None
--- a/ibispitch/routes/model.py
+++ b/ibispitch/routes/model.py
@@ -67,11 +67,13 @@
 
     :param cold_start_s: time for which an upstream is cold after its start.
     :param cold_openings_per_s: new flows a second that a cold one bears.
+    :param health_path: path of their health check.
     """
 
     name: ServiceName
     cold_start_s: float
     cold_openings_per_s: float
+    health_path: str
 
 
 class RouteTable(msgspec.Struct, frozen=True, array_like=True):
--- a/ibispitch/waiting/core.py
+++ b/ibispitch/waiting/core.py
@@ -9,6 +9,8 @@
 """
 
 from collections import deque
+from collections.abc import Callable
+from itertools import groupby
 from typing import NamedTuple
 
 from ibispitch.forwarding.packets import FlowKey
@@ -62,16 +64,26 @@
         self.waiting = 0
         self.busy_since = now
         self.placed: deque[float] = deque()
+        self.arrived: deque[float] = deque()
 
     def rate(self, now: float) -> float | None:
         """Return placements a second, ``None`` if that is not known yet."""
         if now - self.busy_since < RATE_WINDOW_S:
             return None
-        while self.placed and now - self.placed[0] > RATE_WINDOW_S:
-            self.placed.popleft()
-        if not self.placed:
+        return _per_second(self.placed, now) or None
+
+    def spare_rate(self, now: float) -> float | None:
+        """Return how many more a second are placed than arrive."""
+        rate = self.rate(now)
+        if rate is None:
             return None
-        return len(self.placed) / RATE_WINDOW_S
+        return rate - _per_second(self.arrived, now)
+
+
+def _per_second(times: deque[float], now: float) -> float:
+    while times and now - times[0] > RATE_WINDOW_S:
+        times.popleft()
+    return len(times) / RATE_WINDOW_S
 
 
 class WaitingLine:
@@ -105,6 +117,8 @@
         line = self._line_by_service.get(opening.service)
         if line is None:
             line = self._line_by_service[opening.service] = _Line(now)
+        if former is None:
+            line.arrived.append(now)
         if former is None and (
             len(self) >= MAX_WAITING
             or not self._is_in_time(opening, line, relief_s, now)
@@ -163,6 +177,35 @@
             self.remove(opening.packet.flow)
         return over
 
+    def shed(
+        self, relief_s: Callable[[ServiceName | None], float], now: float
+    ) -> list[Opening]:
+        """Remove late openings that cannot be served any more.
+
+        What is in time goes first, so that a late opening is served only if
+        more is placed than arrives.
+
+        :param relief_s: see :meth:`add`, for a service.
+        :returns: these openings, to be refused.
+        """
+        over = []
+        late = (o for o in self.in_order(now) if o.is_late(now))
+        for service, openings in groupby(
+            sorted(late, key=lambda o: o.service or ''),
+            key=lambda o: o.service,
+        ):
+            spare = self._line_by_service[service].spare_rate(now)
+            if spare is None:
+                continue
+            relief = relief_s(service)
+            for place, opening in enumerate(openings, 1):
+                left_s = ATTEMPT_S - (now - opening.since)
+                if relief >= left_s and place > spare * left_s:
+                    over.append(opening)
+        for opening in over:
+            self.remove(opening.packet.flow)
+        return over
+
     def in_order(self, now: float) -> list[Opening]:
         """Return the openings in the order in which to place them."""
         return sorted(
--- /dev/null
+++ b/testbed/flow_callers.py
@@ -0,0 +1,256 @@
+"""Stand-ins of callers that speak the platform's packets."""
+
+import asyncio
+from collections.abc import Callable
+import enum
+import itertools
+import random
+
+from ibispitch.ids import Address
+from testbed import flow_packets as packets
+from testbed.flow_packets import ACK
+from testbed.flow_packets import FIN
+from testbed.flow_packets import RST
+from testbed.flow_packets import SYN
+from testbed.flow_upstream import REFUSED
+from testbed.flow_upstream import REPEAT_S
+from testbed.flow_upstream import REQUEST_ID_BYTES
+
+COPIES_S = (0.0, 0.2, 0.6)
+GIVE_UP_S = 1.4
+RETRIES = 2
+
+_requests = itertools.count(1)
+
+
+class Outcome(enum.Enum):
+    """How a request ended for its caller."""
+
+    IN_TIME = 'in time'
+    LATE = 'late'
+    FAILED = 'failed'
+
+
+class Request:
+    """A request over all its attempts."""
+
+    def __init__(self, asked_at: float, objective_s: float, deadline_s: float):
+        self.body = next(_requests).to_bytes(REQUEST_ID_BYTES, 'big')
+        self.asked_at = asked_at
+        self.objective_s = objective_s
+        self.deadline = asked_at + deadline_s
+        self.attempts = 0
+        self.answered_at: float | None = None
+
+    @property
+    def outcome(self) -> Outcome:
+        """How the request ended."""
+        if self.answered_at is None:
+            return Outcome.FAILED
+        took_s = self.answered_at - self.asked_at
+        in_time = took_s <= self.objective_s
+        return Outcome.IN_TIME if in_time else Outcome.LATE
+
+
+class Flow:
+    """The caller's end of one flow.
+
+    :param on_end: called with whether the flow ended before it opened, when
+        it was reset, was not answered, or a request was refused.
+    """
+
+    def __init__(self, caller: 'FlowCaller', port: int):
+        self._caller = caller
+        self._loop = caller.loop
+        self.address = Address(caller.ip, port)
+        self.is_open = False
+        self.is_over = False
+        self.reset_at: float | None = None
+        self.opened_at: float | None = None
+        self._sequence = caller.rng.randrange(1 << 32)
+        self._upstream_next = 0
+        self._request: Request | None = None
+        self._timers: list[asyncio.TimerHandle] = []
+        for copy, delay_s in enumerate(COPIES_S):
+            self._later(delay_s, self._send_opening, copy)
+        self._later(GIVE_UP_S, self._give_up_opening)
+
+    def _later(self, delay_s: float, action: Callable, *arguments) -> None:
+        self._timers.append(self._loop.call_later(delay_s, action, *arguments))
+
+    def _send(self, flags: int, acknowledged: int, data: bytes = b'') -> None:
+        self._caller.transmit(
+            self,
+            packets.build(
+                self.address, self._caller.destination, flags,
+                self._sequence, acknowledged, data,
+            ),
+        )  # fmt: skip
+
+    def _send_opening(self, copy: int) -> None:
+        if not self.is_open and not self.is_over:
+            self._send(SYN, copy)
+
+    def _give_up_opening(self) -> None:
+        if not self.is_open:
+            self.end()
+            self._caller.failed(self, self._request)
+
+    def ask(self, request: Request) -> None:
+        """Send a request now, or when the flow opens."""
+        self._request = request
+        if self.is_open:
+            self._send_request(request, 0)
+
+    def _send_request(self, request: Request, count: int) -> None:
+        if self._request is not request or self.is_over:
+            return
+        if self._loop.time() >= request.deadline:
+            self.end()
+            self._caller.failed(self, None)
+            return
+        self._send(ACK, self._upstream_next, request.body)
+        delay_s = REPEAT_S[min(count, len(REPEAT_S) - 1)]
+        self._later(delay_s, self._send_request, request, count + 1)
+
+    def receive(self, segment: packets.Segment) -> None:
+        """Handle a packet for this flow."""
+        if self.is_over:
+            return
+        if segment.flags & RST:
+            self.reset_at = self._loop.time()
+            self.end()
+            self._caller.failed(self, self._request)
+        elif segment.flags & SYN and not self.is_open:
+            self.is_open = True
+            self.opened_at = self._loop.time()
+            self._sequence = (self._sequence + 1) % (1 << 32)
+            self._upstream_next = (segment.sequence + 1) % (1 << 32)
+            if self._request is not None:
+                self._send_request(self._request, 0)
+            else:
+                self._send(ACK, self._upstream_next)
+        elif segment.data:
+            self._take_answer(segment)
+
+    def _take_answer(self, segment: packets.Segment) -> None:
+        if segment.sequence == self._upstream_next:
+            end = segment.sequence + len(segment.data)
+            self._upstream_next = end % (1 << 32)
+            request, self._request = self._request, None
+            if request is not None:
+                size = len(request.body)
+                self._sequence = (self._sequence + size) % (1 << 32)
+                self._caller.answered(self, request, segment.data)
+        if not self.is_over:
+            self._send(ACK, self._upstream_next)
+
+    def close(self) -> None:
+        """Close the flow."""
+        if self.is_open and not self.is_over:
+            self._send(FIN | ACK, self._upstream_next)
+        self.end()
+
+    def end(self) -> None:
+        """Stop all timers."""
+        self.is_over = True
+        for timer in self._timers:
+            timer.cancel()
+
+
+class FlowCaller:
+    """A caller that sends requests to one destination.
+
+    :param send: takes a packet and the port that it is sent from.
+    :param is_long: whether a flow serves many requests.
+    :param retries_opened: whether a request is repeated after its flow was
+        open, as only idempotent ones are.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        ip: str,
+        destination: Address,
+        send: Callable[[bytes], None],
+        rng: random.Random,
+        is_long: bool,
+        retries_opened: bool,
+        objective_s: float = 0.1,
+        deadline_s: float = 1.5,
+    ):
+        self.loop = loop
+        self.ip = ip
+        self.destination = destination
+        self.rng = rng
+        self._send = send
+        self._is_long = is_long
+        self._retries_opened = retries_opened
+        self._objective_s = objective_s
+        self._deadline_s = deadline_s
+        self._ports = itertools.cycle(range(1024, 60000))
+        self._flow_by_port: dict[int, Flow] = {}
+        self._long: Flow | None = None
+        self.requests: list[Request] = []
+        self.mixed = 0
+        #: Flows that were reset after they had opened.
+        self.reset_flows: list[Flow] = []
+
+    def transmit(self, flow: Flow, raw: bytes) -> None:
+        """Send a packet of a flow."""
+        self._send(raw)
+
+    def receive(self, raw: bytes) -> None:
+        """Handle a packet for this caller."""
+        segment = packets.parse(raw)
+        flow = self._flow_by_port.get(segment.destination.port)
+        is_reset = bool(segment.flags & RST) and not segment.data
+        if not segment.is_intact and not is_reset:
+            self.mixed += 1
+        elif flow is not None:
+            flow.receive(segment)
+
+    def ask(self) -> None:
+        """Start a request now, if no other one is on the way."""
+        if self._long is not None and self._long._request is not None:
+            return
+        request = Request(
+            self.loop.time(), self._objective_s, self._deadline_s
+        )
+        self.requests.append(request)
+        self._attempt(request)
+
+    def _attempt(self, request: Request) -> None:
+        request.attempts += 1
+        flow = self._long
+        if flow is None or flow.is_over:
+            port = next(self._ports)
+            flow = self._flow_by_port[port] = Flow(self, port)
+            if self._is_long:
+                self._long = flow
+        flow.ask(request)
+
+    def answered(self, flow: Flow, request: Request, data: bytes) -> None:
+        """Take in an answer."""
+        if data == REFUSED + request.body:
+            flow.close()
+            self._retry(request)
+            return
+        if data != request.body:
+            self.mixed += 1
+        elif self.loop.time() <= request.deadline:
+            request.answered_at = self.loop.time()
+        if not self._is_long:
+            flow.close()
+
+    def failed(self, flow: Flow, request: Request | None) -> None:
+        """Take in that a flow has ended."""
+        if flow.reset_at is not None and flow.opened_at is not None:
+            self.reset_flows.append(flow)
+        may_retry = self._retries_opened or flow.opened_at is None
+        if request is not None and may_retry:
+            self._retry(request)
+
+    def _retry(self, request: Request) -> None:
+        if request.attempts <= RETRIES and self.loop.time() < request.deadline:
+            self._attempt(request)
--- /dev/null
+++ b/testbed/flow_network.py
@@ -0,0 +1,500 @@
+"""A deployment of the prepared platform in simulated time.
+
+The real programs of balancers and agents run on simulated hosts: a fabric
+that hashes by ``mod``, links with delay and cuts, upstreams, callers, the
+store and an operator. Faults come from outside, as on the bench.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+import json
+import random
+from typing import NamedTuple
+import zlib
+
+from ibispitch.decisionlog import DecisionLog
+from ibispitch.ids import Address
+from ibispitch.platform.agent import Agent
+from ibispitch.platform.balancer import Balancer
+from ibispitch.platform.http import Request
+from ibispitch.platform.http import Response
+from ibispitch.platform.node import Node
+from ibispitch.platform.settings import parse_settings
+from testbed import flow_packets
+from testbed.flow_callers import FlowCaller
+from testbed.flow_callers import Outcome
+from testbed.flow_upstream import FlowUpstream
+from testbed.memory_store import MemoryStore
+from testbed.memory_store import MemoryStoreClient
+
+PACKET_PORT, PEER_PORT, READY_PORT = 8172, 7720, 8167
+HEARTBEAT_PORT, OUTBOUND_PORT, UPSTREAM_PORT = 8166, 8162, 8165
+HEARTBEAT_S = 0.8
+RESTART_S = 0.6
+PROBE_S = 0.5
+IN_DATACENTRE_S = 0.0002
+BETWEEN_DATACENTRES_S = 0.001
+TO_CALLERS_S = 0.002
+
+
+class Kind(NamedTuple):
+    """What the requests to a destination are like."""
+
+    kind: str
+    service: str
+    destination: Address
+    objective_s: float
+    deadline_s: float
+    priority: int = 1
+
+
+FEED = Kind('safe', 'counter', Address('198.18.0.1', 443), 0.1, 1.5, 2)
+QUOTE = Kind('unsafe', 'counter', Address('198.18.0.1', 8080), 0.12, 2.0)
+
+
+class _Socket:
+    def __init__(self, host: 'Host', address: Address):
+        self._host = host
+        self._address = address
+
+    def send(self, data: bytes, address) -> None:
+        self._host.network.deliver(self._host, Address(*address), data,
+                                   self._address)  # fmt: skip
+
+    def close(self) -> None:
+        self._host.sockets.pop(self._address, None)
+
+
+class _Server:
+    def __init__(self, close: Callable[[], None]):
+        self.close = close
+
+
+class _HttpClient:
+    def __init__(self, host: 'Host', address: Address):
+        self._host = host
+        self._address = address
+
+    async def call(self, method, path, body, timeout_s) -> Response:
+        upstream = self._host.upstream
+        if self._address.port != UPSTREAM_PORT or upstream is None:
+            raise ConnectionRefusedError('nothing listens')
+        if not upstream.is_alive:
+            raise ConnectionRefusedError('nothing listens')
+        return Response(503 if upstream.is_draining else 200)
+
+    def close(self) -> None:
+        pass
+
+
+class Host:
+    """A simulated host with one process; its transport as well."""
+
+    def __init__(
+        self, network: 'FlowNetwork', name: str, ip: str, datacentre: str,
+        service: str | None,
+    ):  # fmt: skip
+        self.network = network
+        self.name = name
+        self.ip = ip
+        self.datacentre = datacentre
+        self.service = service
+        self.sockets: dict[Address, Callable] = {}
+        self.handlers: dict[int, Callable] = {}
+        self.tables: dict[int, Callable] = {}
+        self.node: Node | None = None
+        self.task: asyncio.Task | None = None
+        self.upstream: FlowUpstream | None = None
+        self.is_ready = False
+        self.starts = 0
+        self.log_lines: list[dict] = []
+
+    # The transport.
+
+    def clock(self) -> float:
+        return self.network.loop.now + 1000.0
+
+    def unix_ms(self) -> int:
+        return round(self.network.loop.now * 1000) + 1_700_000_000_000
+
+    def bind(self, on_datagram, address: Address) -> _Socket:
+        self.sockets[address] = on_datagram
+        return _Socket(self, address)
+
+    async def serve(self, address: Address, handler) -> _Server:
+        self.handlers[address.port] = handler
+        return _Server(lambda: self.handlers.pop(address.port, None))
+
+    async def serve_table(self, address: Address, read) -> _Server:
+        self.tables[address.port] = read
+        return _Server(lambda: self.tables.pop(address.port, None))
+
+    async def fetch_table(self, address: Address):
+        other = self.network.host_by_ip[address.ip]
+        await asyncio.sleep(2 * self.network.delay_s(self, other))
+        read = other.tables.get(address.port)
+        table = read() if read and self.network.reaches(self, other) else None
+        if table is None:
+            raise ConnectionResetError('no table')
+        return table
+
+    def store(self, _address: Address) -> MemoryStoreClient:
+        return MemoryStoreClient(self.network.store, self.name)
+
+    def http_client(self, address: Address) -> _HttpClient:
+        return _HttpClient(self, address)
+
+
+class FlowNetwork:
+    """The deployment.
+
+    :param loop: the simulated loop that everything runs in.
+    :param datacentres: name of each one and its number of balancers.
+    :param agents: data centre and service of each agent.
+    """
+
+    def __init__(
+        self,
+        loop,
+        datacentres: dict[str, int],
+        agents: Iterable[tuple[str, str]],
+        seed: int = 1,
+        slots: int = 1,
+        work_s: float = 0.015,
+    ):
+        self.loop = loop
+        self.rng = random.Random(seed)
+        self.store = MemoryStore()
+        self.slots = slots
+        self.work_s = work_s
+        self.cold_openings_per_s = 0.0
+        self.host_by_ip: dict[str, Host] = {}
+        self.balancers: list[Host] = []
+        self.agents: list[Host] = []
+        self.caller_by_ip: dict[str, FlowCaller] = {}
+        self._datacentre_by_caller: dict[str, str] = {}
+        self.upstreams: list[tuple[Host, FlowUpstream]] = []
+        self.cut_pairs: set[frozenset[str]] = set()
+        self.loss = 0.0
+        self.is_first_start = True
+        numbers = {name: number for number, name in enumerate(datacentres, 1)}
+        for name, count in datacentres.items():
+            for index in range(count):
+                ip = f'10.{numbers[name]}.0.{index + 1}'
+                self.balancers.append(
+                    self._host(f'balancer-{name}-{index}', ip, name, None)
+                )
+        for index, (name, service) in enumerate(agents):
+            ip = f'10.{numbers[name]}.1.{index + 1}'
+            self.agents.append(
+                self._host(f'agent-{name}-{index}', ip, name, service)
+            )
+
+    def _host(self, name, ip, datacentre, service) -> Host:
+        host = Host(self, name, ip, datacentre, service)
+        self.host_by_ip[ip] = host
+        return host
+
+    # Life of processes.
+
+    async def start(self) -> None:
+        """Start everything and wait until the balancers are ready."""
+        for host in self.agents:
+            self.start_upstream(host)
+        for host in (*self.balancers, *self.agents):
+            self.start_process(host)
+        self.loop.create_task(self._probe())
+        await asyncio.sleep(3.0)
+        self.is_first_start = False
+
+    def start_process(self, host: Host) -> None:
+        """Start the process of a host."""
+        host.starts += 1
+        settings = parse_settings(self._settings(host))
+        log = DecisionLog(host.name, lambda data: self._log(host, data))
+        host.node = Node(settings, host, log)
+        program = Balancer if host in self.balancers else Agent
+        node = host.node
+        host.node.every(0.1, lambda: log.flush())
+        host.task = self.loop.create_task(self._run(host, program(node)))
+
+    @staticmethod
+    def _log(host: Host, data: bytes) -> int:
+        host.log_lines.extend(json.loads(line) for line in data.splitlines())
+        return len(data)
+
+    async def _run(self, host: Host, program) -> None:
+        await program.run()
+        self._clear(host)
+
+    def kill(self, host: Host, down_s: float | None = RESTART_S) -> None:
+        """Kill a process; it starts again after a while.
+
+        :param down_s: ``None`` to leave it down.
+        """
+        host.node.halt()
+        host.task.cancel()
+        self._clear(host)
+        if down_s is not None:
+            self.loop.call_later(down_s, self.start_process, host)
+
+    def _clear(self, host: Host) -> None:
+        host.node.halt()
+        host.sockets.clear()
+        host.handlers.clear()
+        host.tables.clear()
+
+    async def stop(self, host: Host) -> None:
+        """Ask a process to stop, wait for it, and start it again."""
+        host.node.is_stopping.set()
+        await host.task
+        await asyncio.sleep(RESTART_S)
+        self.start_process(host)
+
+    # Upstreams.
+
+    def start_upstream(self, host: Host, cold_s: float = 0.0) -> FlowUpstream:
+        """Start an upstream beside an agent."""
+        upstream = FlowUpstream(
+            self.loop, lambda raw: self._from_upstream(host, raw), self.rng,
+            self.slots, work_s=self.work_s, cold_s=cold_s,
+        )  # fmt: skip
+        host.upstream = upstream
+        self.upstreams.append((host, upstream))
+        self.loop.create_task(self._beat(host, upstream))
+        return upstream
+
+    async def _beat(self, host: Host, upstream: FlowUpstream) -> None:
+        await asyncio.sleep(self.rng.uniform(0.0, 0.2))
+        while upstream.is_alive:
+            body = upstream.heartbeat() | {
+                'service': host.service, 'zone': host.datacentre,
+                'address': host.ip, 'version': 'v1',
+            }  # fmt: skip
+            await self.call(
+                host, HEARTBEAT_PORT, 'PUT',
+                f'/v1/instances/{upstream.name}', json.dumps(body).encode(),
+            )  # fmt: skip
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def leave(self, host: Host, drain_s: float = 3.0) -> None:
+        """Let the upstream of a host drain and end."""
+        upstream = host.upstream
+        upstream.is_draining = True
+        await asyncio.sleep(drain_s)
+        path = f'/v1/instances/{upstream.name}'
+        await self.call(host, HEARTBEAT_PORT, 'DELETE', path, b'')
+        upstream.crash()
+
+    async def call(self, host, port, method, path, body) -> Response | None:
+        """Call a process on its own host."""
+        handler = host.handlers.get(port)
+        if handler is None:
+            return None
+        return await handler(Request(method, path, body))
+
+    def _from_upstream(self, host: Host, raw: bytes) -> None:
+        address = Address(host.ip, OUTBOUND_PORT)
+        self.loop.call_soon(self._arrive, host, address, raw, address)
+
+    # Datagrams.
+
+    def reaches(self, one: Host, other: Host) -> bool:
+        """Return whether two hosts reach each other."""
+        return frozenset((one.name, other.name)) not in self.cut_pairs
+
+    def delay_s(self, one: Host, other: Host) -> float:
+        """Return the delay of a datagram between two hosts."""
+        is_near = one.datacentre == other.datacentre
+        return IN_DATACENTRE_S if is_near else BETWEEN_DATACENTRES_S
+
+    def deliver(self, host, address: Address, data: bytes, sender) -> None:
+        """Carry a datagram of a process."""
+        if address.port == UPSTREAM_PORT and address.ip == host.ip:
+            upstream = host.upstream
+            if upstream is not None:
+                self.loop.call_soon(upstream.receive, data)
+            return
+        if self.rng.random() < self.loss:
+            return
+        caller = self.caller_by_ip.get(address.ip)
+        if caller is not None:
+            self.loop.call_later(TO_CALLERS_S, caller.receive, data)
+            return
+        other = self.host_by_ip.get(address.ip)
+        if other is not None and self.reaches(host, other):
+            delay_s = self.delay_s(host, other)
+            self.loop.call_later(
+                delay_s, self._arrive, other, address, data, sender
+            )
+
+    @staticmethod
+    def _arrive(host: Host, address: Address, data: bytes, sender) -> None:
+        receive = host.sockets.get(address)
+        if receive is not None:
+            receive(data, sender)
+
+    # The fabric and the callers.
+
+    async def _probe(self) -> None:
+        misses = {host.name: 2 for host in self.balancers}
+        while True:
+            for host in self.balancers:
+                response = await self.call(
+                    host, READY_PORT, 'GET', '/v1/readyz', b''
+                )
+                is_well = response is not None and response.status == 200
+                misses[host.name] = 0 if is_well else misses[host.name] + 1
+                host.is_ready = misses[host.name] < 2
+            await asyncio.sleep(PROBE_S)
+
+    def add_caller(
+        self, datacentre: str, kind: Kind, is_long: bool = False
+    ) -> FlowCaller:
+        """Add a caller of a data centre."""
+        ip = f'100.64.{len(self.caller_by_ip) // 250}.' + str(
+            len(self.caller_by_ip) % 250 + 1
+        )
+        caller = FlowCaller(
+            self.loop, ip, kind.destination,
+            lambda raw: self._from_caller(datacentre, raw), self.rng,
+            is_long, kind.kind == 'safe', kind.objective_s, kind.deadline_s,
+        )  # fmt: skip
+        self.caller_by_ip[ip] = caller
+        return caller
+
+    def _from_caller(self, datacentre: str, raw: bytes) -> None:
+        if self.rng.random() < self.loss:
+            return
+        near = [h for h in self.balancers if h.datacentre == datacentre]
+        ready = [h for h in near if h.is_ready]
+        hosts = ready if 2 * len(ready) >= len(near) and ready else near
+        host = hosts[zlib.crc32(raw[14:26]) % len(hosts)]
+        address = Address(host.ip, PACKET_PORT)
+        self.loop.call_later(
+            TO_CALLERS_S, self._arrive, host, address, raw, address
+        )
+
+    async def load(
+        self, callers: list[FlowCaller], per_s: float, for_s: float
+    ) -> None:
+        """Let callers send requests at a mean rate."""
+        until = self.loop.now + for_s
+        while self.loop.now < until:
+            self.rng.choice(callers).ask()
+            await asyncio.sleep(self.rng.expovariate(per_s))
+
+    # The operator.
+
+    def configure(self, version: int, kinds: Iterable[Kind]) -> None:
+        """Write a configuration with a route for each kind."""
+        kinds = tuple(kinds)
+        services = sorted({kind.service for kind in kinds})
+        self.store.write('op/config', json.dumps({
+            'version': version,
+            'routes': [
+                {
+                    'name': f'r-{index}', 'hostname': kind.destination.ip,
+                    'prefix': f'/{kind.destination.port}/',
+                    'service': kind.service, 'type': kind.kind,
+                    'aim_ms': kind.objective_s * 1000,
+                    'timeout_ms': kind.deadline_s * 1000,
+                    'priority': kind.priority,
+                }
+                for index, kind in enumerate(kinds)
+            ],
+            'services': [
+                {
+                    'name': name, 'health_path': '/healthz',
+                    'cold_start_s': 2.0,
+                    'cold_per_s': self.cold_openings_per_s,
+                }
+                for name in services
+            ],
+            'limits': {'idle_timeout_ms': 15000},
+        }).encode())  # fmt: skip
+
+    def take_out(self, datacentre: str, is_out: bool = True) -> None:
+        """Take a data centre out of service, or return it."""
+        key = f'op/evacuate/{datacentre}'
+        self.store.write(key, b'{}' if is_out else None)
+
+    def _settings(self, host: Host) -> str:
+        seeds = ','.join(
+            f'{balancer.ip}:{HEARTBEAT_PORT}'
+            for balancer in self.balancers[:3]
+        )
+        lines = {
+            'node_name': host.name, 'ip': host.ip, 'zone': host.datacentre,
+            'listen.datagram_addr': f'{host.ip}:{PACKET_PORT}',
+            'listen.ready': f'{host.ip}:{READY_PORT}',
+            'listen.control': f'{host.ip}:{HEARTBEAT_PORT}',
+            'internal_ports': f'{PEER_PORT},7735', 'seeds': seeds,
+            'bootstrap': 'true' if self.is_first_start else 'false',
+            'heartbeat_ms': round(HEARTBEAT_S * 1000),
+            'platform.address': '10.200.0.1:8169',
+            'bounds.config_ms': 3000, 'bounds.evacuate_ms': 5000,
+            'bounds.stability_ms': 4000, 'bounds.grace_s': 6,
+            'bounds.cold_factor': 1.5, 'bounds.cold_slack': 5,
+        }  # fmt: skip
+        if host.service is not None:
+            lines |= {
+                'listen.outbound': f'{host.ip}:{OUTBOUND_PORT}',
+                'app': f'{host.ip}:{UPSTREAM_PORT}', 'service': host.service,
+            }  # fmt: skip
+        return '\n'.join(f'{key}={value}' for key, value in lines.items())
+
+    # Checks.
+
+    def outcomes(
+        self, since: float = 0.0, until: float = float('inf')
+    ) -> dict[Outcome, int]:
+        """Count the requests that were asked in a time by their outcome."""
+        requests = [
+            request
+            for caller in self.caller_by_ip.values()
+            for request in caller.requests
+            if since <= request.asked_at < until
+        ]
+        return {
+            outcome: sum(r.outcome is outcome for r in requests)
+            for outcome in Outcome
+        }
+
+    def wrongly_reset(self) -> list[Address]:
+        """Return open flows that were reset while an upstream holds them."""
+        return [
+            flow.address
+            for caller in self.caller_by_ip.values()
+            for flow in caller.reset_flows
+            if any(up.holds(flow.address) for _, up in self.upstreams)
+        ]
+
+    def runs_again(self) -> int:
+        """Return how many requests ran more than once."""
+        runs = [run for _, up in self.upstreams for run in up.runs]
+        return len(runs) - len(set(runs))
+
+    def most_openings(self, upstream: FlowUpstream, window_s: float) -> int:
+        """Return the most openings of an upstream in any window."""
+        times = [opened.at for opened in upstream.openings]
+        return max(
+            (
+                sum(start <= time < start + window_s for time in times)
+                for start in times
+            ),
+            default=0,
+        )
+
+    def errors(self) -> list[dict]:
+        """Return the log lines on errors of processes."""
+        return [
+            line
+            for host in self.host_by_ip.values()
+            for line in host.log_lines
+            if line['event'] == 'process.error'
+        ]
+
+
+__all__ = ['FEED', 'QUOTE', 'FlowNetwork', 'Kind', 'flow_packets']
--- /dev/null
+++ b/testbed/flow_upstream.py
@@ -0,0 +1,227 @@
+"""A stand-in of an upstream that speaks the platform's packets.
+
+A request is one segment of data, ``REQUEST_ID`` bytes of id; its answer is
+the id again. The upstream runs a number of requests at a time, queues some
+more, and answers 503-like refusals beyond that.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+import itertools
+import random
+from typing import NamedTuple
+
+from ibispitch.ids import Address
+from testbed import flow_packets as packets
+from testbed.flow_packets import ACK
+from testbed.flow_packets import FIN
+from testbed.flow_packets import RST
+from testbed.flow_packets import SYN
+
+REQUEST_ID_BYTES = 16
+REPEAT_S = (0.2, 0.4, 0.8, 1.6, 1.6, 1.6, 1.6, 1.6)
+REFUSED = b'shed'
+
+_births = itertools.count(1)
+
+
+class Opened(NamedTuple):
+    """An opening that an upstream accepted."""
+
+    at: float
+    caller: Address
+    destination: Address
+
+
+class _Flow:
+    def __init__(self, sequence: int, caller_next: int):
+        self.next = sequence
+        self.caller_next = caller_next
+        self.is_open = False
+        self.unacknowledged: bytes | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class FlowUpstream:
+    """An upstream, one start of it.
+
+    :param send: takes the packets that it sends to its agent.
+    :param slots: requests that it runs at a time.
+    :param queue: requests that wait besides.
+    :param work_s: mean time of a request.
+    :param cold_s: time for which it is cold, 0 if it starts warm.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        send: Callable[[bytes], None],
+        rng: random.Random,
+        slots: int = 2,
+        queue: int = 8,
+        work_s: float = 0.02,
+        cold_s: float = 0.0,
+    ):
+        self._loop = loop
+        self._send = send
+        self._rng = rng
+        self.slots = slots
+        self._queue = queue
+        self.work_s = work_s
+        self.number = next(_births)
+        self.born_ms = 1_700_000_000_000 + 1000 * self.number
+        self._sequence = 0
+        self._cold_until = loop.time() + cold_s
+        self._flow_by_caller: dict[Address, _Flow] = {}
+        self._running = 0
+        self._waiting: deque = deque()
+        self.is_draining = False
+        self.is_alive = True
+        #: What it accepted and ran, for the checks.
+        self.openings: list[Opened] = []
+        self.runs: list[bytes] = []
+        self.damaged = 0
+        self.bounced_by_caller: dict[Address, list[float]] = {}
+
+    # Heartbeats.
+
+    def heartbeat(self) -> dict:
+        """Return the body of the next heartbeat."""
+        self._sequence += 1
+        cold_s = max(0.0, self._cold_until - self._loop.time())
+        return {
+            'slots': self.slots, 'sequence': self._sequence,
+            'state': 'draining' if self.is_draining else 'ready',
+            'cold_left_ms': round(cold_s * 1000), 'born': self.born_ms,
+        }  # fmt: skip
+
+    @property
+    def name(self) -> str:
+        """Id of this start."""
+        return f'i-{self.number}'
+
+    def turn_cold(self, for_s: float) -> None:
+        """Be slow for a time, as after a start."""
+        self._cold_until = self._loop.time() + for_s
+
+    def crash(self) -> None:
+        """End without a word; flows and requests are lost."""
+        self.is_alive = False
+        for flow in self._flow_by_caller.values():
+            self._stop_repeating(flow)
+        self._flow_by_caller.clear()
+
+    # Packets.
+
+    def receive(self, raw: bytes) -> None:
+        """Handle a packet of a caller."""
+        if not self.is_alive:
+            return
+        segment = packets.parse(raw)
+        if not segment.is_intact:
+            self.damaged += 1
+            return
+        caller = segment.source
+        flow = self._flow_by_caller.get(caller)
+        if segment.flags & SYN:
+            self._open(raw, segment, flow)
+        elif flow is None:
+            self.bounced_by_caller.setdefault(caller, []).append(
+                self._loop.time()
+            )
+            self._send(packets.bounced(raw))
+        else:
+            self._take(segment, flow)
+
+    def _open(self, raw, segment, flow) -> None:
+        caller = segment.source
+        if flow is None or flow.caller_next != segment.sequence + 1:
+            sequence = self._rng.randrange(1 << 32)
+            flow = _Flow((sequence + 1) % (1 << 32), segment.sequence + 1)
+            self._flow_by_caller[caller] = flow
+            self.openings.append(
+                Opened(self._loop.time(), caller, segment.destination)
+            )
+        self._reply(segment, SYN | ACK, (flow.next - 1) % (1 << 32), flow)
+
+    def _take(self, segment, flow: _Flow) -> None:
+        if segment.flags & RST:
+            self._drop(segment.source)
+            return
+        if segment.flags & ACK and segment.acknowledged == flow.next:
+            flow.is_open = True
+            self._stop_repeating(flow)
+        if segment.data and segment.sequence == flow.caller_next:
+            flow.caller_next += len(segment.data)
+            self._admit(segment, flow)
+        elif segment.data:
+            self._reply(segment, ACK, flow.next, flow)
+        if segment.flags & FIN:
+            self._reply(segment, FIN | ACK, flow.next, flow)
+            self._drop(segment.source)
+
+    def _admit(self, segment, flow: _Flow) -> None:
+        if self._running < self.slots:
+            self._run(segment, flow)
+        elif len(self._waiting) < self._queue:
+            self._waiting.append((segment, flow))
+        else:
+            self._answer(segment, flow, REFUSED + segment.data)
+
+    def _run(self, segment, flow: _Flow) -> None:
+        self._running += 1
+        self.runs.append(segment.data)
+        is_cold = self._loop.time() < self._cold_until
+        work_s = self.work_s * self._rng.uniform(0.5, 1.5)
+        self._loop.call_later(
+            work_s * (1.6 if is_cold else 1.0), self._finish, segment, flow
+        )
+
+    def _finish(self, segment, flow: _Flow) -> None:
+        self._running -= 1
+        if not self.is_alive:
+            return
+        self._answer(segment, flow, segment.data)
+        if self._waiting:
+            self._run(*self._waiting.popleft())
+
+    def _answer(self, segment, flow: _Flow, data: bytes) -> None:
+        reply = packets.build(
+            segment.destination, segment.source, ACK, flow.next,
+            flow.caller_next, data,
+        )  # fmt: skip
+        flow.next = (flow.next + len(data)) % (1 << 32)
+        self._stop_repeating(flow)
+        self._repeat(reply, flow, 0)
+
+    def _repeat(self, reply: bytes, flow: _Flow, count: int) -> None:
+        if self.is_alive and count < len(REPEAT_S):
+            self._send(reply)
+            flow.timer = self._loop.call_later(
+                REPEAT_S[count], self._repeat, reply, flow, count + 1
+            )
+
+    def _reply(self, segment, flags: int, sequence: int, flow) -> None:
+        self._send(
+            packets.build(
+                segment.destination, segment.source, flags, sequence,
+                flow.caller_next,
+            )
+        )  # fmt: skip
+
+    @staticmethod
+    def _stop_repeating(flow: _Flow) -> None:
+        if flow.timer is not None:
+            flow.timer.cancel()
+            flow.timer = None
+
+    def _drop(self, caller: Address) -> None:
+        flow = self._flow_by_caller.pop(caller, None)
+        if flow is not None:
+            self._stop_repeating(flow)
+
+    def holds(self, caller: Address) -> bool:
+        """Return whether an open flow of a caller is here."""
+        flow = self._flow_by_caller.get(caller)
+        return self.is_alive and flow is not None and flow.is_open
--- /dev/null
+++ b/testbed/memory_store.py
@@ -0,0 +1,195 @@
+"""The platform's metadata store in memory.
+
+Kin of :class:`ibispitch.platform.store.MetadataStore`, with the faults that
+the platform states: away, silent, slow, answers lost, history dropped.
+"""
+
+import asyncio
+import bisect
+import enum
+
+from ibispitch.platform.store import Item
+from ibispitch.platform.store import Lease
+from ibispitch.platform.store import Listing
+from ibispitch.platform.store import StoreCallError
+
+LATENCY_S = 0.004
+
+
+class Fault(enum.Enum):
+    """What the store does to a call."""
+
+    NONE = 'none'
+    BUSY = 'busy'
+    RESET = 'reset'
+    SILENT = 'silent'
+    #: Writes are done and not answered.
+    LOST = 'lost'
+
+
+class MemoryStore:
+    """Items, revisions and leases, shared by all clients."""
+
+    def __init__(self):
+        self.revision = 1
+        self._item_by_key: dict[str, Item] = {}
+        self._events: list[Item] = []
+        self._oldest = 0
+        self._changed = asyncio.Event()
+        self._leases: dict[int, float] = {}
+        self._lease_by_key: dict[str, int] = {}
+        self.fault = Fault.NONE
+        self.faulty_clients: set[str] | None = None
+        self.latency_s = LATENCY_S
+        self.calls = 0
+
+    def write(self, key: str, value: bytes | None) -> int:
+        """Write or remove a key, as the operator does."""
+        self.revision += 1
+        item = Item(key, value, self.revision)
+        if value is None:
+            self._item_by_key.pop(key, None)
+        else:
+            self._item_by_key[key] = item
+        self._events.append(item)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return self.revision
+
+    def compact(self) -> None:
+        """Drop the history."""
+        self._oldest = self.revision
+        self._events.clear()
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def items(self, prefix: str) -> tuple[Item, ...]:
+        """Return the items under a prefix."""
+        return tuple(
+            item
+            for key, item in sorted(self._item_by_key.items())
+            if key.startswith(prefix)
+        )
+
+    def events(self, prefix: str, after: int) -> tuple[Item, ...] | None:
+        """Return the events after a revision, ``None`` if they are lost."""
+        if after < self._oldest:
+            return None
+        start = bisect.bisect_right(
+            self._events, after, key=lambda event: event.revision
+        )
+        return tuple(
+            event
+            for event in self._events[start:]
+            if event.key.startswith(prefix)
+        )
+
+    async def wait_for_change(self, timeout_s: float) -> None:
+        """Wait until something is written."""
+        changed = self._changed
+        try:
+            async with asyncio.timeout(timeout_s):
+                await changed.wait()
+        except TimeoutError:
+            return
+
+    def lease(self, ttl_s: float) -> int:
+        """Create a lease."""
+        self.revision += 1
+        self._leases[self.revision] = ttl_s
+        return self.revision
+
+    def has_lease(self, lease_id: int) -> bool:
+        """Return whether a lease has not ended."""
+        return lease_id in self._leases
+
+    def end_lease(self, lease_id: int) -> None:
+        """End a lease and remove its keys."""
+        self._leases.pop(lease_id, None)
+        for key, owner in list(self._lease_by_key.items()):
+            if owner == lease_id:
+                del self._lease_by_key[key]
+                self.write(key, None)
+
+    def attach(self, key: str, lease_id: int) -> None:
+        """Let a key end with a lease."""
+        self._lease_by_key[key] = lease_id
+
+
+class MemoryStoreClient:
+    """A client of a :class:`MemoryStore`, see :class:`MetadataStore`.
+
+    :param client: name of the process, for faults of some clients only.
+    """
+
+    def __init__(self, store: MemoryStore, client: str):
+        self._store = store
+        self._client = client
+
+    async def list(self, prefix: str, is_stale_ok: bool = False) -> Listing:
+        """Return all items under a prefix."""
+        await self._enter()
+        return Listing(self._store.revision, self._store.items(prefix))
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> Listing:
+        """Return the changes under a prefix after a revision."""
+        await self._enter()
+        store = self._store
+        until = asyncio.get_running_loop().time() + wait_s
+        while True:
+            events = store.events(prefix, after)
+            if events is None:
+                raise StoreCallError(410, 'history lost')
+            left_s = until - asyncio.get_running_loop().time()
+            if events or left_s <= 0:
+                await self._check()
+                return Listing(store.revision, events)
+            await store.wait_for_change(left_s)
+
+    async def grant(self, ttl_s: float) -> Lease:
+        """Ask for a lease."""
+        await self._enter()
+        return Lease(self._store.lease(ttl_s), ttl_s)
+
+    async def renew(self, lease: Lease) -> None:
+        """Renew a lease."""
+        await self._enter()
+        if not self._store.has_lease(lease.lease_id):
+            raise StoreCallError(404, 'lease has ended')
+
+    async def put(self, key: str, value: bytes, lease: Lease) -> None:
+        """Write a key that is removed when a lease ends."""
+        await self._enter()
+        if not self._store.has_lease(lease.lease_id):
+            raise StoreCallError(404, 'lease has ended')
+        self._store.write(key, value)
+        self._store.attach(key, lease.lease_id)
+        if self._fault() is Fault.LOST:
+            await self._fail(0)
+
+    def close(self) -> None:
+        """Close the client."""
+
+    def _fault(self) -> Fault:
+        clients = self._store.faulty_clients
+        if clients is not None and self._client not in clients:
+            return Fault.NONE
+        return self._store.fault
+
+    async def _enter(self) -> None:
+        self._store.calls += 1
+        await asyncio.sleep(self._store.latency_s)
+        await self._check()
+
+    async def _check(self) -> None:
+        fault = self._fault()
+        if fault is Fault.BUSY:
+            raise StoreCallError(503, 'busy')
+        if fault is Fault.RESET:
+            await self._fail(0)
+        if fault is Fault.SILENT:
+            await asyncio.sleep(1.5)
+            await self._fail(0)
+
+    async def _fail(self, status: int) -> None:
+        raise StoreCallError(status, 'no answer')
--- /dev/null
+++ b/tests/fleet/test_fleet.py
@@ -0,0 +1,139 @@
+"""What a process believes of the others."""
+
+import pytest
+
+from ibispitch.fleet.core import Fleet
+from ibispitch.fleet.core import FORGET_S
+from ibispitch.fleet.core import LOST_S
+from ibispitch.fleet.core import RESTART_S
+from ibispitch.fleet.core import SUSPECT_S
+from ibispitch.fleet.messages import AgentState
+from ibispitch.fleet.messages import AgentStatus
+from ibispitch.fleet.messages import BalancerStatus
+from ibispitch.fleet.messages import decode_message
+from ibispitch.fleet.messages import encode_message
+
+
+def agent(number=1, incarnation=1000, state=AgentState.READY, **changes):
+    fields = {
+        'datacentre': 'accra', 'service': 'counter', 'started_ms': 1,
+        'number': number, 'incarnation': incarnation, 'state': state,
+        'slots': 1, 'running': 0, 'work_s': 0.0, 'long_flows': 0,
+        'cold_openings': None, 'cold_left_s': 0.0, 'revision': 1,
+        'wants_answer': False,
+    }  # fmt: skip
+    return AgentStatus(**fields | changes)
+
+
+def balancer(number=1, **changes):
+    fields = {
+        'datacentre': 'accra', 'started_ms': 1, 'number': number,
+        'revision': 1, 'age_s': 0.0, 'is_leaving': False, 'balancers': (),
+        'agents': (), 'wants_answer': False,
+    }  # fmt: skip
+    return BalancerStatus(**fields | changes)
+
+
+@pytest.fixture
+def fleet():
+    fleet = Fleet('10.0.0.1')
+    for number in range(1, 6):
+        fleet.hear_agent(f'10.0.1.{number}', agent(), 0.0)
+    return fleet
+
+
+def keep_others(fleet, now):
+    for number in range(2, 6):
+        fleet.hear_agent(f'10.0.1.{number}', agent(number=int(now * 9)), now)
+
+
+def test_messages_survive_the_wire():
+    """Guards against fields that swap places."""
+    for message in (agent(), balancer(balancers=('10.0.0.9',))):
+        assert decode_message(encode_message(message)) == message
+    assert decode_message(b'\x93\x01') is None
+
+
+def test_older_status_is_ignored(fleet):
+    """Guards against datagrams that overtake each other."""
+    fleet.hear_agent('10.0.1.1', agent(5, state=AgentState.DRAINING), 1.0)
+    fleet.hear_agent('10.0.1.1', agent(4), 1.1)
+    view = fleet.agents_by_ip['10.0.1.1']
+    assert view.status.state is AgentState.DRAINING
+
+
+def test_address_with_another_service(fleet):
+    """Guards against flows to an address that now serves something else."""
+    fleet.hear_agent('10.0.1.1', agent(9, service='intake'), 1.0)
+    assert '10.0.1.1' not in {v.ip for v in fleet.agents_of('counter')}
+    assert [v.ip for v in fleet.agents_of('intake')] == ['10.0.1.1']
+
+
+def test_replaced_upstream_has_ended(fleet):
+    """Guards against callers who wait for an upstream that is gone."""
+    fleet.hear_agent('10.0.1.1', agent(2, incarnation=2000), 1.0)
+    assert fleet.has_ended('10.0.1.1', 1000, 1.0)
+    assert not fleet.has_ended('10.0.1.1', 2000, 1.0)
+
+
+def test_unknown_upstream_has_not_ended(fleet):
+    """Guards against resets of flows that were found at a fresh agent.
+
+    An agent that had just restarted told of a flow without its upstream's
+    incarnation; the flow was reset once the incarnation was heard.
+    """
+    assert not fleet.has_ended('10.0.1.1', 0, 0.1)
+    fleet.hear_agent('10.0.1.1', agent(3, incarnation=0), 1.0)
+    assert not fleet.has_ended('10.0.1.1', 1000, 1.0)
+
+
+def test_silent_agent_is_lost_only_for_who_hears_others(fleet):
+    """Guards against resets by a balancer that is cut off itself."""
+    now = LOST_S + 0.1
+    assert not fleet.has_ended('10.0.1.1', 1000, now)
+    keep_others(fleet, now)
+    assert fleet.has_ended('10.0.1.1', 1000, now)
+
+
+def test_restarting_agent_is_waited_for(fleet):
+    """Guards against resets during a planned restart."""
+    fleet.hear_agent('10.0.1.1', agent(2, state=AgentState.RESTARTING), 0.0)
+    keep_others(fleet, LOST_S + 1.0)
+    assert not fleet.has_ended('10.0.1.1', 1000, LOST_S + 1.0)
+    keep_others(fleet, RESTART_S + 0.1)
+    assert fleet.has_ended('10.0.1.1', 1000, RESTART_S + 0.1)
+
+
+def test_agents_that_others_know_are_expected(fleet):
+    """Guards against a new balancer that takes a flow for lost because it
+    has not heard the flow's agent yet.
+    """
+    fleet.hear_balancer('10.0.0.2', balancer(agents=('10.0.1.9',)), 1.0)
+    assert fleet.expects_agents(1.5)
+    fleet.hear_agent('10.0.1.9', agent(), 1.6)
+    assert not fleet.expects_agents(1.7)
+
+
+def test_leaving_balancer(fleet):
+    """Guards against messages to balancers that have stopped."""
+    fleet.hear_balancer('10.0.0.2', balancer(), 1.0)
+    fleet.hear_balancer('10.0.0.2', balancer(2, is_leaving=True), 1.1)
+    assert '10.0.0.2' not in fleet.balancers_by_ip
+
+
+def test_silence(fleet):
+    """Guards against placement at agents that are gone, for ever."""
+    view = fleet.agents_by_ip['10.0.1.1']
+    assert fleet.hears(view, SUSPECT_S - 0.01)
+    assert not fleet.hears(view, SUSPECT_S + 0.01)
+    assert len(fleet.forget(FORGET_S + 0.1)) == 5
+    assert list(fleet.agents_of('counter')) == []
+
+
+def test_rounds_of_a_large_fleet_are_bounded():
+    """Guards against status messages that grow with the fleet."""
+    fleet = Fleet('10.0.0.1')
+    ips = [f'10.0.{n // 250}.{n % 250}' for n in range(1400)]
+    rounds = [fleet.next_round(ips) for _ in range(22)]
+    assert {len(one) for one in rounds} == {64}
+    assert set().union(*rounds) == set(ips)
--- /dev/null
+++ b/tests/forwarding/test_agent_core.py
@@ -0,0 +1,231 @@
+"""Decisions of an agent on the packets of its upstream's flows."""
+
+import itertools
+
+import pytest
+
+from ibispitch.decisionlog import DecisionLog
+from ibispitch.forwarding import frames
+from ibispitch.forwarding.agent import AgentCore
+from ibispitch.forwarding.agent import OPENING_S
+from ibispitch.forwarding.frames import Purpose
+from ibispitch.forwarding.frames import Reason
+from ibispitch.forwarding.frames import Verdict
+from ibispitch.gate.core import ColdLimits
+from ibispitch.gate.core import Gate
+from ibispitch.gate.core import UpstreamReport
+from ibispitch.gate.core import UpstreamState
+from ibispitch.ids import Address
+from ibispitch.platform.packets import PlatformPacketCodec
+from testbed import flow_packets
+from testbed.flow_packets import ACK
+from testbed.flow_packets import SYN
+
+CALLER = Address('100.64.0.7', 40000)
+PLACE = Address('198.18.0.1', 443)
+CODEC = PlatformPacketCodec()
+BALANCER = '10.1.0.1'
+
+
+class Outbox:
+    """Keeps what an agent sends."""
+
+    def __init__(self):
+        self.frames = []
+        self.to_upstreams = []
+        self.to_callers = []
+
+    def to_balancer(self, ip, data):
+        self.frames.append((ip, frames.decode_frame(data)))
+
+    def to_upstream(self, raw):
+        self.to_upstreams.append(raw)
+
+    def to_caller(self, flow, raw):
+        self.to_callers.append(raw)
+
+
+def report(born_ms=1000, sequence=1, **changes):
+    return UpstreamReport(
+        'i-1', born_ms, 'counter', 1, UpstreamState.READY, sequence, 0.0
+    )._replace(**changes)
+
+
+@pytest.fixture
+def outbox():
+    return Outbox()
+
+
+def make_core(outbox, knows_all=True) -> AgentCore:
+    gate = Gate('counter', 'accra', 1.2, ColdLimits(1.5, 5.0))
+    log = DecisionLog('test', len)
+    return AgentCore(gate, CODEC, outbox, log, knows_all, 3.0, 0.0)
+
+
+@pytest.fixture
+def core(outbox):
+    core = make_core(outbox)
+    core.hear(report(), 0.0)
+    return core
+
+
+def forward(raw, purpose=Purpose.OPENING, incarnation=1000):
+    return frames.Forward(purpose, 0, incarnation, (), raw)
+
+
+def opening(caller=CALLER, copy=0, sequence=100):
+    return flow_packets.build(caller, PLACE, SYN, sequence, copy)
+
+
+def data(sequence=101, acknowledged=501, body=b'request', caller=CALLER):
+    return flow_packets.build(caller, PLACE, ACK, sequence, acknowledged, body)
+
+
+def answer(flags=ACK, sequence=501, body=b'', caller=CALLER):
+    return CODEC.from_upstream(
+        flow_packets.build(PLACE, caller, flags, sequence, 101, body)
+    )
+
+
+def open_flow(core, now=0.0, caller=CALLER):
+    core.receive(BALANCER, forward(opening(caller)), now)
+    core.receive_upstream(answer(SYN | ACK, 500, caller=caller), now + 0.001)
+
+
+def test_load_follows_the_requests(core):
+    """Guards against load that stays after its request has ended."""
+    open_flow(core)
+    assert core.running == 1
+    core.receive(BALANCER, forward(data(), Purpose.OWNED), 0.01)
+    assert core.running == 1
+    core.receive_upstream(answer(body=b'answer'), 0.03)
+    assert core.running == 0
+
+
+def test_opening_without_a_request_is_no_load(core):
+    """Guards against upstreams left idle after their callers gave up.
+
+    After a loss of power such openings counted until they were idle, 15 s,
+    and kept new flows away.
+    """
+    open_flow(core)
+    core.watch_gate(OPENING_S + 0.01)
+    assert core.running == 0
+
+
+def test_copy_of_an_opening_counts_once(core):
+    """Guards against a cold budget used up by copies."""
+    core.hear(report(sequence=2, cold_left_s=10.0), 0.0)
+    for copy in range(3):
+        core.receive(BALANCER, forward(opening(copy=copy)), 0.1)
+    assert core.gate.cold_openings(None, 0.1) == 4
+    assert core.running == 1
+
+
+def test_port_that_is_used_again(core):
+    """Guards against a new flow taken for a copy of an old one."""
+    open_flow(core)
+    core.hear(report(sequence=2, cold_left_s=10.0), 0.0)
+    core.receive(BALANCER, forward(opening(sequence=9)), 0.2)
+    # Both flows count, and the bound of a service without routes is 5.
+    assert core.gate.cold_openings(None, 0.2) == 3
+
+
+def test_packet_of_another_upstreams_flow(core, outbox):
+    """Guards against a packet that acknowledges what others have sent."""
+    open_flow(core)
+    stranger = data(acknowledged=501 + 2**30)
+    core.receive(BALANCER, forward(stranger, Purpose.OWNED), 0.1)
+    assert outbox.frames[-1][1].reason is Reason.NOT_OWNED
+    assert stranger not in outbox.to_upstreams
+
+
+def test_upstream_that_was_replaced(core, outbox):
+    """Guards against flows handed to the successor at the same address."""
+    core.receive(BALANCER, forward(opening(), incarnation=7), 0.1)
+    assert outbox.frames[-1][1].reason is Reason.OTHER_UPSTREAM
+    assert outbox.to_upstreams == []
+
+
+def test_restarted_agent_learns_its_flows(outbox):
+    """Guards against answers that are lost because nobody knows the flow."""
+    core = make_core(outbox, knows_all=False)
+    packet = answer(body=b'answer')
+    core.receive_upstream(packet, 0.1)
+    assert outbox.to_callers == [packet.raw]
+    core.ask(BALANCER, frames.Ask(packet.flow, 507), 0.2)
+    assert outbox.frames[-1][1].verdict is Verdict.OWNED
+
+
+@pytest.mark.parametrize(
+    ('now', 'verdict'), [(1.0, Verdict.RESTARTED), (5.0, Verdict.UNKNOWN)]
+)
+def test_restarted_agent_does_not_deny_flows(outbox, now, verdict):
+    """Guards against resets of flows that a restarted agent has forgotten."""
+    core = make_core(outbox, knows_all=False)
+    core.hear(report(), 0.0)
+    flow = CODEC.from_caller(data()).flow
+    core.ask(BALANCER, frames.Ask(flow, 501), now)
+    assert outbox.frames[-1][1].verdict is verdict
+
+
+def test_trial_that_fails(outbox):
+    """Guards against a flow that is tried twice at the same upstream."""
+    core = make_core(outbox, knows_all=False)
+    core.hear(report(), 0.0)
+    core.receive(BALANCER, forward(data(), Purpose.TRIAL), 0.1)
+    assert outbox.to_upstreams == [data()]
+    back = CODEC.from_upstream(flow_packets.bounced(data()))
+    core.receive_upstream(back, 0.11)
+    assert outbox.frames[-1][1].reason is Reason.NOT_OWNED
+    core.receive(BALANCER, forward(data(), Purpose.TRIAL), 0.2)
+    assert outbox.to_upstreams == [data()]
+
+
+def test_flow_that_the_upstream_lost(core, outbox):
+    """Guards against callers who wait for a flow that is gone."""
+    open_flow(core)
+    core.receive(BALANCER, forward(data(), Purpose.OWNED), 0.1)
+    core.receive_upstream(
+        CODEC.from_upstream(flow_packets.bounced(data())), 0.11
+    )
+    assert outbox.frames[-1][1].reason is Reason.ENDED
+
+
+def test_full_upstream_hands_the_opening_back(core, outbox):
+    """Guards against openings lost at a full upstream."""
+    core.receive(BALANCER, forward(opening()), 0.1)
+    core.receive_upstream(
+        CODEC.from_upstream(flow_packets.bounced(opening())), 0.11
+    )
+    assert outbox.frames[-1][1].reason is Reason.FULL
+    assert core.running == 0
+
+
+def test_checkpoint_of_a_stopping_agent(core, outbox):
+    """Guards against flows that a planned stop makes unknown."""
+    callers = [CALLER._replace(port=port) for port in range(2000, 2200)]
+    for caller in callers:
+        open_flow(core, caller=caller)
+    parts = core.stop()
+    assert len(parts) == 3
+    successor = make_core(Outbox(), knows_all=False)
+    flows = list(itertools.chain.from_iterable(p.flows for p in parts))
+    successor.restore(parts[0].incarnation, flows, 1.0)
+    assert successor.flow_count == 200
+    successor.hear(report(sequence=5), 1.5)
+    unknown = CODEC.from_caller(data(caller=CALLER)).flow
+    answers = Outbox()
+    successor._outbox = answers
+    successor.ask(BALANCER, frames.Ask(unknown, 501), 2.0)
+    assert answers.frames[-1][1].verdict is Verdict.NOT_OWNED
+
+
+def test_checkpoint_of_another_upstream(core):
+    """Guards against flows of an upstream that ended during the restart."""
+    open_flow(core)
+    parts = core.stop()
+    successor = make_core(Outbox(), knows_all=False)
+    successor.restore(1000, list(parts[0].flows), 1.0)
+    successor.hear(report(born_ms=2000), 1.5)
+    assert successor.flow_count == 0
--- /dev/null
+++ b/tests/gate/test_gate.py
@@ -0,0 +1,158 @@
+"""The gate bounds what an upstream receives, whatever balancers believe."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+import msgspec
+import pytest
+
+from ibispitch.fleet.messages import AgentState
+from ibispitch.forwarding.frames import Reason
+from ibispitch.gate.core import ColdLimits
+from ibispitch.gate.core import Gate
+from ibispitch.gate.core import UpstreamReport
+from ibispitch.gate.core import UpstreamState
+from ibispitch.routes.model import RequestKind
+from ibispitch.routes.model import Route
+from ibispitch.routes.model import RouteIndex
+from ibispitch.routes.model import RouteTable
+from ibispitch.routes.model import ServiceLimits
+from ibispitch.routes.model import Share
+
+FLOW = b'caller' + b'place1'
+COLD = ColdLimits(1.5, 5.0)
+TABLE = RouteTable(
+    revision=10, version=1,
+    routes=(
+        Route(
+            b'place1', (Share('counter', 1),), RequestKind.SAFE, 0.1, 1.5, 1
+        ),
+    ),
+    services=(ServiceLimits('counter', 2.0, 4.0, '/healthz'),),
+    idle_timeout_s=15.0, out=frozenset(),
+)  # fmt: skip
+REPORT = UpstreamReport('i-1', 1000, 'counter', 2, UpstreamState.READY, 1, 0.0)
+
+
+def index(**changes) -> RouteIndex:
+    return RouteIndex(msgspec.structs.replace(TABLE, **changes))
+
+
+@pytest.fixture
+def gate():
+    return Gate('counter', 'accra', 1.2, COLD)
+
+
+def test_unknown_upstream_gets_nothing(gate):
+    """Guards against new flows to an upstream of which nothing is known."""
+    assert gate.state(0.0) is AgentState.UNKNOWN
+    assert gate.admit(FLOW, index(), 10, 0.0) is Reason.CLOSED
+
+
+def test_draining_is_final_for_its_start(gate):
+    """Guards against a late heartbeat that reopens a leaving upstream."""
+    gate.hear(REPORT, 0.0)
+    assert gate.admit(FLOW, index(), 10, 0.1) is None
+    draining = REPORT._replace(state=UpstreamState.DRAINING, sequence=3)
+    gate.hear(draining, 0.2)
+    assert not gate.hear(REPORT._replace(sequence=2), 0.3)
+    assert gate.admit(FLOW, index(), 10, 0.4) is Reason.CLOSED
+
+
+def test_heartbeat_of_a_dead_predecessor(gate):
+    """Guards against a delayed heartbeat of an earlier start."""
+    gate.hear(REPORT._replace(born_ms=2000, sequence=1), 0.0)
+    late = REPORT._replace(
+        born_ms=1000, sequence=99, state=UpstreamState.DRAINING
+    )
+    assert not gate.hear(late, 0.1)
+    assert gate.state(0.2) is AgentState.READY
+
+
+def test_same_name_after_a_restart(gate):
+    """Guards against a new start that is taken for the old one."""
+    gate.hear(REPORT._replace(sequence=50), 0.0)
+    gate.leave('i-1')
+    assert gate.state(0.1) is AgentState.ENDED
+    assert gate.hear(REPORT._replace(born_ms=5000, sequence=1), 0.2)
+    assert gate.state(0.3) is AgentState.READY
+    assert gate.incarnation == 5000
+
+
+def test_silent_upstream(gate):
+    """Guards against new flows to an upstream that has gone silent."""
+    gate.hear(REPORT, 0.0)
+    assert gate.state(3.0) is AgentState.READY
+    assert gate.state(3.2) is AgentState.SILENT
+
+
+def test_routes(gate):
+    """Guards against flows that only an older configuration allows."""
+    gate.hear(REPORT, 0.0)
+    other = b'caller' + b'place2'
+    assert gate.admit(other, index(), 10, 0.1) is Reason.NO_ROUTE
+    # A balancer with newer routes knows better than this agent.
+    assert gate.admit(other, index(), 11, 0.1) is None
+
+
+def test_datacentre_out(gate):
+    """Guards against flows in a data centre that is out."""
+    gate.hear(REPORT, 0.0)
+    out = index(revision=11, out=frozenset({'accra'}))
+    gate.set_routes(out, 0.0)
+    assert gate.admit(FLOW, out, 10, 0.1) is Reason.CLOSED
+    back = index(revision=12)
+    gate.set_routes(back, 5.0)
+    assert gate.cold_openings(back, 5.0) == 11
+    gate.hear(REPORT._replace(sequence=2), 5.1)
+    assert gate.cold_openings(back, 5.1) is None
+
+
+def test_presumed_upstream_counts_as_cold(gate):
+    """Guards against a flood of an upstream that may have restarted."""
+    gate.presume(0.0)
+    assert gate.state(0.1) is AgentState.PRESUMED
+    verdicts = [gate.admit(FLOW, index(), 10, 0.1) for _ in range(20)]
+    assert verdicts.count(None) == 11
+    assert gate.state(4.0) is AgentState.UNKNOWN
+
+
+def test_stopping_process(gate):
+    """Guards against flows that the next process would not know."""
+    gate.hear(REPORT, 0.0)
+    gate.close()
+    assert gate.state(0.1) is AgentState.RESTARTING
+    assert gate.admit(FLOW, index(), 10, 0.1) is Reason.CLOSED
+
+
+@given(
+    st.lists(st.floats(0.0, 0.2), max_size=200),
+    st.floats(0.0, 20.0),
+    st.floats(0.0, 9.0),
+)
+def test_cold_upstream_in_any_second(gaps, per_s, slack):
+    """Guards against more new flows in some second than are borne."""
+    gate = Gate('counter', 'accra', 1.2, ColdLimits(1.5, slack))
+    limits = (ServiceLimits('counter', 2.0, per_s, '/healthz'),)
+    routes = index(services=limits)
+    gate.hear(REPORT._replace(cold_left_s=1000.0), 0.0)
+    now = 0.0
+    admitted = []
+    for gap in gaps:
+        now += gap
+        if gate.state(now) is AgentState.SILENT:
+            break
+        if gate.admit(FLOW, routes, 10, now) is None:
+            admitted.append(now)
+    bound = per_s * 1.5 + slack
+    for start in admitted:
+        assert sum(start <= at < start + 1.0 for at in admitted) <= bound
+
+
+@pytest.mark.parametrize(
+    ('cold_left_s', 'started_at', 'expected'),
+    [(1.9, 9.8, True), (1.9, 11.0, False), (0.0, 9.0, False)],
+)
+def test_age_of_an_upstream(gate, cold_left_s, started_at, expected):
+    """Guards against an agent that takes old flows for lost ones."""
+    gate.hear(REPORT._replace(cold_left_s=cold_left_s), 10.0)
+    assert gate.was_born_after(started_at, index()) is expected
--- /dev/null
+++ b/tests/platform/test_deployment.py
@@ -0,0 +1,305 @@
+"""Whole deployments in simulated time, under planned and other faults."""
+
+import asyncio
+
+import pytest
+
+from testbed.flow_callers import Outcome
+from testbed.flow_network import FEED
+from testbed.flow_network import FlowNetwork
+from testbed.flow_network import QUOTE
+from testbed.simulated_loop import simulate
+
+DATACENTRES = {'accra': 2, 'kumasi': 1, 'tema': 1}
+AGENTS = [
+    ('accra', 'counter'), ('accra', 'counter'), ('kumasi', 'counter'),
+    ('kumasi', 'counter'), ('tema', 'counter'), ('tema', 'counter'),
+]  # fmt: skip
+
+
+def build(loop, **options) -> FlowNetwork:
+    network = FlowNetwork(loop, DATACENTRES, AGENTS, **options)
+    network.configure(1, (FEED, QUOTE))
+    return network
+
+
+def callers(network: FlowNetwork, feeds: int = 20, quotes: int = 20):
+    return [
+        network.add_caller(datacentre, kind, is_long)
+        for datacentre in DATACENTRES
+        for kind, is_long, count in (
+            (FEED, True, feeds), (QUOTE, False, quotes),
+        )
+        for _ in range(count)
+    ]  # fmt: skip
+
+
+def check(network: FlowNetwork) -> None:
+    assert network.errors() == []
+    assert network.wrongly_reset() == []
+    assert sum(c.mixed for c in network.caller_by_ip.values()) == 0
+    assert sum(up.damaged for _, up in network.upstreams) == 0
+
+
+def share_in_time(network, since=0.0, until=float('inf')) -> float:
+    counts = network.outcomes(since, until)
+    return counts[Outcome.IN_TIME] / sum(counts.values())
+
+
+def test_calm_day():
+    """Guards against a path that does not serve without any fault."""
+
+    async def day(loop):
+        network = build(loop)
+        await network.start()
+        await network.load(callers(network), 120, 10)
+        await asyncio.sleep(3)
+        return network
+
+    network = simulate(day)
+    check(network)
+    assert network.outcomes()[Outcome.FAILED] == 0
+    assert share_in_time(network) > 0.99
+    assert network.runs_again() == 0
+
+
+async def run_with(network, fault, per_s=100, for_s=12, after_s=3):
+    """Load a deployment, bring a fault about, and let it end."""
+    await network.start()
+    load = network.loop.create_task(
+        network.load(callers(network), per_s, for_s)
+    )
+    await asyncio.sleep(2)
+    await fault(network)
+    await load
+    await asyncio.sleep(after_s)
+    return network
+
+
+def test_agents_and_balancers_stopped_in_turn():
+    """Guards against resets of open flows during planned stops.
+
+    A flow found at an agent that had just restarted, and did not know its
+    upstream's incarnation yet, was reset when the incarnation became known.
+    """
+
+    async def fault(network):
+        async def roll(hosts, gap_s):
+            for host in hosts:
+                await network.stop(host)
+                await asyncio.sleep(gap_s)
+
+        await asyncio.gather(
+            roll(network.agents, 0.5), roll(network.balancers, 0.7)
+        )
+
+    network = simulate(lambda loop: run_with(build(loop), fault, for_s=16))
+    check(network)
+    assert network.runs_again() == 0
+    assert network.outcomes()[Outcome.FAILED] == 0
+    assert share_in_time(network) > 0.95
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_all_processes_killed(seed):
+    """Guards against flows that stay silent after a kill of all processes.
+
+    Only two of the agents that could not know a flow were tried, so that
+    callers waited until their deadlines.
+    """
+
+    async def fault(network):
+        network.killed_at = network.loop.now
+        for host in (*network.balancers, *network.agents):
+            network.kill(host)
+
+    network = simulate(
+        lambda loop: run_with(build(loop, seed=seed), fault, for_s=10)
+    )
+    check(network)
+    assert network.runs_again() == 0
+    killed_at = network.killed_at
+    counts = network.outcomes(killed_at, killed_at + 1.5)
+    assert counts[Outcome.FAILED] <= 0.02 * sum(counts.values())
+    assert share_in_time(network, killed_at + 1.5) > 0.97
+
+
+def power_loss(network):
+    for host in (*network.balancers, *network.agents):
+        network.kill(host, 1.0)
+    for host in network.agents:
+        host.upstream.crash()
+        network.loop.call_later(1.0, network.start_upstream, host, 2.0)
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_backlog_before_cold_upstreams(seed):
+    """Guards against overload of cold upstreams after a loss of power.
+
+    Each may get 5 new flows in any second; what waits meanwhile must
+    neither flood them when they are warm nor burn the callers' retries.
+    """
+
+    async def fault(network):
+        network.lost_at = network.loop.now
+        power_loss(network)
+
+    network = simulate(
+        lambda loop: run_with(build(loop, seed=seed), fault, for_s=12)
+    )
+    check(network)
+    lost_at = network.lost_at
+    cold = [up for _, up in network.upstreams[len(AGENTS) :]]
+    assert len(cold) == len(AGENTS)
+    for upstream in cold:
+        first = [o for o in upstream.openings if o.at < lost_at + 3.0]
+        upstream.openings = first
+        assert network.most_openings(upstream, 1.0) <= 5
+    # Warm 3 s after the loss; the backlog is gone a second later.
+    assert share_in_time(network, lost_at + 4.0) > 0.97
+    counts = network.outcomes(lost_at + 2.0, lost_at + 4.0)
+    assert counts[Outcome.FAILED] <= 0.1 * sum(counts.values())
+
+
+def test_draining_upstream_gets_no_new_flows():
+    """Guards against new flows after an acknowledged ``draining``."""
+
+    async def fault(network):
+        host = network.agents[0]
+        network.left_at = network.loop.now
+        network.leaver = host.upstream
+        await network.leave(host)
+
+    network = simulate(lambda loop: run_with(build(loop), fault))
+    check(network)
+    # The heartbeat that says so comes within its interval of 0.8 s.
+    late = network.left_at + 0.9
+    assert [o for o in network.leaver.openings if o.at > late] == []
+    assert network.outcomes()[Outcome.FAILED] == 0
+
+
+def test_datacentre_out_and_back():
+    """Guards against new flows in a data centre that is out, and against a
+    flood of its upstreams, which may be cold, at its return.
+    """
+
+    async def fault(network):
+        network.take_out('accra')
+        network.out_at = network.loop.now
+        await asyncio.sleep(3)
+        for host in network.agents[:2]:
+            host.upstream.turn_cold(2.0)
+        network.take_out('accra', False)
+        network.back_at = network.loop.now
+
+    network = simulate(lambda loop: run_with(build(loop), fault))
+    check(network)
+    back_at = network.back_at
+    for host in network.agents[:2]:
+        upstream = host.upstream
+        times = [opened.at for opened in upstream.openings]
+        assert [
+            at for at in times if network.out_at + 0.5 < at < back_at
+        ] == []
+        assert [at for at in times if at > back_at]
+        upstream.openings = [
+            o for o in upstream.openings if back_at < o.at < back_at + 1.9
+        ]
+        assert network.most_openings(upstream, 1.0) <= 5
+    assert network.outcomes()[Outcome.FAILED] == 0
+
+
+def test_dropped_route_and_added_route():
+    """Guards against routes of an older configuration."""
+    added = QUOTE._replace(destination=QUOTE.destination._replace(port=9000))
+
+    async def fault(network):
+        network.configure(2, (FEED, added))
+        await asyncio.sleep(0.5)
+        network.changed_at = network.loop.now
+        network.newcomer = network.add_caller('accra', added)
+        network.newcomer.ask()
+
+    network = simulate(lambda loop: run_with(build(loop), fault))
+    assert network.errors() == []
+    late = [
+        opened
+        for _, upstream in network.upstreams
+        for opened in upstream.openings
+        if opened.at > network.changed_at
+        and opened.destination == QUOTE.destination
+    ]
+    assert late == []
+    assert network.newcomer.requests[0].outcome is Outcome.IN_TIME
+
+
+@pytest.mark.parametrize('fault_name', ['SILENT', 'BUSY', 'RESET'])
+def test_store_away_takes_nothing(fault_name):
+    """Guards against a running system that needs the store."""
+    from testbed.memory_store import Fault
+
+    async def fault(network):
+        network.store.fault = Fault[fault_name]
+        await asyncio.sleep(6)
+        network.store.fault = Fault.NONE
+        network.configure(2, (FEED,))
+        network.changed_at = network.loop.now
+
+    network = simulate(lambda loop: run_with(build(loop), fault))
+    assert network.errors() == []
+    assert network.wrongly_reset() == []
+    assert share_in_time(network, 0, network.changed_at - 0.1) > 0.99
+    # A change is in force 3 s after the store is back.
+    late = [
+        opened
+        for _, upstream in network.upstreams
+        for opened in upstream.openings
+        if opened.at > network.changed_at + 3.0
+        and opened.destination == QUOTE.destination
+    ]
+    assert late == []
+
+
+def test_history_lost_while_data_centre_returns():
+    """Guards against changes that fall into a gap of the store's history."""
+
+    async def fault(network):
+        network.take_out('accra')
+        await asyncio.sleep(1)
+        network.store.write('op/evacuate/accra', None)
+        network.store.compact()
+        await asyncio.sleep(1)
+        network.returned_at = network.loop.now
+
+    network = simulate(lambda loop: run_with(build(loop), fault))
+    check(network)
+    outs = {tuple(h.node.routes.index.table.out) for h in network.agents}
+    assert outs == {()}
+
+
+def test_killed_balancer():
+    """Guards against flows that break when their balancer is gone."""
+
+    async def fault(network):
+        network.kill(network.balancers[0], 3.0)
+
+    network = simulate(lambda loop: run_with(build(loop), fault))
+    check(network)
+    assert network.runs_again() == 0
+    assert network.outcomes()[Outcome.FAILED] == 0
+
+
+def test_crashed_upstream():
+    """Guards against callers who wait for an upstream that has ended."""
+
+    async def fault(network):
+        host = network.agents[0]
+        host.upstream.crash()
+        network.crashed_at = network.loop.now
+        await asyncio.sleep(0.3)
+        network.start_upstream(host, 2.0)
+
+    network = simulate(lambda loop: run_with(build(loop), fault))
+    check(network)
+    since = network.crashed_at + 1.0
+    assert network.outcomes(since)[Outcome.FAILED] == 0
--- /dev/null
+++ b/tests/test_decisionlog.py
@@ -0,0 +1,97 @@
+"""Log lines on decisions are bounded and never block."""
+
+import json
+
+from ibispitch.decisionlog import DecisionLog
+from ibispitch.decisionlog import DECISIONS_PER_S
+from ibispitch.decisionlog import MAX_WAITING_BYTES
+
+FLOW = bytes([7, 0, 64, 100, 65, 156, 1, 0, 18, 198, 187, 1])
+
+
+class Reader:
+    """Takes what it is told to."""
+
+    def __init__(self):
+        self.data = b''
+        self.takes = 1 << 30
+
+    def write(self, data: bytes) -> int:
+        if self.takes == 0:
+            raise BlockingIOError
+        taken = data[: self.takes]
+        self.data += taken
+        return len(taken)
+
+    def lines(self) -> list[dict]:
+        return [json.loads(line) for line in self.data.splitlines()]
+
+
+def test_line_has_its_inputs():
+    """Guards against lines that do not explain a decision."""
+    reader = Reader()
+    log = DecisionLog('balancer-1', reader.write)
+    log.decision('flow.placed', FLOW, 1.5, agent='10.0.0.1', age_ms=3)
+    log.flush()
+    assert reader.lines() == [
+        {
+            'at': 1.5, 'event': 'flow.placed', 'process': 'balancer-1',
+            'flow': '100.64.0.7:40001>198.18.0.1:443',
+            'agent': '10.0.0.1', 'age_ms': 3,
+        }
+    ]  # fmt: skip
+
+
+def test_volume_is_bounded_and_failures_go_first():
+    """Guards against a burst that fills the disk or hides its refusals."""
+    reader = Reader()
+    log = DecisionLog('balancer-1', reader.write)
+    for number in range(10_000):
+        log.decision('flow.placed', FLOW, number / 10_000)
+    for number in range(100):
+        log.failure('flow.reset', FLOW, 0.9 + number / 1000, why='test')
+    log.flush()
+    events = [line['event'] for line in reader.lines()]
+    assert events.count('flow.placed') <= 2 * DECISIONS_PER_S
+    assert events.count('flow.reset') == 100
+    left_out = [ln for ln in reader.lines() if ln['event'] == 'log.left_out']
+    assert sum(line['flow.placed'] for line in left_out) > 9_000
+    assert log.count_by_event['flow.placed'] == 10_000
+
+
+def test_stalled_reader_costs_lines_only():
+    """Guards against a reader that stalls the packet path or the memory."""
+    reader = Reader()
+    reader.takes = 0
+    log = DecisionLog('balancer-1', reader.write)
+    for number in range(50_000):
+        log.failure('flow.reset', FLOW, number / 100, why='test')
+        if number % 100 == 0:
+            log.flush()
+    assert log._size <= MAX_WAITING_BYTES
+    reader.takes = 1 << 30
+    log.flush()
+    log.failure('flow.reset', FLOW, 1000.0, why='test')
+    log.flush()
+    lines = reader.lines()
+    missing = sum(
+        line.get('flow.reset', 0)
+        for line in lines
+        if line['event'] == 'log.left_out'
+    )
+    resets = sum(line['event'] == 'flow.reset' for line in lines)
+    assert missing + resets == 50_001
+
+
+def test_partial_write_keeps_lines_whole():
+    """Guards against lines that are cut in two."""
+    reader = Reader()
+    reader.takes = 10
+    log = DecisionLog('balancer-1', reader.write)
+    log.change('process.started', 0.0)
+    log.flush()
+    reader.takes = 1 << 30
+    log.change('process.stopped', 1.0)
+    log.flush()
+    events = [line['event'] for line in reader.lines()]
+    assert events == ['process.started', 'process.stopped']
--- /dev/null
+++ b/tests/waiting/test_waiting.py
@@ -0,0 +1,141 @@
+"""The line of waiting openings under the loads that it answers."""
+
+import math
+
+from ibispitch.forwarding.packets import FlowKey
+from ibispitch.forwarding.packets import Packet
+from ibispitch.forwarding.packets import SYN
+from ibispitch.routes.model import RequestKind
+from ibispitch.routes.model import Route
+from ibispitch.routes.model import Share
+from ibispitch.waiting.core import ATTEMPT_S
+from ibispitch.waiting.core import Opening
+from ibispitch.waiting.core import sent_at
+from ibispitch.waiting.core import WaitingLine
+
+
+def opening(number: int, since: float, priority: int = 1) -> Opening:
+    flow = FlowKey(number.to_bytes(12, 'big'))
+    route = Route(
+        flow[6:], (Share('counter', 1),), RequestKind.UNSAFE, 0.1, 2.0,
+        priority,
+    )  # fmt: skip
+    packet = Packet(b'', flow, SYN, number, 0, 0)
+    return Opening(packet, 'counter', route, since)
+
+
+def test_in_time_before_late_and_urgent_first():
+    """Guards against a line in which everyone is late."""
+    line = WaitingLine()
+    late = opening(1, since=0.0, priority=0)
+    normal = opening(2, since=0.95, priority=2)
+    urgent = opening(3, since=0.97, priority=1)
+    for each in (late, normal, urgent):
+        line.add(each, math.inf, 1.0)
+    assert line.in_order(1.0) == [urgent, normal, late]
+
+
+def test_copy_keeps_its_place():
+    """Guards against a copy that starts the wait anew."""
+    line = WaitingLine()
+    first = opening(1, since=0.0)
+    line.add(first, math.inf, 0.0)
+    copy = first._replace(
+        packet=first.packet._replace(acknowledged=1), since=0.3
+    )
+    line.add(copy, math.inf, 0.3)
+    assert len(line) == 1
+    assert line.in_order(0.3)[0].since == 0.0
+
+
+def test_copy_after_the_routes_have_arrived():
+    """Guards against bookkeeping by a service that was not known yet."""
+    line = WaitingLine()
+    first = opening(1, since=0.0)
+    line.add(first._replace(service=None, route=None), math.inf, 0.0)
+    line.add(first, math.inf, 0.2)
+    assert line.remove(first.packet.flow) is not None
+    assert len(line) == 0
+
+
+def test_callers_that_have_given_up():
+    """Guards against places in the line for nobody."""
+    line = WaitingLine()
+    line.add(opening(1, since=0.0), math.inf, 0.0)
+    line.add(opening(2, since=1.0), math.inf, 1.0)
+    assert [o.packet.sequence for o in line.expire(ATTEMPT_S + 0.1)] == [1]
+    assert len(line) == 1
+
+
+def serve(line: WaitingLine, per_s: float, offered_per_s: float, for_s: float):
+    """Offer openings at one rate and place them at another."""
+    refused, placed, over = [], [], []
+    offered = served = 0.0
+    now, number = 0.0, 0
+    while now < for_s:
+        now += 0.01
+        offered += offered_per_s * 0.01
+        served += per_s * 0.01
+        while offered >= 1:
+            offered -= 1
+            number += 1
+            each = opening(number, now)
+            if not line.add(each, math.inf, now):
+                refused.append(each)
+        over += line.expire(now)
+        refused += line.shed(lambda service: math.inf, now)
+        for each in line.in_order(now)[: int(served)]:
+            line.placed(each.packet.flow, now)
+            placed.append((now - each.since, each))
+        served -= int(served)
+    return refused, placed, over
+
+
+def test_sustained_overload():
+    """Guards against callers who wait to the end of their attempt in vain.
+
+    With twice the load that can be placed, most of what is placed is in
+    time, and what cannot be placed is refused at once.
+    """
+    refused, placed, over = serve(WaitingLine(), 50, 100, 10.0)
+    in_time = [wait for wait, _ in placed if wait < 0.06]
+    assert len(in_time) > 0.8 * len(placed)
+    assert len(over) < 0.5 * len(refused)
+
+
+def test_nothing_is_refused_that_fits():
+    """Guards against refusals in a line that moves fast enough."""
+    refused, placed, over = serve(WaitingLine(), 110, 100, 10.0)
+    assert refused == []
+    assert over == []
+    assert len(placed) > 980
+
+
+def test_relief_is_worth_waiting_for():
+    """Guards against refusals just before cold upstreams turn warm."""
+    line = WaitingLine()
+    for number in range(10):
+        line.add(opening(number, 0.0), math.inf, 0.0)
+    for number in range(5):
+        line.placed(opening(number, 0.0).packet.flow, 0.4)
+    for number in range(100, 200):
+        line.add(opening(number, 0.54), 0.5, 0.54)
+    newest = opening(300, 0.55)
+    assert not line.add(newest, math.inf, 0.55)
+    assert line.add(newest, 0.5, 0.55)
+
+
+def test_late_openings_with_relief_stay():
+    """Guards against a backlog that is shed when it could soon be served."""
+    line = WaitingLine()
+    for number in range(50):
+        line.add(opening(number, 0.0), math.inf, 0.0)
+    line.placed(opening(0, 0.0).packet.flow, 0.5)
+    assert line.shed(lambda service: 0.3, 0.6) == []
+    assert len(line.shed(lambda service: math.inf, 0.6)) > 40
+
+
+def test_age_of_a_copy():
+    """Guards against a balancer that takes the third copy for the first."""
+    copy = opening(1, 0.0).packet._replace(acknowledged=2)
+    assert sent_at(copy, 10.0) == 9.4
