Hand back openings that would wait long, where all balancers meet

Ruled out: the bound of each balancer, which holds for its own flows. Change: the agent hands an opening back when its queue would take more than half of the objective. Test: test_balancers_that_act_at_once.

--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -11,6 +11,7 @@
 from ibispitch.forwarding.frames import Verdict
 from ibispitch.forwarding.packets import ACK
 from ibispitch.forwarding.packets import BOUNCED
+from ibispitch.forwarding.packets import Destination
 from ibispitch.forwarding.packets import FIN
 from ibispitch.forwarding.packets import FlowKey
 from ibispitch.forwarding.packets import MAX_WINDOW_BYTES
@@ -21,6 +22,8 @@
 from ibispitch.forwarding.packets import SYN
 from ibispitch.gate.core import Gate
 from ibispitch.gate.core import UpstreamReport
+from ibispitch.placement.core import GATE_QUEUE_SHARE
+from ibispitch.placement.core import queue_delay_s
 from ibispitch.routes.model import RequestKind
 from ibispitch.routes.model import RouteIndex
 
@@ -282,7 +285,11 @@
             self._drop(flow)
             state = None
         if state is None:
-            reason = self.gate.admit(flow, self.routes, forward.revision, now)
+            reason = self._reason_to_wait(flow)
+            if reason is None:
+                reason = self.gate.admit(
+                    flow, self.routes, forward.revision, now
+                )
             if reason is not None:
                 self._return(ip, reason, forward)
                 self.is_changed = True
@@ -297,6 +304,20 @@
         state.caller_next = state.first
         self._outbox.to_upstream(packet.raw)
 
+    def _reason_to_wait(self, flow: FlowKey) -> Reason | None:
+        """Return why the upstream should not get an opening now."""
+        route = (
+            self.routes.route_by_destination.get(Destination(flow[6:]))
+            if self.routes
+            else None
+        )
+        if route is None:
+            return None
+        delay_s = queue_delay_s(self.running, self._slots, self.work_s)
+        if delay_s > GATE_QUEUE_SHARE * route.objective_s:
+            return Reason.FULL
+        return None
+
     @staticmethod
     def _is_other(state: FlowState, packet: Packet) -> bool:
         """Return whether an opening is not a copy but uses a port again."""
@@ -475,7 +496,7 @@
     ) -> FlowState:
         state = FlowState(balancer, now)
         route = (
-            self.routes.route_by_destination.get(flow[6:])
+            self.routes.route_by_destination.get(Destination(flow[6:]))
             if self.routes
             else None
         )
--- a/ibispitch/placement/core.py
+++ b/ibispitch/placement/core.py
@@ -32,6 +32,10 @@
 #: Part of the objective that a request may wait in its upstream's queue. A
 #: longer queue would hold requests that the balancer could order better.
 QUEUE_SHARE = 0.35
+#: The same at the agent, which sees the flows of all balancers. It is larger,
+#: so that an opening is handed back only if balancers have acted at once on
+#: the same status.
+GATE_QUEUE_SHARE = 0.5
 
 
 class Candidate(NamedTuple):
@@ -91,11 +95,26 @@
     return left is None or left > view.sent
 
 
+def queue_delay_s(running: int, slots: int, work_s: float) -> float:
+    """Return the time that one more request waits for a slot.
+
+    :param running: requests that run or wait already.
+    :param slots: requests that run at a time.
+    :param work_s: mean time of a request.
+
+    >>> queue_delay_s(running=6, slots=5, work_s=0.05)
+    0.02
+    """
+    slots = max(1, slots)
+    return max(0, running + 1 - slots) * work_s / slots
+
+
 def _starts_soon(view: AgentView, route: Route) -> bool:
     status = view.status
-    slots = max(1, status.slots)
-    queued = max(0, status.running + view.sent + 1 - slots)
-    return queued * status.work_s / slots <= QUEUE_SHARE * route.objective_s
+    delay_s = queue_delay_s(
+        status.running + view.sent, status.slots, status.work_s
+    )
+    return delay_s <= QUEUE_SHARE * route.objective_s
 
 
 def _long_flows(view: AgentView, kind: RequestKind) -> int:
--- a/tests/forwarding/test_agent_core.py
+++ b/tests/forwarding/test_agent_core.py
@@ -17,13 +17,33 @@
 from ibispitch.gate.core import UpstreamState
 from ibispitch.ids import Address
 from ibispitch.platform.packets import PlatformPacketCodec
+from ibispitch.routes.model import RequestKind
+from ibispitch.routes.model import Route
+from ibispitch.routes.model import RouteIndex
+from ibispitch.routes.model import RouteTable
+from ibispitch.routes.model import Share
 from testbed import flow_packets
 from testbed.flow_packets import ACK
 from testbed.flow_packets import SYN
 
+CODEC = PlatformPacketCodec()
+TABLE = RouteTable(
+    revision=10, version=1,
+    routes=(
+        Route(
+            CODEC.from_caller(
+                flow_packets.build(
+                    Address('100.64.0.7', 40000),
+                    Address('198.18.0.1', 443), SYN, 1, 0,
+                )
+            ).flow[6:],
+            (Share('counter', 1),), RequestKind.SAFE, 0.1, 1.5, 1,
+        ),
+    ),
+    services=(), idle_timeout_s=15.0, out=frozenset(),
+)  # fmt: skip
 CALLER = Address('100.64.0.7', 40000)
 PLACE = Address('198.18.0.1', 443)
-CODEC = PlatformPacketCodec()
 BALANCER = '10.1.0.1'
 
 
@@ -202,6 +222,25 @@
     assert core.running == 0
 
 
+def test_balancers_that_act_at_once(core, outbox):
+    """Guards against a queue that many balancers fill on one status.
+
+    After a loss of power eight balancers placed their backlogs on the same
+    upstreams as soon as these were warm, and the upstreams shed.
+    """
+    core.set_routes(RouteIndex(TABLE), 0.0)
+    core.work_s = 0.02
+    admitted = 0
+    for number in range(20):
+        caller = CALLER._replace(port=3000 + number)
+        raw = flow_packets.build(caller, Address('198.18.0.1', 443), SYN, 1, 0)
+        core.receive(f'10.1.0.{number}', forward(raw), 0.1)
+        admitted += raw in outbox.to_upstreams
+    # 1 runs and 2 wait: 40 ms of an objective of 100 ms; one more is 60.
+    assert admitted == 3
+    assert outbox.frames[-1][1].reason is Reason.FULL
+
+
 def test_checkpoint_of_a_stopping_agent(core, outbox):
     """Guards against flows that a planned stop makes unknown."""
     callers = [CALLER._replace(port=port) for port in range(2000, 2200)]
