--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -22,6 +22,8 @@
 from ibispitch.forwarding.packets import SYN
 from ibispitch.gate.core import Gate
 from ibispitch.gate.core import UpstreamReport
+from ibispitch.measures import Measures
+from ibispitch.measures import Series
 from ibispitch.placement.core import GATE_QUEUE_SHARE
 from ibispitch.placement.core import queue_delay_s
 from ibispitch.routes.model import RequestKind
@@ -71,6 +73,7 @@
         'is_long',
         'is_on_trial',
         'is_running',
+        'kind',
         'opened_at',
         'request_at',
         'seen_at',
@@ -94,6 +97,8 @@
         #: Whether it is not certain that the upstream holds the flow.
         self.is_on_trial = False
         self.is_long = False
+        #: Kind of its requests, for the measures.
+        self.kind = 'unknown'
         #: Whether a request waits for its answer.
         self.is_running = False
         #: Time of the last packet of the request that runs.
@@ -109,6 +114,7 @@
     :param codec: reads the packets.
     :param outbox: where datagrams go.
     :param log: lines on decisions.
+    :param measures: gets the latency of requests.
     :param knows_all: whether the upstream cannot hold a flow that began
         before this process.
     :param recent_s: time after the start for which it counts as recent.
@@ -121,6 +127,7 @@
         codec: PacketCodec,
         outbox: AgentOutbox,
         log: DecisionLog,
+        measures: Measures,
         knows_all: bool,
         recent_s: float,
         now: float,
@@ -129,6 +136,7 @@
         self._codec = codec
         self._outbox = outbox
         self._log = log
+        self._measures = measures
         self._knows_all = knows_all
         self._recent_s = recent_s
         self._started_at = now
@@ -441,14 +449,17 @@
             state.upstream_next = end
         if packet.size:
             if state.request_at is not None:
-                self._measure(now - state.request_at)
+                self._measure(state, now - state.request_at)
                 state.request_at = None
             self._set_running(state, False)
         if packet.flags & (FIN | RST):
             self._close(state, now)
 
-    def _measure(self, took_s: float) -> None:
+    def _measure(self, state: FlowState, took_s: float) -> None:
         """Take in the time from a request's last byte to its answer."""
+        self._measures.record(
+            Series('request_latency', self.gate.service, state.kind), took_s
+        )
         queued = max(1.0, self.running / max(1, self._slots))
         self.work_s += WORK_WEIGHT * (took_s / queued - self.work_s)
 
@@ -500,7 +511,9 @@
             if self.routes
             else None
         )
-        state.is_long = route is not None and route.kind is RequestKind.SAFE
+        if route is not None:
+            state.kind = route.kind.value
+            state.is_long = route.kind is RequestKind.SAFE
         self.long_flows += state.is_long
         self._state_by_flow[flow] = state
         return state
--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -23,6 +23,8 @@
 from ibispitch.locating.core import Locator
 from ibispitch.locating.table import FlowTable
 from ibispitch.locating.table import Owner
+from ibispitch.measures import Measures
+from ibispitch.measures import Series
 from ibispitch.placement.core import choose
 from ibispitch.routes.model import Route
 from ibispitch.routes.model import RouteIndex
@@ -65,6 +67,7 @@
     :param codec: reads the packets.
     :param outbox: where datagrams go.
     :param log: lines on decisions.
+    :param measures: gets the time that openings wait.
     :param rng: breaks ties.
     :param now: time of the start, in seconds.
     """
@@ -76,6 +79,7 @@
         codec: PacketCodec,
         outbox: BalancerOutbox,
         log: DecisionLog,
+        measures: Measures,
         rng: random.Random,
         now: float,
     ):
@@ -84,6 +88,7 @@
         self._codec = codec
         self._outbox = outbox
         self._log = log
+        self._measures = measures
         self._rng = rng
         self._started_at = now
         self._table = FlowTable()
@@ -153,6 +158,11 @@
         """Flows that are remembered."""
         return len(self._table)
 
+    @property
+    def waiting_count(self) -> int:
+        """Openings that wait for an upstream."""
+        return len(self._line)
+
     # New flows.
 
     def _open(
@@ -175,9 +185,13 @@
         if view is None:
             self._wait(packet, now)
             return
-        self._line.placed(flow, now)
-        view.sent += 1
         status = view.status
+        opening = self._line.placed(flow, now)
+        waited_s = now - opening.since if opening else 0.0
+        self._measures.record(
+            Series('opening_wait', status.service, route.kind.value), waited_s
+        )
+        view.sent += 1
         self._table.put(flow, Owner(view.ip, status.incarnation, now))
         self._outbox.to_agent(
             view.ip,
@@ -190,6 +204,7 @@
             'flow.placed', flow, now,
             agent=view.ip, load=round(view.load, 2),
             age_ms=round(1000 * (now - view.heard_at)),
+            waited_ms=round(1000 * waited_s),
             copy=packet.acknowledged, revision=self.routes.revision,
         )  # fmt: skip
 
--- a/ibispitch/gate/core.py
+++ b/ibispitch/gate/core.py
@@ -81,7 +81,7 @@
         heartbeat_s: float,
         cold: ColdLimits,
     ):
-        self._service = service
+        self.service = service
         self._datacentre = datacentre
         self._silent_after_s = MISSED_HEARTBEATS * heartbeat_s
         self._cold = cold
@@ -146,7 +146,7 @@
         """
         is_out = self._datacentre in routes.table.out
         if self._is_out and not is_out:
-            limits = routes.limits_by_service.get(self._service)
+            limits = routes.limits_by_service.get(self.service)
             if limits is not None:
                 self._cold_until = max(
                     self._cold_until, now + limits.cold_start_s
@@ -174,9 +174,7 @@
         """Return the new flows that the upstream bears now, if it is cold."""
         if now >= self._cold_until and self.report is not None:
             return None
-        limits = (
-            routes.limits_by_service.get(self._service) if routes else None
-        )
+        limits = routes.limits_by_service.get(self.service) if routes else None
         per_s = limits.cold_openings_per_s if limits else 0.0
         most = per_s * self._cold.factor + self._cold.slack
         self._expire(now)
@@ -193,9 +191,7 @@
 
         :param time: time in seconds, such as the start of this process.
         """
-        limits = (
-            routes.limits_by_service.get(self._service) if routes else None
-        )
+        limits = routes.limits_by_service.get(self.service) if routes else None
         if self.report is None or limits is None:
             return False
         if self.report.cold_left_s <= 0.0:
@@ -223,7 +219,7 @@
         if routes is not None and routes.revision >= revision:
             if self._is_out:
                 return Reason.CLOSED
-            if not routes.leads_to(flow, self._service):
+            if not routes.leads_to(flow, self.service):
                 return Reason.NO_ROUTE
         if self.cold_openings(routes, now) == 0:
             return Reason.CLOSED
--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -70,6 +70,7 @@
             self._codec,
             self,
             node.log,
+            node.measures,
             settings.is_first_start,
             RECENT_SHARE * settings.bounds.stability_s,
             node.clock(),
@@ -86,6 +87,7 @@
         self._outbound = node.bind(self._on_upstream, settings.from_upstream)
         await node.serve(settings.heartbeats, self._answer_heartbeat)
         await node.serve(settings.readiness, self._answer_readiness)
+        await node.serve_metrics(self._gauges)
         for ip in settings.seed_ips:
             node.fleet.introduce(ip, node.clock())
         limit_s = STALE_SHARE * settings.bounds.configuration_s
@@ -209,6 +211,15 @@
             self._announce()
         node.log.change('upstream.checked', now, result=detail)
 
+    def _gauges(self) -> dict[str, float]:
+        core = self._core
+        return {
+            'flows': core.flow_count,
+            'long_flows': core.long_flows,
+            'requests_running': core.running,
+            'work_seconds': core.work_s,
+        }
+
     # Status.
 
     def _balancers(self) -> list[str]:
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -46,7 +46,7 @@
         self._started_at = node.clock()
         self._core = BalancerCore(
             node.settings.datacentre, node.fleet, self._codec, self,
-            node.log, random.Random(), node.clock(),
+            node.log, node.measures, random.Random(), node.clock(),
         )  # fmt: skip
         node.on_message = self._on_message
         node.on_frame = self._on_frame
@@ -61,6 +61,7 @@
         if settings.heartbeats is not None:
             await node.serve(settings.heartbeats, self._refuse_heartbeat)
         await node.serve_routes()
+        await node.serve_metrics(self._gauges)
         for ip in settings.seed_ips:
             node.fleet.introduce(ip, node.clock())
         node.start(node.route_reader().follow())
@@ -145,6 +146,14 @@
         self._core.set_routes(self._node.routes.index)
         self._node.send(self._status(False), self._known_ips())
 
+    def _gauges(self) -> dict[str, float]:
+        now = self._node.clock()
+        return {
+            'flows': self._core.flow_count,
+            'openings_waiting': self._core.waiting_count,
+            'agents_heard': len(self._node.fleet.recent_agents(now)),
+        }
+
     # Status.
 
     def _status(self, wants_answer: bool) -> BalancerStatus:
--- a/ibispitch/platform/node.py
+++ b/ibispitch/platform/node.py
@@ -21,7 +21,11 @@
 from ibispitch.forwarding.frames import Frame
 from ibispitch.forwarding.packets import FlowKey
 from ibispitch.ids import Address
+from ibispitch.measures import Measures
 from ibispitch.platform.http import Handler
+from ibispitch.platform.metrics import Gauges
+from ibispitch.platform.metrics import METRICS_PORT
+from ibispitch.platform.metrics import MetricsPage
 from ibispitch.platform.routes import PlatformRoutes
 from ibispitch.platform.settings import EXIT_SETTINGS
 from ibispitch.platform.settings import load_settings
@@ -62,6 +66,7 @@
         self.clock = transport.clock
         self.fleet = Fleet(settings.ip)
         self.routes = RoutesCore()
+        self.measures = Measures()
         self.started_ms = transport.unix_ms()
         self.is_stopping = asyncio.Event()
         self._loop = asyncio.get_running_loop()
@@ -171,6 +176,25 @@
             server.close()
         self.log.flush()
 
+    async def serve_metrics(self, gauges: Gauges) -> None:
+        """Serve counters, histograms and gauges.
+
+        :param gauges: returns present values of the program by name.
+        """
+
+        def read_gauges() -> dict[str, float]:
+            now = self.clock()
+            return gauges() | {
+                'routes_revision': self.routes.revision,
+                'routes_age_seconds': self.routes.age_s(now),
+                'balancers_heard': len(self.fleet.heard_balancers(now)),
+                'series_left_out': self.measures.left_out,
+            }
+
+        page = MetricsPage(self.log, self.measures, read_gauges)
+        address = Address(self.settings.ip, METRICS_PORT)
+        await self.serve(address, page.answer)
+
     # Peers.
 
     def next_number(self) -> int:
--- a/ibispitch/waiting/core.py
+++ b/ibispitch/waiting/core.py
@@ -143,13 +143,17 @@
         )
         return ahead / rate < left_s
 
-    def placed(self, flow: FlowKey, now: float) -> None:
-        """Note that an opening was placed."""
+    def placed(self, flow: FlowKey, now: float) -> Opening | None:
+        """Note that an opening was placed.
+
+        :returns: the opening if it waited.
+        """
         opening = self.remove(flow)
         if opening is not None:
             line = self._line_by_service.get(opening.service)
             if line is not None:
                 line.placed.append(now)
+        return opening
 
     def remove(self, flow: FlowKey) -> Opening | None:
         """Take an opening out of the line."""
--- a/tests/forwarding/test_agent_core.py
+++ b/tests/forwarding/test_agent_core.py
@@ -16,6 +16,7 @@
 from ibispitch.gate.core import UpstreamReport
 from ibispitch.gate.core import UpstreamState
 from ibispitch.ids import Address
+from ibispitch.measures import Measures
 from ibispitch.platform.packets import PlatformPacketCodec
 from ibispitch.routes.model import RequestKind
 from ibispitch.routes.model import Route
@@ -79,7 +80,7 @@
 def make_core(outbox, knows_all=True) -> AgentCore:
     gate = Gate('counter', 'accra', 1.2, ColdLimits(1.5, 5.0))
     log = DecisionLog('test', len)
-    return AgentCore(gate, CODEC, outbox, log, knows_all, 3.0, 0.0)
+    return AgentCore(gate, CODEC, outbox, log, Measures(), knows_all, 3.0, 0.0)
 
 
 @pytest.fixture
--- /dev/null
+++ b/tests/platform/test_metrics.py
@@ -0,0 +1,75 @@
+"""Metrics are served as the platform fetches them."""
+
+import asyncio
+from pathlib import Path
+import tomllib
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from ibispitch.measures import MAX_HISTOGRAMS
+from ibispitch.measures import Measures
+from ibispitch.measures import Series
+from ibispitch.platform.http import Request
+from ibispitch.platform.metrics import METRICS_PATH
+from ibispitch.platform.metrics import METRICS_PORT
+from testbed.flow_network import FEED
+from testbed.flow_network import FlowNetwork
+from testbed.flow_network import QUOTE
+from testbed.simulated_loop import simulate
+
+ROOT = Path(__file__).parent.parent.parent
+
+
+async def scrape(host) -> dict[str, list]:
+    handler = host.handlers[METRICS_PORT]
+    response = await handler(Request('GET', METRICS_PATH, b''))
+    assert response.status == 200
+    families = text_string_to_metric_families(response.body.decode())
+    return {family.name: family.samples for family in families}
+
+
+def test_counters_and_histograms_of_a_served_request():
+    """Guards against metrics that do not show what callers see."""
+
+    async def day(loop):
+        network = FlowNetwork(loop, {'accra': 1}, [('accra', 'counter')])
+        network.configure(1, (FEED, QUOTE))
+        await network.start()
+        callers = [network.add_caller('accra', QUOTE) for _ in range(5)]
+        await network.load(callers, 20, 2)
+        await asyncio.sleep(1)
+        hosts = (network.balancers[0], network.agents[0])
+        return network, [await scrape(host) for host in hosts]
+
+    network, (balancer, agent) = simulate(day)
+    asked = sum(len(c.requests) for c in network.caller_by_ip.values())
+    placed = [
+        sample.value
+        for sample in balancer['ibispitch_events']
+        if sample.labels == {'event': 'flow.placed'}
+    ]
+    assert placed == [asked]
+    counts = [
+        sample.value
+        for sample in agent['ibispitch_request_latency_seconds']
+        if sample.name.endswith('_count')
+        and sample.labels == {'service': 'counter', 'kind': 'unsafe'}
+    ]
+    assert counts == [asked]
+    assert agent['ibispitch_requests_running'][0].value == 0
+
+
+def test_number_of_series_is_bounded():
+    """Guards against a catalogue that fills the memory of a process."""
+    measures = Measures()
+    for number in range(MAX_HISTOGRAMS + 10):
+        measures.record(Series('wait', f's-{number}', 'safe'), 0.1)
+    assert len(measures.histogram_by_series) == MAX_HISTOGRAMS
+    assert measures.left_out == 10
+
+
+def test_deploy_file_names_the_address():
+    """Guards against metrics served where nobody fetches them."""
+    deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
+    wanted = f'{METRICS_PORT}{METRICS_PATH}'
+    assert {r['metrics'] for r in deploy['roles'].values()} == {wanted}
