Ask agents that are heard during a search before a flow is given up

Ruled out: the checkpoint (57 to 93 flows restored), the incarnation. Change: a search ends only when every agent that can answer was asked.

--- a/ibispitch/locating/core.py
+++ b/ibispitch/locating/core.py
@@ -85,7 +85,6 @@
     __slots__ = (
         'asked',
         'deadline',
-        'is_wide',
         'packets',
         'restarted',
         'service',
@@ -103,7 +102,6 @@
         self.unknown: list[str] = []
         #: Agents that cannot know, since they were killed a moment ago.
         self.restarted: list[str] = []
-        self.is_wide = False
         self.deadline = 0.0
 
 
@@ -185,7 +183,7 @@
     def _ask(
         self, search: _Search, ips: Iterable[str], now: float
     ) -> list[Step]:
-        ips = tuple(ip for ip in ips if ip not in search.asked)
+        ips = tuple(ips)
         if not ips:
             return self._conclude(search, now)
         search.asked.update(ips)
@@ -195,12 +193,14 @@
         return [AskAgents(packet.flow, packet.acknowledged, ips)]
 
     def _conclude(self, search: _Search, now: float) -> list[Step]:
-        if not search.is_wide:
-            search.is_wide = True
-            views = self._fleet.agents_by_ip.values()
-            return self._ask(
-                search, [v.ip for v in views if self._may_answer(v, now)], now
-            )
+        # Agents may have been heard for the first time during the search.
+        rest = [
+            view.ip
+            for view in self._fleet.agents_by_ip.values()
+            if view.ip not in search.asked and self._may_answer(view, now)
+        ]
+        if rest:
+            return self._ask(search, rest, now)
         packet = search.packets[-1]
         del self._search_by_flow[packet.flow]
         if search.unknown or search.restarted:
