Explain a failed request from its id, and describe the design

Cause: operators could not get from a request to its cause. Change: ibispitchctl explain, story.py, committed lines of three failed requests (docs/stories), docs/OPERATIONS.md, design section 9; requests are logged with their id where the bytes show it. Test: tests/test_story.py explains the committed lines and those of a run of the present code.

--- a/ibispitch/ctl/program.py
+++ b/ibispitch/ctl/program.py
@@ -6,6 +6,7 @@
 import ibispitch
 from ibispitch.ctl.datacentres import datacentre
 from ibispitch.ctl.entries import entries
+from ibispitch.ctl.explain import explain
 from ibispitch.ctl.fleet import balancers
 from ibispitch.ctl.fleet import state
 from ibispitch.ctl.fleet import top
@@ -86,5 +87,6 @@
     balancers,
     versions,
     top,
+    explain,
 ):
     main.add_command(command)
--- a/ibispitch/decisionlog.py
+++ b/ibispitch/decisionlog.py
@@ -47,12 +47,20 @@
     """Writes log lines of one process.
 
     :param process: name of the process, part of each line.
+    :param unix_time: returns the time of day in seconds, for lines of
+        several processes to be put in order.
     :param write: takes bytes and returns how many were taken; raises
         ``BlockingIOError`` if none.
     """
 
-    def __init__(self, process: str, write: Callable[[bytes], int]):
+    def __init__(
+        self,
+        process: str,
+        unix_time: Callable[[], float],
+        write: Callable[[bytes], int],
+    ):
         self._process = process
+        self._unix_time = unix_time
         self._write = write
         self._encoder = msgspec.json.Encoder(enc_hook=str)
         self._decisions = _Rate(DECISIONS_PER_S)
@@ -102,7 +110,12 @@
     def _append(self, event: str, now: float, fields: dict[str, Any]) -> bool:
         """Add a line if there is room for it."""
         line = self._encoder.encode(
-            {'at': round(now, 3), 'event': event, 'process': self._process}
+            {
+                'time': round(self._unix_time(), 3),
+                'at': round(now, 3),
+                'event': event,
+                'process': self._process,
+            }
             | fields
         )
         if self._size + len(line) >= MAX_WAITING_BYTES:
--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -76,6 +76,7 @@
         'kind',
         'opened_at',
         'request_at',
+        'request_id',
         'seen_at',
         'tried',
         'upstream_next',
@@ -103,6 +104,7 @@
         self.is_running = False
         #: Time of the last packet of the request that runs.
         self.request_at: float | None = None
+        self.request_id: str | None = None
         #: Agents that handed the opening back before.
         self.tried: tuple[int, ...] = ()
 
@@ -369,12 +371,23 @@
                 or sequence_distance(end, state.caller_next) > 0
             ):
                 state.caller_next = end
+                if state.request_at is None:
+                    self._note_request(state, packet, now)
                 state.request_at = now
                 self._expected.pop(packet.flow, None)
                 self._set_running(state, True)
         if packet.flags & (FIN | RST):
             self._close(state, now)
 
+    def _note_request(
+        self, state: FlowState, packet: Packet, now: float
+    ) -> None:
+        state.request_id = self._codec.request_id(packet)
+        self._log.decision(
+            'request.passed', packet.flow, now, request=state.request_id,
+            running=self.running, balancer=state.balancer,
+        )  # fmt: skip
+
     def ask(self, ip: str, ask: frames.Ask, now: float) -> None:
         """Answer whether the upstream holds a flow."""
         state = self._state_by_flow.get(ask.flow)
@@ -449,7 +462,13 @@
             state.upstream_next = end
         if packet.size:
             if state.request_at is not None:
-                self._measure(state, now - state.request_at)
+                took_s = now - state.request_at
+                self._measure(state, took_s)
+                self._log.decision(
+                    'request.answered', packet.flow, now,
+                    request=state.request_id,
+                    took_ms=round(1000 * took_s, 1),
+                )  # fmt: skip
                 state.request_at = None
             self._set_running(state, False)
         if packet.flags & (FIN | RST):
--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -3,6 +3,7 @@
 import math
 import random
 import socket
+from typing import Any
 from typing import Protocol
 
 from ibispitch.decisionlog import DecisionLog
@@ -109,7 +110,7 @@
         if owner is None:
             self._search(packet, now)
         elif self._fleet.has_ended(owner.ip, owner.incarnation, now):
-            self._reset(packet, 'upstream ended', now, owner.ip)
+            self._reset(packet, 'upstream ended', now, agent=owner.ip)
         else:
             self._forward(owner, packet)
 
@@ -131,7 +132,7 @@
         elif reason in (Reason.ENDED, Reason.OTHER_UPSTREAM):
             owner = self._table.get(packet.flow)
             if owner is None or owner.ip == ip:
-                self._reset(packet, reason.name.lower(), now, ip)
+                self._reset(packet, reason.name.lower(), now, agent=ip)
         else:
             owner = self._table.get(packet.flow)
             if owner is None:
@@ -253,7 +254,14 @@
         )
         relief_s = self._relief_s(opening.service)
         if not self._line.add(opening, relief_s, now):
-            self._reset(packet, 'cannot be served in time', now)
+            self._refuse(opening, now)
+
+    def _refuse(self, opening: Opening, now: float) -> None:
+        self._reset(
+            opening.packet, 'cannot be served in time', now,
+            waited_ms=round(1000 * (now - opening.since)),
+            waiting=len(self._line),
+        )  # fmt: skip
 
     def _relief_s(self, service: ServiceName | None) -> float:
         """Return the time until upstreams that are cold are warm."""
@@ -268,7 +276,7 @@
 
     def _place_waiting(self, now: float) -> None:
         for opening in self._line.shed(self._relief_s, now):
-            self._reset(opening.packet, 'cannot be served in time', now)
+            self._refuse(opening, now)
         for opening in self._line.expire(now):
             self._log.failure(
                 'flow.not_placed', opening.packet.flow, now,
@@ -346,7 +354,7 @@
             self._reset(packet, 'no agent has the flow', now)
 
     def _reset(
-        self, packet: Packet, why: str, now: float, agent: str | None = None
+        self, packet: Packet, why: str, now: float, **inputs: Any
     ) -> None:
         flow = packet.flow
         self._table.pop(flow)
@@ -354,4 +362,7 @@
         self._outbox.to_caller(
             flow, self._codec.reset(flow, packet.acknowledged)
         )
-        self._log.failure('flow.reset', flow, now, why=why, agent=agent)
+        revision = self.routes.revision if self.routes else 0
+        self._log.failure(
+            'flow.reset', flow, now, why=why, revision=revision, **inputs
+        )
--- a/ibispitch/forwarding/packets.py
+++ b/ibispitch/forwarding/packets.py
@@ -70,6 +70,9 @@
     def reset(self, flow: FlowKey, sequence: int) -> bytes:
         """Return a reset for the caller of a flow."""
 
+    def request_id(self, packet: Packet) -> str | None:
+        """Return the id of the request that a packet begins, if it shows."""
+
 
 def destination_of(flow: FlowKey) -> Destination:
     """Return the address and port that the caller of a flow sends to."""
--- a/ibispitch/platform/node.py
+++ b/ibispitch/platform/node.py
@@ -303,8 +303,13 @@
         raise SystemExit(EXIT_SETTINGS) from None
 
     async def run():
-        log = DecisionLog(settings.name, standard_output())
-        node = Node(settings, HostTransport(), log)
+        transport = HostTransport()
+        log = DecisionLog(
+            settings.name,
+            lambda: transport.unix_ms() / 1000,
+            standard_output(),
+        )
+        node = Node(settings, transport, log)
         node.log.change(
             'process.started', node.clock(), ip=settings.ip,
             datacentre=settings.datacentre, service=settings.service,
--- a/ibispitch/platform/packets.py
+++ b/ibispitch/platform/packets.py
@@ -23,6 +23,9 @@
 _DESTINATION = slice(20, 26)
 _FLOW = slice(14, 26)
 _FLAGS_AT = 30
+#: Header field in which the platform's callers name their requests.
+_REQUEST_ID = b'X-Ibispitch-Request-Id:'
+MAX_REQUEST_ID_BYTES = 80
 _WIRE_BIT_BY_FLAG = {SYN: 16, ACK: 128, FIN: 4, RST: 32, BOUNCED: 1}
 _FLAGS_BY_WIRE = [
     sum(flag for flag, bit in _WIRE_BIT_BY_FLAG.items() if wire & bit)
@@ -62,6 +65,21 @@
             return packet
         return packet._replace(flow=FlowKey(raw[_DESTINATION] + raw[_SOURCE]))
 
+    def request_id(self, packet: Packet) -> str | None:
+        """Return the id of the request that a packet begins, if it shows.
+
+        It is read for log lines only; nothing is decided by it.
+        """
+        raw = packet.raw
+        start = raw.find(_REQUEST_ID, HEADER_BYTES)
+        if start < 0:
+            return None
+        start += len(_REQUEST_ID)
+        end = raw.find(b'\r', start, start + MAX_REQUEST_ID_BYTES)
+        if end < 0:
+            return None
+        return raw[start:end].strip().decode('latin-1')
+
     def reset(self, flow: FlowKey, sequence: int) -> bytes:
         """Return a reset for the caller of a flow.
 
--- a/testbed/flow_callers.py
+++ b/testbed/flow_callers.py
@@ -14,7 +14,6 @@
 from testbed.flow_packets import SYN
 from testbed.flow_upstream import REFUSED
 from testbed.flow_upstream import REPEAT_S
-from testbed.flow_upstream import REQUEST_ID_BYTES
 
 COPIES_S = (0.0, 0.2, 0.6)
 GIVE_UP_S = 1.4
@@ -32,14 +31,19 @@
 
 
 class Request:
-    """A request over all its attempts."""
+    """A request over all its attempts; its body is its own answer."""
 
     def __init__(self, asked_at: float, objective_s: float, deadline_s: float):
-        self.body = next(_requests).to_bytes(REQUEST_ID_BYTES, 'big')
+        self.name = f'{next(_requests):016x}'
+        self.body = (
+            f'POST / HTTP/1.1\r\nX-Ibispitch-Request-Id: {self.name}\r\n\r\n'
+        ).encode()
         self.asked_at = asked_at
         self.objective_s = objective_s
         self.deadline = asked_at + deadline_s
         self.attempts = 0
+        #: Flows of its attempts.
+        self.flows: list[Address] = []
         self.answered_at: float | None = None
 
     @property
@@ -228,6 +232,7 @@
             flow = self._flow_by_port[port] = Flow(self, port)
             if self._is_long:
                 self._long = flow
+        request.flows.append(flow.address)
         flow.ask(request)
 
     def answered(self, flow: Flow, request: Request, data: bytes) -> None:
--- a/testbed/flow_network.py
+++ b/testbed/flow_network.py
@@ -212,7 +212,11 @@
         """Start the process of a host."""
         host.starts += 1
         settings = parse_settings(self._settings(host))
-        log = DecisionLog(host.name, lambda data: self._log(host, data))
+        log = DecisionLog(
+            host.name,
+            lambda: host.unix_ms() / 1000,
+            lambda data: self._log(host, data),
+        )
         host.node = Node(settings, host, log)
         program = Balancer if host in self.balancers else Agent
         node = host.node
@@ -268,6 +272,9 @@
     async def _beat(self, host: Host, upstream: FlowUpstream) -> None:
         await asyncio.sleep(self.rng.uniform(0.0, 0.2))
         while upstream.is_alive:
+            if upstream.is_frozen:
+                await asyncio.sleep(HEARTBEAT_S)
+                continue
             body = upstream.heartbeat() | {
                 'service': host.service, 'zone': host.datacentre,
                 'address': host.ip, 'version': 'v1',
--- a/testbed/flow_upstream.py
+++ b/testbed/flow_upstream.py
@@ -1,8 +1,8 @@
 """A stand-in of an upstream that speaks the platform's packets.
 
-A request is one segment of data, ``REQUEST_ID`` bytes of id; its answer is
-the id again. The upstream runs a number of requests at a time, queues some
-more, and answers 503-like refusals beyond that.
+A request is one segment of data, and its answer is the same data. The
+upstream runs a number of requests at a time, queues some more, and refuses
+those beyond.
 """
 
 import asyncio
@@ -19,7 +19,6 @@
 from testbed.flow_packets import RST
 from testbed.flow_packets import SYN
 
-REQUEST_ID_BYTES = 16
 REPEAT_S = (0.2, 0.4, 0.8, 1.6, 1.6, 1.6, 1.6, 1.6)
 REFUSED = b'shed'
 
@@ -78,6 +77,8 @@
         self._waiting: deque = deque()
         self.is_draining = False
         self.is_alive = True
+        #: Whether it stands still: it neither receives nor answers.
+        self.is_frozen = False
         #: What it accepted and ran, for the checks.
         self.openings: list[Opened] = []
         self.runs: list[bytes] = []
@@ -116,7 +117,7 @@
 
     def receive(self, raw: bytes) -> None:
         """Handle a packet of a caller."""
-        if not self.is_alive:
+        if not self.is_alive or self.is_frozen:
             return
         segment = packets.parse(raw)
         if not segment.is_intact:
@@ -180,7 +181,7 @@
 
     def _finish(self, segment, flow: _Flow) -> None:
         self._running -= 1
-        if not self.is_alive:
+        if not self.is_alive or self.is_frozen:
             return
         self._answer(segment, flow, segment.data)
         if self._waiting:
--- a/tests/forwarding/test_agent_core.py
+++ b/tests/forwarding/test_agent_core.py
@@ -79,7 +79,7 @@
 
 def make_core(outbox, knows_all=True) -> AgentCore:
     gate = Gate('counter', 'accra', 1.2, ColdLimits(1.5, 5.0))
-    log = DecisionLog('test', len)
+    log = DecisionLog('test', lambda: 0.0, len)
     return AgentCore(gate, CODEC, outbox, log, Measures(), knows_all, 3.0, 0.0)
 
 
--- a/tests/test_decisionlog.py
+++ b/tests/test_decisionlog.py
@@ -30,12 +30,13 @@
 def test_line_has_its_inputs():
     """Guards against lines that do not explain a decision."""
     reader = Reader()
-    log = DecisionLog('balancer-1', reader.write)
+    log = DecisionLog('balancer-1', lambda: 9.0, reader.write)
     log.decision('flow.placed', FLOW, 1.5, agent='10.0.0.1', age_ms=3)
     log.flush()
     assert reader.lines() == [
         {
-            'at': 1.5, 'event': 'flow.placed', 'process': 'balancer-1',
+            'time': 9.0, 'at': 1.5, 'event': 'flow.placed',
+            'process': 'balancer-1',
             'flow': '100.64.0.7:40001>198.18.0.1:443',
             'agent': '10.0.0.1', 'age_ms': 3,
         }
@@ -45,7 +46,7 @@
 def test_volume_is_bounded_and_failures_go_first():
     """Guards against a burst that fills the disk or hides its refusals."""
     reader = Reader()
-    log = DecisionLog('balancer-1', reader.write)
+    log = DecisionLog('balancer-1', lambda: 9.0, reader.write)
     for number in range(10_000):
         log.decision('flow.placed', FLOW, number / 10_000)
     for number in range(100):
@@ -63,7 +64,7 @@
     """Guards against a reader that stalls the packet path or the memory."""
     reader = Reader()
     reader.takes = 0
-    log = DecisionLog('balancer-1', reader.write)
+    log = DecisionLog('balancer-1', lambda: 9.0, reader.write)
     for number in range(50_000):
         log.failure('flow.reset', FLOW, number / 100, why='test')
         if number % 100 == 0:
@@ -87,7 +88,7 @@
     """Guards against lines that are cut in two."""
     reader = Reader()
     reader.takes = 10
-    log = DecisionLog('balancer-1', reader.write)
+    log = DecisionLog('balancer-1', lambda: 9.0, reader.write)
     log.change('process.started', 0.0)
     log.flush()
     reader.takes = 1 << 30
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -14,7 +14,7 @@
 from ibispitch.wire import messages
 
 ROOT = Path(__file__).parent.parent
-OPERATIONS = (ROOT / 'docs/operations.md').read_text(encoding='utf-8')
+OPERATIONS = (ROOT / 'docs/OPERATIONS.md').read_text(encoding='utf-8')
 PAGES = ['README.md', *(f'docs/{p.name}' for p in ROOT.glob('docs/*.md'))]
 SOURCES = {
     path: path.read_text(encoding='utf-8')
--- /dev/null
+++ b/tests/test_story.py
@@ -0,0 +1,62 @@
+"""The way from a failed request's id to its cause, in committed log lines."""
+
+import json
+from pathlib import Path
+
+from click.testing import CliRunner
+import pytest
+
+from ibispitch.ctl.program import main
+from ibispitch.story import read_lines
+from ibispitch.story import story_of
+from testbed.stories import run_story
+from testbed.stories import SCRIPT_BY_NAME
+
+STORIES = Path(__file__).parent.parent / 'docs/stories'
+CAUSE_BY_STORY = {
+    'frozen': ('fleet.agent', 'state', 'SILENT'),
+    'ended': ('flow.reset', 'why', 'upstream ended'),
+    'refused': ('flow.reset', 'why', 'cannot be served in time'),
+}
+
+
+@pytest.mark.parametrize('name', SCRIPT_BY_NAME)
+def test_committed_lines_explain(name):
+    """Guards against a page whose lines do not lead to the cause."""
+    texts = (STORIES / f'{name}.jsonl').read_text().splitlines()
+    flow = '100.64.0.5:1025' if name == 'refused' else '100.64.0.1:1024'
+    lines = story_of(read_lines(texts), flow)
+    event, key, value = CAUSE_BY_STORY[name]
+    assert any(
+        line.event == event and line.inputs.get(key) == value
+        for line in lines
+    )
+    assert lines == sorted(lines, key=lambda line: line.time)
+
+
+@pytest.mark.parametrize('name', SCRIPT_BY_NAME)
+def test_a_run_of_today_explains(name):
+    """Guards against lines that a change has taken away."""
+    story = run_story(name)
+    lines = read_lines(json.dumps(line) for line in story.lines)
+    event, key, value = CAUSE_BY_STORY[name]
+    assert any(
+        line.event == event and line.inputs.get(key) == value
+        for line in story_of(lines, story.flow)
+    )
+
+
+def test_command():
+    """Guards against a command that needs settings or a store."""
+    path = str(STORIES / 'frozen.jsonl')
+    result = CliRunner().invoke(main, ['explain', '0000000000000001', path])
+    assert result.exit_code == 0
+    assert 'request.passed' in result.output
+    as_json = CliRunner().invoke(
+        main, ['--output', 'json', 'explain', '100.64.0.1:1024', path]
+    )
+    events = [line['event'] for line in json.loads(as_json.output)]
+    assert 'flow.placed' in events
+    missing = CliRunner().invoke(main, ['explain', 'nobody', path])
+    assert missing.exit_code == 4
+    assert 'logs of all balancers and agents' in missing.output
