Let three balancers of a large fleet read the store for all

Change: in fleets above six balancers the best one of three data centres reads; the others ask the store only if nobody confirms their routes within the bound. Who got new routes from another process does not spread them again.

--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -31,9 +31,6 @@
 NOTIFY_S = 0.008
 #: Balancers that an agent asks for their status in a round.
 ASKED = 2
-#: Age of the routes at which an agent reads the store itself: longer than
-#: balancers, which hold a call for most of the bound, take to confirm them.
-STALE_SHARE = 1.3
 #: Interval at which closed and idle flows are forgotten.
 SWEEP_S = 0.5
 #: Interval at which the gate of a cold upstream is looked at.
@@ -98,8 +95,7 @@
         await node.serve_metrics(self._gauges)
         for ip in settings.seed_ips:
             node.fleet.introduce(ip, node.clock())
-        limit_s = STALE_SHARE * settings.bounds.configuration_s
-        node.start(node.route_reader().follow_when_stale(limit_s))
+        node.start(node.route_reader().follow(lambda: False))
         node.every(STATUS_INTERVAL_S, self._send_round)
         node.every(SWEEP_S, lambda: self._core.sweep(node.clock()))
         node.every(GATE_S, self._watch_gate)
@@ -187,7 +183,7 @@
         if status.revision == node.routes.revision:
             node.routes.confirm(status.revision, now - status.age_s)
 
-    def _on_routes(self) -> None:
+    def _on_routes(self, _is_from_store: bool) -> None:
         node = self._node
         self._core.set_routes(node.routes.index, node.clock())
         self._notify()
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -26,6 +26,8 @@
 from ibispitch.platform.packets import PlatformPacketCodec
 from ibispitch.rotation.core import is_standby
 from ibispitch.rotation.core import Member
+from ibispitch.routes.readers import Candidate
+from ibispitch.routes.readers import is_reader
 
 READINESS_PATH = '/v1/readyz'
 #: Time after the start at which a balancer calls itself ready even if it
@@ -74,7 +76,7 @@
         await node.serve_metrics(self._gauges)
         for ip in settings.seed_ips:
             node.fleet.introduce(ip, node.clock())
-        node.start(node.route_reader().follow())
+        node.start(node.route_reader().follow(self._is_reader))
         node.every(STATUS_INTERVAL_S, self._send_round)
         node.every(TICK_S, lambda: self._core.tick(node.clock()))
         await node.is_stopping.wait()
@@ -152,9 +154,10 @@
         if status.wants_answer:
             self._tell([ip])
 
-    def _on_routes(self) -> None:
+    def _on_routes(self, is_from_store: bool) -> None:
         self._core.set_routes(self._node.routes.index)
-        self._tell(self._known_ips(), names_all=False)
+        if is_from_store:
+            self._tell(self._known_ips(), names_all=False)
 
     def _gauges(self) -> dict[str, float]:
         now = self._node.clock()
@@ -242,6 +245,19 @@
             return True
         return node.clock() - self._started_at > PATIENCE_S
 
+    def _is_reader(self) -> bool:
+        settings = self._node.settings
+        heard = self._node.fleet.heard_balancers(self._node.clock())
+        return is_reader(
+            Candidate(settings.ip, settings.datacentre, settings.link_mbps),
+            [
+                Candidate(
+                    view.ip, view.status.datacentre, view.status.link_mbps
+                )
+                for view in heard
+            ],
+        )
+
     def _is_standby(self) -> bool:
         settings = self._node.settings
         heard = self._node.fleet.heard_balancers(self._node.clock())
--- a/ibispitch/platform/node.py
+++ b/ibispitch/platform/node.py
@@ -39,6 +39,8 @@
 from ibispitch.platform.transport import Transport
 from ibispitch.routes.core import RoutesCore
 from ibispitch.routes.reader import RouteReader
+from ibispitch.routes.readers import Reading
+from ibispitch.routes.readers import reading
 
 #: Interval of the cores' timers. A search of a flow and an opening that
 #: waits are looked at again after this time.
@@ -47,8 +49,6 @@
 FLUSH_S = 0.1
 #: First byte of a status message is at least this; frames start lower.
 FIRST_STATUS_BYTE = 0x90
-#: Part of the bound on configuration changes for which a call waits.
-WAIT_SHARE = 0.8
 
 
 class Node:
@@ -84,7 +84,7 @@
         self._peers: DatagramEnd | None = None
         self.on_message: Callable[[str, Message], None] | None = None
         self.on_frame: Callable[[str, Frame], None] | None = None
-        self.on_routes: Callable[[], None] | None = None
+        self.on_routes: Callable[[bool], None] | None = None
 
     # Start and stop.
 
@@ -257,12 +257,16 @@
     def route_reader(self) -> RouteReader:
         """Return a reader of the routes in the store."""
         store = self.transport.store(self.settings.store)
-        wait_s = WAIT_SHARE * self.settings.bounds.configuration_s
+        bound_s = self.settings.bounds.configuration_s
         return RouteReader(
             self.routes, PlatformRoutes(store), self.clock, self.log,
-            self._change_routes, wait_s,
+            self._change_routes, bound_s, self._reading,
         )  # fmt: skip
 
+    def _reading(self) -> Reading:
+        own = self.settings.from_upstream is None
+        return reading(len(self.fleet.balancers_by_ip) + own)
+
     def learn_revision(self, ip: str, revision: int) -> None:
         """Fetch the routes of a process if they are newer."""
         if revision > self.routes.revision and ip not in self._fetches:
@@ -284,16 +288,16 @@
         finally:
             self._fetches.discard(ip)
         if self.routes.offer(table):
-            self._change_routes()
+            self._change_routes(is_from_store=False)
 
-    def _change_routes(self) -> None:
+    def _change_routes(self, is_from_store: bool = True) -> None:
         index = self.routes.index
         self.log.change(
             'routes.changed', self.clock(), revision=index.revision,
             version=index.table.version, routes=len(index.table.routes),
-            out=sorted(index.table.out),
+            out=sorted(index.table.out), is_from_store=is_from_store,
         )  # fmt: skip
-        self.on_routes()
+        self.on_routes(is_from_store)
 
 
 def _place_of(error: BaseException | None) -> str:
--- a/ibispitch/routes/reader.py
+++ b/ibispitch/routes/reader.py
@@ -7,6 +7,7 @@
 from ibispitch.decisionlog import DecisionLog
 from ibispitch.retry.backoff import backoff_s
 from ibispitch.routes.core import RoutesCore
+from ibispitch.routes.readers import Reading
 from ibispitch.routes.source import HistoryLostError
 from ibispitch.routes.source import RouteSource
 from ibispitch.routes.source import SourceError
@@ -17,6 +18,8 @@
 #: store that was away is read again within half a second of its return.
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 0.5
+#: Longest time until a process notices that it has become a reader.
+ROLE_S = 0.3
 
 
 class RouteReader:
@@ -27,7 +30,8 @@
     :param clock: returns the time in seconds.
     :param log: lines on the store's loss and return.
     :param on_change: called after a change of the routes.
-    :param wait_s: time that the store holds a call without changes.
+    :param bound_s: time within which changes have to be in force.
+    :param reading: returns how this fleet follows the store.
     """
 
     def __init__(
@@ -37,34 +41,34 @@
         clock: Callable[[], float],
         log: DecisionLog,
         on_change: Callable[[], None],
-        wait_s: float,
+        bound_s: float,
+        reading: Callable[[], Reading],
     ):
         self._core = core
         self._source = source
         self._clock = clock
         self._log = log
         self._on_change = on_change
-        self._wait_s = wait_s
+        self._bound_s = bound_s
+        self._reading = reading
         self._position: int | None = None
         self._failures = 0
 
-    async def follow(self) -> None:
-        """Read and wait for changes until cancelled."""
-        while True:
-            await self._guarded_step()
-
-    async def follow_when_stale(self, limit_s: float) -> None:
-        """Read from the store only while nobody else confirms the routes.
+    async def follow(self, is_reader: Callable[[], bool]) -> None:
+        """Keep the routes up to date until cancelled.
 
-        :param limit_s: age of the routes at which the store is asked.
+        :param is_reader: whether this process reads the store for others.
+            One that does not asks the store only while nobody confirms its
+            routes.
         """
         while True:
+            limit_s = self._bound_s * self._reading().limit
             missing_s = limit_s - self._core.age_s(self._clock())
-            if missing_s > 0:
-                self._position = None
-                await asyncio.sleep(min(limit_s, missing_s + 0.01))
-            else:
+            if is_reader() or missing_s <= 0:
                 await self._guarded_step()
+            else:
+                self._position = None
+                await asyncio.sleep(min(ROLE_S, missing_s + 0.01))
 
     async def _guarded_step(self) -> None:
         try:
@@ -96,7 +100,8 @@
             is_changed = self._core.offer(table)
             self._core.confirm(table.revision, started_at)
             return is_changed
-        changes = await self._source.wait(self._position, self._wait_s)
+        wait_s = self._bound_s * self._reading().wait
+        changes = await self._source.wait(self._position, wait_s)
         self._position = max(self._position, changes.revision)
         is_changed = self._core.apply(changes.changes)
         # An answer without changes says that there were none while the
