Read changed settings without a signal, log what is left out, drop unused calls

Cause: a process whose seeds are gone heard nobody until SIGHUP; unreadable routes, messages and packets were skipped without a line; the store's writes and leases were not used by anything. Test: test_stale_seeds, test_unreadable_parts_are_left_out.

--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -143,11 +143,14 @@
     def _ignore_packet(self, _raw: bytes, _sender: tuple[str, int]) -> None:
         """Take no packets from elsewhere; balancers use the peer port."""
 
-    def _on_upstream(self, raw: bytes, _sender: tuple[str, int]) -> None:
+    def _on_upstream(self, raw: bytes, sender: tuple[str, int]) -> None:
         packet = self._codec.from_upstream(raw)
-        if packet is not None:
-            self._core.receive_upstream(packet, self._node.clock())
-            self._notify()
+        now = self._node.clock()
+        if packet is None:
+            self._node.log.change('packet.unreadable', now, sender=sender[0])
+            return
+        self._core.receive_upstream(packet, now)
+        self._notify()
 
     def _on_frame(self, ip: str, frame: Frame) -> None:
         node = self._node
@@ -257,6 +260,7 @@
         now = node.clock()
         for ip in node.fleet.forget(now):
             node.log.change('fleet.forgotten', now, peer=ip)
+        node.watch_settings()
         for ip in node.settings.seed_ips:
             node.fleet.introduce(ip, now)
         receivers = self._rounds.next(
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -109,10 +109,12 @@
 
     # Input.
 
-    def _on_packet(self, raw: bytes, _sender: tuple[str, int]) -> None:
+    def _on_packet(self, raw: bytes, sender: tuple[str, int]) -> None:
         packet = self._codec.from_caller(raw)
-        if packet is not None:
-            self._packet_at = now = self._node.clock()
+        self._packet_at = now = self._node.clock()
+        if packet is None:
+            self._node.log.change('packet.unreadable', now, sender=sender[0])
+        else:
             self._core.receive(packet, now)
 
     def _on_frame(self, ip: str, frame: Frame) -> None:
@@ -202,6 +204,7 @@
         for ip in node.fleet.forget(now):
             node.log.change('fleet.forgotten', now, peer=ip)
         self._checkpoints.expire(now)
+        node.watch_settings()
         for ip in node.settings.seed_ips:
             node.fleet.introduce(ip, now)
         if node.is_stopping.is_set():
--- a/ibispitch/platform/node.py
+++ b/ibispitch/platform/node.py
@@ -47,6 +47,10 @@
 TICK_S = 0.02
 #: Interval at which log lines are written.
 FLUSH_S = 0.1
+#: Intervals at which the settings file is read again, also while no balancer
+#: is heard. The platform corrects stale seeds within 3 s.
+RELOAD_S = 5.0
+ALONE_RELOAD_S = 1.0
 #: First byte of a status message is at least this; frames start lower.
 FIRST_STATUS_BYTE = 0x90
 
@@ -57,10 +61,15 @@
     :param settings: its settings.
     :param transport: the host's sockets and clocks.
     :param log: lines on decisions.
+    :param load: reads the settings anew.
     """
 
     def __init__(
-        self, settings: NodeSettings, transport: Transport, log: DecisionLog
+        self,
+        settings: NodeSettings,
+        transport: Transport,
+        log: DecisionLog,
+        load: Callable[[], NodeSettings] = load_settings,
     ):
         self.settings = settings
         self.log = log
@@ -72,6 +81,8 @@
         self.started_ms = transport.unix_ms()
         self.is_stopping = asyncio.Event()
         self._loop = asyncio.get_running_loop()
+        self._load = load
+        self._read_at = transport.clock()
         self._number = 0
         self._is_halted = False
         self._caller_port = settings.packets.port
@@ -155,15 +166,30 @@
         """Take in a changed settings file."""
         now = self.clock()
         try:
-            settings = load_settings()
+            settings = self._load()
         except SettingsError as error:
             self.log.change('settings.refused', now, error=str(error))
             return
         # Addresses are fixed for the life of a process.
-        self.settings = self.settings._replace(
+        changed = self.settings._replace(
             seed_ips=settings.seed_ips, bounds=settings.bounds
         )
-        self.log.change('settings.read', now, seeds=settings.seed_ips)
+        if changed != self.settings:
+            self.settings = changed
+            self.log.change('settings.read', now, seeds=settings.seed_ips)
+
+    def watch_settings(self) -> None:
+        """Read the settings file again from time to time.
+
+        It may change without a signal, and a process whose seeds are gone
+        has nobody else to ask.
+        """
+        now = self.clock()
+        is_alone = not self.fleet.heard_balancers(now)
+        interval_s = ALONE_RELOAD_S if is_alone else RELOAD_S
+        if now - self._read_at >= interval_s:
+            self._read_at = now
+            self.reload()
 
     def halt(self) -> None:
         """End all work of this process in the loop, as its end would."""
@@ -244,13 +270,13 @@
         if not data:
             return
         if data[0] >= FIRST_STATUS_BYTE:
-            message = decode_message(data)
-            if message is not None:
-                self.on_message(sender[0], message)
-            return
-        frame = decode_frame(data)
-        if frame is not None:
-            self.on_frame(sender[0], frame)
+            handle, decoded = self.on_message, decode_message(data)
+        else:
+            handle, decoded = self.on_frame, decode_frame(data)
+        if decoded is None:
+            self.log.change('peer.unreadable', self.clock(), peer=sender[0])
+        else:
+            handle(sender[0], decoded)
 
     # Routes.
 
@@ -259,10 +285,14 @@
         store = self.transport.store(self.settings.store)
         bound_s = self.settings.bounds.configuration_s
         return RouteReader(
-            self.routes, PlatformRoutes(store), self.clock, self.log,
-            self._change_routes, bound_s, self._reading,
+            self.routes, PlatformRoutes(store, self._note_unreadable),
+            self.clock, self.log, self._change_routes, bound_s,
+            self._reading,
         )  # fmt: skip
 
+    def _note_unreadable(self, name: str) -> None:
+        self.log.change('routes.unreadable', self.clock(), name=name)
+
     def _reading(self) -> Reading:
         own = self.settings.from_upstream is None
         return reading(len(self.fleet.balancers_by_ip) + own)
--- a/ibispitch/platform/routes.py
+++ b/ibispitch/platform/routes.py
@@ -1,5 +1,6 @@
 """The operator's keys in the store, as routes of the project."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 from typing import Any
 
@@ -36,10 +37,15 @@
     """Reads the routes of the platform's operator.
 
     :param store: a client used for nothing else, since a call may wait.
+    :param on_unreadable: called with the key of an entry, or the name of a
+        route, that cannot be read and is left out.
     """
 
-    def __init__(self, store: MetadataStore):
+    def __init__(
+        self, store: MetadataStore, on_unreadable: Callable[[str], None]
+    ):
         self._store = store
+        self._on_unreadable = on_unreadable
 
     async def read(self) -> RouteTable:
         """Return the whole table, see :class:`RouteSource`."""
@@ -49,7 +55,7 @@
             raise SourceError(str(error)) from error
         table = None
         out = set()
-        for change in _changes(listing.items):
+        for change in self._changes(listing.items):
             if isinstance(change, RoutesChange):
                 table = change.table
             else:
@@ -68,25 +74,29 @@
             if error.status == HISTORY_LOST_STATUS:
                 raise HistoryLostError(str(error)) from error
             raise SourceError(str(error)) from error
-        return Changes(listing.revision, tuple(_changes(listing.items)))
-
-
-def _changes(items: tuple[Item, ...]) -> Iterator[Change]:
-    for item in items:
-        if item.key.startswith(OUT_PREFIX):
-            name = DatacentreName(item.key.removeprefix(OUT_PREFIX))
-            is_out = item.value is not None
-            yield DatacentreChange(item.revision, name, is_out)
-        elif item.key == CONFIGURATION_KEY and item.value is not None:
-            table = decode_configuration(item.value)
-            if table is not None:
-                yield RoutesChange(item.revision, table)
-
-
-def decode_configuration(data: bytes) -> RouteTable | None:
+        return Changes(listing.revision, tuple(self._changes(listing.items)))
+
+    def _changes(self, items: tuple[Item, ...]) -> Iterator[Change]:
+        for item in items:
+            if item.key.startswith(OUT_PREFIX):
+                name = DatacentreName(item.key.removeprefix(OUT_PREFIX))
+                is_out = item.value is not None
+                yield DatacentreChange(item.revision, name, is_out)
+            elif item.key == CONFIGURATION_KEY and item.value is not None:
+                table = decode_configuration(item.value, self._on_unreadable)
+                if table is None:
+                    self._on_unreadable(item.key)
+                else:
+                    yield RoutesChange(item.revision, table)
+
+
+def decode_configuration(
+    data: bytes, on_unreadable: Callable[[str], None]
+) -> RouteTable | None:
     """Decode the operator's configuration.
 
     :param data: the value of its key.
+    :param on_unreadable: called for each route or service left out.
     :returns: the table without revision and data centres, ``None`` if the
         data is not a configuration. Single routes that cannot be read are
         left out.
@@ -96,16 +106,8 @@
         return RouteTable(
             revision=0,
             version=int(raw['version']),
-            routes=tuple(
-                route
-                for entry in raw['routes']
-                if (route := _route(entry)) is not None
-            ),
-            services=tuple(
-                service
-                for entry in raw['services']
-                if (service := _service(entry)) is not None
-            ),
+            routes=_readable(raw['routes'], _route, on_unreadable),
+            services=_readable(raw['services'], _service, on_unreadable),
             idle_timeout_s=_idle_s(raw.get('limits')),
             out=frozenset(),
         )
@@ -113,6 +115,17 @@
         return None
 
 
+def _readable(
+    entries: list, decode: Callable[[Any], Any], on_unreadable: Callable
+) -> tuple:
+    decoded = [(entry, decode(entry)) for entry in entries]
+    for entry, value in decoded:
+        if value is None:
+            named = entry.get('name') if isinstance(entry, dict) else entry
+            on_unreadable(str(named))
+    return tuple(value for _, value in decoded if value is not None)
+
+
 def _idle_s(limits: Any) -> float:
     if not isinstance(limits, dict):
         return DEFAULT_IDLE_S
--- a/ibispitch/platform/settings.py
+++ b/ibispitch/platform/settings.py
@@ -30,15 +30,12 @@
     """Bounds that the operators of the platform state.
 
     :param configuration_s: time after which new routes are in force.
-    :param evacuation_s: time after which a data centre that was taken out
-        gets no new flows.
     :param stability_s: time after a disruption in which the platform does
         not expect a process to keep the other bounds.
     :param stop_s: time between the signal to stop and the kill.
     """
 
     configuration_s: float
-    evacuation_s: float
     stability_s: float
     stop_s: float
     cold: ColdLimits
@@ -123,7 +120,6 @@
         link_mbps=read('limits.link_mbps', float, 0.0),
         bounds=Bounds(
             configuration_s=read('bounds.config_ms', _milliseconds),
-            evacuation_s=read('bounds.evacuate_ms', _milliseconds, 5.0),
             stability_s=read('bounds.stability_ms', _milliseconds, 0.0),
             stop_s=read('bounds.grace_s', float),
             cold=ColdLimits(
--- a/ibispitch/platform/store.py
+++ b/ibispitch/platform/store.py
@@ -1,7 +1,10 @@
-"""Calls of the platform's metadata store."""
+"""Calls of the platform's metadata store.
+
+The system only reads: what it has to know again after a restart it learns
+from its own processes and from upstreams.
+"""
 
 from base64 import b64decode
-from base64 import b64encode
 import binascii
 from typing import Any
 from typing import NamedTuple
@@ -19,7 +22,7 @@
 
 
 class StoreCallError(Exception):
-    """A call failed; it may or may not have been executed.
+    """A call failed.
 
     :param status: HTTP status, 0 if there was no answer.
     """
@@ -47,13 +50,6 @@
     items: tuple[Item, ...]
 
 
-class Lease(NamedTuple):
-    """A lease and its time to live in seconds."""
-
-    lease_id: int
-    ttl_s: float
-
-
 class MetadataStore:
     """Client of the store, with one connection for each use.
 
@@ -63,7 +59,7 @@
     def __init__(self, address: Address):
         self._http = HttpClient(address)
 
-    async def list(self, prefix: str, is_stale_ok: bool = False) -> Listing:
+    async def list(self, prefix: str) -> Listing:
         """Return all items under a prefix.
 
         Items that cannot be read are left out. The pages are not a
@@ -75,8 +71,6 @@
         items: list[Item] = []
         revision = None
         query = {'prefix': prefix}
-        if is_stale_ok:
-            query['stale_ok'] = '1'
         while True:
             page = await self._read(f'/v1/kv-range?{urlencode(query)}')
             raw_items = _list_of(page, 'items')
@@ -112,61 +106,15 @@
         )
         return Listing(_revision(answer, 'current_rev'), events)
 
-    async def grant(self, ttl_s: float) -> Lease:
-        """Ask for a lease.
-
-        :raises StoreCallError: if there was no lease.
-        """
-        answer = await self._write('/v1/kv-lease', {'ttl_ms': _ms(ttl_s)})
-        return Lease(
-            _revision(answer, 'lease'), _revision(answer, 'ttl_ms') / 1000
-        )
-
-    async def renew(self, lease: Lease) -> None:
-        """Renew a lease.
-
-        :raises StoreCallError: with status 404 if it has ended.
-        """
-        await self._write(f'/v1/kv-keep/{lease.lease_id}', {})
-
-    async def put(self, key: str, value: bytes, lease: Lease) -> None:
-        """Write a key that is removed when a lease ends.
-
-        :raises StoreCallError: if the write was not acknowledged.
-        """
-        await self._write(
-            '/v1/kv-txn',
-            {
-                'expected_rev': [],
-                'puts': [
-                    {
-                        'key': key,
-                        'value': b64encode(value).decode(),
-                        'lease': lease.lease_id,
-                    }
-                ],
-                'deletes': [],
-            },
-        )
-
     def close(self) -> None:
         """Close the connection."""
         self._http.close()
 
     async def _read(
         self, path: str, timeout_s: float = CALL_TIMEOUT_S
-    ) -> dict[str, Any]:
-        return await self._call('GET', path, b'', timeout_s)
-
-    async def _write(self, path: str, body: dict) -> dict[str, Any]:
-        data = msgspec.json.encode(body)
-        return await self._call('POST', path, data, CALL_TIMEOUT_S)
-
-    async def _call(
-        self, method: str, path: str, body: bytes, timeout_s: float
     ) -> dict[str, Any]:
         try:
-            response = await self._http.call(method, path, body, timeout_s)
+            response = await self._http.call('GET', path, b'', timeout_s)
         except (OSError, TimeoutError) as error:
             detail = str(error) or type(error).__name__
             raise StoreCallError(0, detail) from error
@@ -212,7 +160,3 @@
     except (TypeError, binascii.Error):
         return None
     return Item(key, value, revision)
-
-
-def _ms(seconds: float) -> int:
-    return round(seconds * 1000)
--- a/testbed/flow_network.py
+++ b/testbed/flow_network.py
@@ -177,6 +177,8 @@
         self.upstreams: list[tuple[Host, FlowUpstream]] = []
         self.cut_pairs: set[frozenset[str]] = set()
         self.loss = 0.0
+        #: Seeds in the settings, if they are not the first balancers.
+        self.seeds: list[str] = []
         self.is_first_start = True
         numbers = {name: number for number, name in enumerate(datacentres, 1)}
         for name, count in datacentres.items():
@@ -211,13 +213,16 @@
     def start_process(self, host: Host) -> None:
         """Start the process of a host."""
         host.starts += 1
-        settings = parse_settings(self._settings(host))
+
+        def load():
+            return parse_settings(self._settings(host))
+
         log = DecisionLog(
             host.name,
             lambda: host.unix_ms() / 1000,
             lambda data: self._log(host, data),
         )
-        host.node = Node(settings, host, log)
+        host.node = Node(load(), host, log, load)
         program = Balancer if host in self.balancers else Agent
         node = host.node
         host.node.every(0.1, lambda: log.flush())
@@ -429,8 +434,8 @@
 
     def _settings(self, host: Host) -> str:
         seeds = ','.join(
-            f'{balancer.ip}:{HEARTBEAT_PORT}'
-            for balancer in self.balancers[:3]
+            f'{ip}:{HEARTBEAT_PORT}'
+            for ip in self.seeds or [h.ip for h in self.balancers[:3]]
         )
         lines = {
             'node_name': host.name, 'ip': host.ip, 'zone': host.datacentre,
--- a/testbed/memory_store.py
+++ b/testbed/memory_store.py
@@ -1,7 +1,7 @@
 """The platform's metadata store in memory.
 
 Kin of :class:`ibispitch.platform.store.MetadataStore`, with the faults that
-the platform states: away, silent, slow, answers lost, history dropped.
+the platform states for reads: away, silent, slow, history dropped.
 """
 
 import asyncio
@@ -9,7 +9,6 @@
 import enum
 
 from ibispitch.platform.store import Item
-from ibispitch.platform.store import Lease
 from ibispitch.platform.store import Listing
 from ibispitch.platform.store import StoreCallError
 
@@ -23,12 +22,10 @@
     BUSY = 'busy'
     RESET = 'reset'
     SILENT = 'silent'
-    #: Writes are done and not answered.
-    LOST = 'lost'
 
 
 class MemoryStore:
-    """Items, revisions and leases, shared by all clients."""
+    """Items and revisions, shared by all clients."""
 
     def __init__(self):
         self.revision = 1
@@ -36,8 +33,6 @@
         self._events: list[Item] = []
         self._oldest = 0
         self._changed = asyncio.Event()
-        self._leases: dict[int, float] = {}
-        self._lease_by_key: dict[str, int] = {}
         self.fault = Fault.NONE
         self.faulty_clients: set[str] | None = None
         self.latency_s = LATENCY_S
@@ -93,28 +88,6 @@
         except TimeoutError:
             return
 
-    def lease(self, ttl_s: float) -> int:
-        """Create a lease."""
-        self.revision += 1
-        self._leases[self.revision] = ttl_s
-        return self.revision
-
-    def has_lease(self, lease_id: int) -> bool:
-        """Return whether a lease has not ended."""
-        return lease_id in self._leases
-
-    def end_lease(self, lease_id: int) -> None:
-        """End a lease and remove its keys."""
-        self._leases.pop(lease_id, None)
-        for key, owner in list(self._lease_by_key.items()):
-            if owner == lease_id:
-                del self._lease_by_key[key]
-                self.write(key, None)
-
-    def attach(self, key: str, lease_id: int) -> None:
-        """Let a key end with a lease."""
-        self._lease_by_key[key] = lease_id
-
 
 class MemoryStoreClient:
     """A client of a :class:`MemoryStore`, see :class:`MetadataStore`.
@@ -126,7 +99,7 @@
         self._store = store
         self._client = client
 
-    async def list(self, prefix: str, is_stale_ok: bool = False) -> Listing:
+    async def list(self, prefix: str) -> Listing:
         """Return all items under a prefix."""
         await self._enter()
         return Listing(self._store.revision, self._store.items(prefix))
@@ -146,27 +119,6 @@
                 return Listing(store.revision, events)
             await store.wait_for_change(left_s)
 
-    async def grant(self, ttl_s: float) -> Lease:
-        """Ask for a lease."""
-        await self._enter()
-        return Lease(self._store.lease(ttl_s), ttl_s)
-
-    async def renew(self, lease: Lease) -> None:
-        """Renew a lease."""
-        await self._enter()
-        if not self._store.has_lease(lease.lease_id):
-            raise StoreCallError(404, 'lease has ended')
-
-    async def put(self, key: str, value: bytes, lease: Lease) -> None:
-        """Write a key that is removed when a lease ends."""
-        await self._enter()
-        if not self._store.has_lease(lease.lease_id):
-            raise StoreCallError(404, 'lease has ended')
-        self._store.write(key, value)
-        self._store.attach(key, lease.lease_id)
-        if self._fault() is Fault.LOST:
-            await self._fail(0)
-
     def close(self) -> None:
         """Close the client."""
 
--- a/tests/platform/test_deployment.py
+++ b/tests/platform/test_deployment.py
@@ -303,3 +303,29 @@
     check(network)
     since = network.crashed_at + 1.0
     assert network.outcomes(since)[Outcome.FAILED] == 0
+
+
+def test_stale_seeds():
+    """Guards against a process that nobody hears because its seeds are gone.
+
+    The settings file is corrected without a signal.
+    """
+
+    async def fault(network):
+        network.seeds = ['10.99.0.1']
+        host = network.agents[0]
+        network.kill(host)
+        network.kill(network.balancers[0])
+        await asyncio.sleep(3)
+        network.seeds = [network.balancers[2].ip]
+        network.corrected_at = network.loop.now
+
+    network = simulate(lambda loop: run_with(build(loop), fault))
+    check(network)
+    late = [
+        opened
+        for opened in network.agents[0].upstream.openings
+        if opened.at > network.corrected_at + 2.5
+    ]
+    assert late
+    assert len(network.balancers[0].node.fleet.agents_by_ip) == len(AGENTS)
--- a/tests/platform/test_routes.py
+++ b/tests/platform/test_routes.py
@@ -44,6 +44,10 @@
     ).encode()  # fmt: skip
 
 
+def fail(name: str) -> None:
+    raise AssertionError(f'{name} was left out')
+
+
 def flow_to(port: int, caller_port: int = 40000):
     raw = flow_packets.build(
         Address('100.64.0.7', caller_port), Address('198.18.0.1', port),
@@ -54,7 +58,7 @@
 
 def test_configuration():
     """Guards against packets that miss their route."""
-    index = RouteIndex(decode_configuration(document(ROUTE, SPLIT)))
+    index = RouteIndex(decode_configuration(document(ROUTE, SPLIT), fail))
     route = index.route_by_destination[flow_to(8080)[6:]]
     assert route.kind is RequestKind.UNSAFE
     assert route.objective_s == 0.12
@@ -66,7 +70,7 @@
 
 def test_weights_split_flows():
     """Guards against shares that are ignored, or change between copies."""
-    index = RouteIndex(decode_configuration(document(SPLIT)))
+    index = RouteIndex(decode_configuration(document(SPLIT), fail))
     route = index.route_by_destination[flow_to(8443)[6:]]
     assert route.shares == (Share('huvo11a', 90), Share('wuno96b', 10))
     services = [
@@ -82,17 +86,21 @@
         {}, 'text', ROUTE | {'hostname': 'host'}, ROUTE | {'type': 'new'},
         ROUTE | {'prefix': '/99999/'}, ROUTE | {'service': None},
     ]  # fmt: skip
-    table = decode_configuration(document(*bad, ROUTE))
+    left_out = []
+    table = decode_configuration(document(*bad, ROUTE), left_out.append)
     assert len(table.routes) == 1
-    assert decode_configuration(b'\xff') is None
-    assert decode_configuration(b'[]') is None
-    assert decode_configuration(b'{"version": 1}') is None
+    assert left_out == ['None', 'text', 'r-1', 'r-1', 'r-1', 'r-1']
+    for data in (b'\xff', b'[]', b'{"version": 1}'):
+        assert decode_configuration(data, fail) is None
 
 
 async def test_read_and_wait():
     """Guards against changes that are missed between read and watch."""
     store = MemoryStore()
-    routes = PlatformRoutes(MemoryStoreClient(store, 'test'))
+    unreadable = []
+    routes = PlatformRoutes(
+        MemoryStoreClient(store, 'test'), unreadable.append
+    )
     store.write('op/config', document(ROUTE))
     store.write('op/evacuate/accra', b'{}')
     table = await routes.read()
