Stop a process whose reader of the routes has failed

Cause: a failure of the reader was logged, and the process went on with routes that nobody renewed. It now stops, and the platform starts it again. Ruled out: the same for transfers of routes, which are tried again anyway.

--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -95,7 +95,8 @@
         await node.serve_metrics(self._gauges)
         for ip in settings.seed_ips:
             node.fleet.introduce(ip, node.clock())
-        node.start(node.route_reader().follow(lambda: False))
+        reading = node.route_reader().follow(lambda: False)
+        node.start(reading, is_essential=True)
         node.every(STATUS_INTERVAL_S, self._send_round)
         node.every(SWEEP_S, lambda: self._core.sweep(node.clock()))
         node.every(GATE_S, self._watch_gate)
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -76,7 +76,8 @@
         await node.serve_metrics(self._gauges)
         for ip in settings.seed_ips:
             node.fleet.introduce(ip, node.clock())
-        node.start(node.route_reader().follow(self._is_reader))
+        reading = node.route_reader().follow(self._is_reader)
+        node.start(reading, is_essential=True)
         node.every(STATUS_INTERVAL_S, self._send_round)
         node.every(TICK_S, lambda: self._core.tick(node.clock()))
         await node.is_stopping.wait()
--- a/ibispitch/platform/node.py
+++ b/ibispitch/platform/node.py
@@ -124,18 +124,26 @@
             )
         )
 
-    def start(self, work: Awaitable) -> None:
-        """Run a coroutine until it ends; a failure ends the process."""
+    def start(self, work: Awaitable, is_essential: bool = False) -> None:
+        """Run a coroutine beside the program; a failure is logged.
+
+        :param is_essential: whether the process stops after a failure, to
+            be started again by the platform.
+        """
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
-        task.add_done_callback(self._finish)
 
-    def _finish(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
+        def finish(task: asyncio.Task) -> None:
+            self._tasks.discard(task)
+            if task.cancelled() or task.exception() is None:
+                return
             self._loop.call_exception_handler(
                 {'message': 'task failed', 'exception': task.exception()}
             )
+            if is_essential:
+                self.is_stopping.set()
+
+        task.add_done_callback(finish)
 
     def every(self, interval_s: float, action: Callable[[], None]) -> None:
         """Call an action in intervals; a failure is logged, not fatal."""
