--- /dev/null
+++ b/tests/platform/test_store_calls.py
@@ -0,0 +1,111 @@
+"""Calls of the store over real connections, and what they must survive."""
+
+import asyncio
+
+import pytest
+
+from ibispitch.ids import Address
+from ibispitch.platform.http import HttpClient
+from ibispitch.platform.http import Response
+from ibispitch.platform.http import serve
+from ibispitch.platform.store import MetadataStore
+from ibispitch.platform.store import StoreCallError
+from testbed.memory_store import Fault
+from testbed.memory_store import MemoryStore
+from testbed.store_server import StoreServer
+
+ADDRESS = Address('127.0.31.1', 18169)
+
+
+@pytest.fixture
+async def server():
+    async with StoreServer(MemoryStore(), ADDRESS) as server:
+        yield server
+
+
+@pytest.fixture
+def client():
+    client = MetadataStore(ADDRESS)
+    yield client
+    client.close()
+
+
+async def test_pages(server, client):
+    """Guards against items beyond the first page that are not read."""
+    server.page_items = 3
+    for number in range(8):
+        server.store.write(f'op/evacuate/d{number}', b'{}')
+    server.store.write('other', b'')
+    listing = await client.list('op/')
+    assert [item.key[-1] for item in listing.items] == list('01234567')
+    assert listing.revision == server.store.revision
+
+
+async def test_watch(server, client):
+    """Guards against changes and removals that are not seen."""
+    revision = server.store.write('op/config', b'\x00\xff')
+    waiting = asyncio.ensure_future(client.watch('op/', revision, 2.0))
+    await asyncio.sleep(0.05)
+    server.store.write('op/config', None)
+    (event,) = (await waiting).items
+    assert event.value is None
+    server.store.compact()
+    server.store.write('op/config', b'x')
+    with pytest.raises(StoreCallError) as caught:
+        await client.watch('op/', revision, 0.1)
+    assert caught.value.status == 410
+
+
+async def test_watch_without_changes(server, client):
+    """Guards against a watch that fails when nothing happens."""
+    listing = await client.watch('op/', server.store.revision, 0.05)
+    assert listing.items == ()
+    assert listing.revision == server.store.revision
+
+
+@pytest.mark.parametrize(
+    ('fault', 'status'), [(Fault.BUSY, 503), (Fault.RESET, 0)]
+)
+async def test_faults(server, client, fault, status):
+    """Guards against a client that does not recover from a fault."""
+    server.store.fault = fault
+    with pytest.raises(StoreCallError) as caught:
+        await client.list('op/')
+    assert caught.value.status == status
+    server.store.fault = Fault.NONE
+    assert (await client.list('op/')).items == ()
+
+
+async def test_silent_store(server, client, monkeypatch):
+    """Guards against a call that waits for ever on a silent connection."""
+    monkeypatch.setattr('ibispitch.platform.store.CALL_TIMEOUT_S', 0.1)
+    server.store.fault = Fault.SILENT
+    with pytest.raises(StoreCallError, match='no answer'):
+        await client._read('/v1/kv-range?prefix=op/', 0.1)
+    server.store.fault = Fault.NONE
+    assert (await client.list('op/')).items == ()
+
+
+async def test_late_answer_is_not_the_next_one():
+    """Guards against an answer that is taken for that of a later call."""
+    address = Address('127.0.31.1', 18170)
+
+    async def answer(request):
+        await asyncio.sleep(0.2 if request.path == '/slow' else 0.0)
+        return Response(200, request.path.encode())
+
+    server = await serve(address, answer)
+    client = HttpClient(address)
+    with pytest.raises(TimeoutError):
+        await client.call('GET', '/slow', b'', 0.05)
+    assert (await client.call('GET', '/fast', b'', 1.0)).body == b'/fast'
+    assert (await client.call('PUT', '/next', b'x', 1.0)).body == b'/next'
+    client.close()
+    server.close()
+
+
+async def test_nobody_listens():
+    """Guards against errors of another type than callers expect."""
+    client = MetadataStore(Address('127.0.31.1', 18171))
+    with pytest.raises(StoreCallError, match='no answer'):
+        await client.list('op/')
