--- a/ibispitch/forwarding/packets.py
+++ b/ibispitch/forwarding/packets.py
@@ -74,11 +74,6 @@
         """Return the id of the request that a packet begins, if it shows."""
 
 
-def destination_of(flow: FlowKey) -> Destination:
-    """Return the address and port that the caller of a flow sends to."""
-    return Destination(flow[6:])
-
-
 def sequence_distance(later: int, earlier: int) -> int:
     """Return how far a sequence number is ahead of another one.
 
