Do not take a burst at a cold agent for an overload

Cause: the time to return of a refusal grew with refusals / completions of the last 5 s. Just after a start nothing has completed, so that 5 refusals in one millisecond meant 'six times overloaded' and feeds were told to come back after up to 10 s. Ruled out: a lost registration (each refused one was answered within 15 ms), views that differ at the start (openings were refused by admission only). Change: what the limit allows in the window counts as completed, unless the upstream is stalled.

--- a/ibispitch/admission/core.py
+++ b/ibispitch/admission/core.py
@@ -53,6 +53,9 @@
 MAX_RETRY_AFTER_S = 30.0
 #: Time over which refusals and completions are averaged.
 RATE_WINDOW_S = 5.0
+#: Least latency that estimates of the throughput reckon with, since a
+#: measured one may be zero on a coarse clock.
+MIN_LATENCY_S = 0.001
 #: Waiting runs are forgotten this long after their time has passed.
 FORGET_S = 1.0
 
@@ -377,11 +380,17 @@
         """Refuse with a time to return that is spread over its mean.
 
         The mean grows with the overload, so that the callers that return
-        are about as many as the upstreams can run.
+        are about as many as the upstreams can run. Just after a start
+        nothing has completed yet, although there is no overload, so what
+        the limit allows counts as completed unless the upstream is stalled.
         """
         self._refused.add(now)
+        allowed = 0.0
+        if not self.limit.is_stalled(now):
+            latency_s = max(self.limit.latency.recent_s, MIN_LATENCY_S)
+            allowed = RATE_WINDOW_S * self.limit.value / latency_s
         overload = self._refused.read(now) / max(
-            1.0, self._completed.read(now)
+            1.0, self._completed.read(now), allowed
         )
         mean_s = 1.0 + overload
         return Refuse(
--- a/tests/process/test_store.py
+++ b/tests/process/test_store.py
@@ -7,6 +7,8 @@
 from testbed.callers import Outcome
 from testbed.deployment import Deployment
 from testbed.relay import TcpRelay
+from testbed.scenario import READY_CHECK_S
+from testbed.scenario import READY_TIMEOUT_S
 from tests.process.running import ctl
 from tests.process.running import running
 from tests.process.running import SETTLE_S
@@ -142,6 +144,16 @@
             version = accepted['version']
 
 
+async def _state_once_started(run, name):
+    """Return the state of a process; its imports alone may take seconds."""
+    async with asyncio.timeout(READY_TIMEOUT_S):
+        while True:
+            state = await run.watch.local_state(name)
+            if state is not None:
+                return state
+            await asyncio.sleep(READY_CHECK_S)
+
+
 async def test_all_balancers_restarted_while_the_store_is_down(tmp_path):
     """Surviving agents must serve on once the store is back."""
     async with running(tmp_path, 130, seed=130) as run:
@@ -153,8 +165,7 @@
             run.deployment.start_balancer(name)
         await asyncio.sleep(SETTLE_S)
         for name in names:
-            state = await run.watch.local_state(name)
-            assert state is not None
+            state = await _state_once_started(run, name)
             assert 'store' in state['health']['reason'], state
         await run.scenario.set_store_faults()
         async with asyncio.timeout(IN_FORCE_CUT_S):
