Soak the real programs in faults, and show the platform path in make demo

The settings and the configuration of the stand-ins are written by one function each; the process test uses the same deployment. Ruled out: a proxy between the processes themselves; they learn each other's addresses, so cuts between them stay in simulated time. Conclusion: kept; each check has a test in which it fails.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 PYTHON ?= python3
+SEED ?= 1
+SEEDS ?= 1
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint format demo bench slopes clean
+.PHONY: setup test lint format demo bench slopes soak clean
 
 setup: $(VENV)/.installed
 
@@ -25,10 +27,14 @@
 
 demo: setup
 	$(BIN)/python -m testbed.demo
+	$(BIN)/python -m testbed.platform_demo
 
 bench: setup
 	$(BIN)/python -m testbed.bench
 
+soak: setup
+	$(BIN)/python -m testbed.soak --seed $(SEED) --seeds $(SEEDS)
+
 slopes: setup
 	$(BIN)/python -m testbed.slopes
 
--- a/testbed/flow_network.py
+++ b/testbed/flow_network.py
@@ -49,10 +49,78 @@
     priority: int = 1
 
 
+#: Where the settings say that the store is; nothing listens there.
+STORE = Address('10.200.0.1', 8169)
 FEED = Kind('safe', 'counter', Address('198.18.0.1', 443), 0.1, 1.5, 2)
 QUOTE = Kind('unsafe', 'counter', Address('198.18.0.1', 8080), 0.12, 2.0)
 
 
+def settings_text(
+    name: str,
+    ip: str,
+    datacentre: str,
+    seeds: Iterable[str],
+    service: str | None = None,
+    is_first_start: bool = True,
+    store: Address = STORE,
+) -> str:
+    """Return the text of a settings file as the platform writes it.
+
+    :param seeds: IP numbers of processes that are named to it.
+    :param service: service of its upstream, for agents.
+    """
+    lines = {
+        'node_name': name, 'ip': ip, 'zone': datacentre,
+        'listen.datagram_addr': f'{ip}:{PACKET_PORT}',
+        'listen.ready': f'{ip}:{READY_PORT}',
+        'listen.control': f'{ip}:{HEARTBEAT_PORT}',
+        'internal_ports': f'{PEER_PORT},7735',
+        'seeds': ','.join(f'{seed}:{HEARTBEAT_PORT}' for seed in seeds),
+        'bootstrap': 'true' if is_first_start else 'false',
+        'heartbeat_ms': round(HEARTBEAT_S * 1000),
+        'platform.address': str(store),
+        'bounds.config_ms': 3000, 'bounds.evacuate_ms': 5000,
+        'bounds.stability_ms': 4000, 'bounds.grace_s': 6,
+        'bounds.cold_factor': 1.5, 'bounds.cold_slack': 5,
+    }  # fmt: skip
+    if service is not None:
+        lines |= {
+            'listen.outbound': f'{ip}:{OUTBOUND_PORT}',
+            'app': f'{ip}:{UPSTREAM_PORT}', 'service': service,
+        }  # fmt: skip
+    return '\n'.join(f'{key}={value}' for key, value in lines.items())
+
+
+def configuration(
+    version: int, kinds: Iterable[Kind], cold_openings_per_s: float = 0.0
+) -> bytes:
+    """Return a configuration of the operator with a route for each kind."""
+    kinds = tuple(kinds)
+    routes = [
+        {
+            'name': f'r-{index}', 'hostname': kind.destination.ip,
+            'prefix': f'/{kind.destination.port}/',
+            'service': kind.service, 'type': kind.kind,
+            'aim_ms': kind.objective_s * 1000,
+            'timeout_ms': kind.deadline_s * 1000,
+            'priority': kind.priority,
+        }
+        for index, kind in enumerate(kinds)
+    ]  # fmt: skip
+    services = [
+        {
+            'name': name, 'health_path': '/healthz', 'cold_start_s': 2.0,
+            'cold_per_s': cold_openings_per_s,
+        }
+        for name in sorted({kind.service for kind in kinds})
+    ]  # fmt: skip
+    document = {
+        'version': version, 'routes': routes, 'services': services,
+        'limits': {'idle_timeout_ms': 15000},
+    }  # fmt: skip
+    return json.dumps(document).encode()
+
+
 class _Socket:
     def __init__(self, host: 'Host', address: Address):
         self._host = host
@@ -403,31 +471,8 @@
 
     def configure(self, version: int, kinds: Iterable[Kind]) -> None:
         """Write a configuration with a route for each kind."""
-        kinds = tuple(kinds)
-        services = sorted({kind.service for kind in kinds})
-        self.store.write('op/config', json.dumps({
-            'version': version,
-            'routes': [
-                {
-                    'name': f'r-{index}', 'hostname': kind.destination.ip,
-                    'prefix': f'/{kind.destination.port}/',
-                    'service': kind.service, 'type': kind.kind,
-                    'aim_ms': kind.objective_s * 1000,
-                    'timeout_ms': kind.deadline_s * 1000,
-                    'priority': kind.priority,
-                }
-                for index, kind in enumerate(kinds)
-            ],
-            'services': [
-                {
-                    'name': name, 'health_path': '/healthz',
-                    'cold_start_s': 2.0,
-                    'cold_per_s': self.cold_openings_per_s,
-                }
-                for name in services
-            ],
-            'limits': {'idle_timeout_ms': 15000},
-        }).encode())  # fmt: skip
+        document = configuration(version, kinds, self.cold_openings_per_s)
+        self.store.write('op/config', document)
 
     def take_out(self, datacentre: str, is_out: bool = True) -> None:
         """Take a data centre out of service, or return it."""
@@ -435,29 +480,11 @@
         self.store.write(key, b'{}' if is_out else None)
 
     def _settings(self, host: Host) -> str:
-        seeds = ','.join(
-            f'{ip}:{HEARTBEAT_PORT}'
-            for ip in self.seeds or [h.ip for h in self.balancers[:3]]
-        )
-        lines = {
-            'node_name': host.name, 'ip': host.ip, 'zone': host.datacentre,
-            'listen.datagram_addr': f'{host.ip}:{PACKET_PORT}',
-            'listen.ready': f'{host.ip}:{READY_PORT}',
-            'listen.control': f'{host.ip}:{HEARTBEAT_PORT}',
-            'internal_ports': f'{PEER_PORT},7735', 'seeds': seeds,
-            'bootstrap': 'true' if self.is_first_start else 'false',
-            'heartbeat_ms': round(HEARTBEAT_S * 1000),
-            'platform.address': '10.200.0.1:8169',
-            'bounds.config_ms': 3000, 'bounds.evacuate_ms': 5000,
-            'bounds.stability_ms': 4000, 'bounds.grace_s': 6,
-            'bounds.cold_factor': 1.5, 'bounds.cold_slack': 5,
-        }  # fmt: skip
-        if host.service is not None:
-            lines |= {
-                'listen.outbound': f'{host.ip}:{OUTBOUND_PORT}',
-                'app': f'{host.ip}:{UPSTREAM_PORT}', 'service': host.service,
-            }  # fmt: skip
-        return '\n'.join(f'{key}={value}' for key, value in lines.items())
+        return settings_text(
+            host.name, host.ip, host.datacentre,
+            self.seeds or [h.ip for h in self.balancers[:3]],
+            service=host.service, is_first_start=self.is_first_start,
+        )  # fmt: skip
 
     # Checks.
 
--- /dev/null
+++ b/testbed/flow_processes.py
@@ -0,0 +1,352 @@
+"""A deployment of the prepared platform as real processes on loopback.
+
+The programs are the product's; the fabric, the store, upstreams and callers
+are stand-ins in this process. Kin of
+:class:`testbed.flow_network.FlowNetwork`, which runs the same programs in
+simulated time.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+from contextlib import AsyncExitStack
+import json
+import os
+from pathlib import Path
+import random
+import signal
+import sys
+import zlib
+
+from ibispitch.datagrams import DatagramSocket
+from ibispitch.ids import Address
+from ibispitch.platform.http import HttpClient
+from ibispitch.platform.http import Request
+from ibispitch.platform.http import Response
+from ibispitch.platform.http import serve
+from testbed.flow_callers import FlowCaller
+from testbed.flow_network import configuration
+from testbed.flow_network import HEARTBEAT_PORT
+from testbed.flow_network import Kind
+from testbed.flow_network import OUTBOUND_PORT
+from testbed.flow_network import PACKET_PORT
+from testbed.flow_network import PROBE_S
+from testbed.flow_network import READY_PORT
+from testbed.flow_network import RESTART_S
+from testbed.flow_network import settings_text
+from testbed.flow_network import UPSTREAM_PORT
+from testbed.flow_upstream import FlowUpstream
+from testbed.memory_store import MemoryStore
+from testbed.relay import TcpRelay
+from testbed.store_server import StoreServer
+
+HEARTBEAT_S = 0.4
+CALL_S = 1.0
+START_S = 20.0
+STOP_S = 10.0
+STORE_PORT = 18169
+
+
+class ProcessHost:
+    """A host with one process of the product.
+
+    :param role: ``balancer`` or ``agent``.
+    :param service: service of its upstream, for agents.
+    """
+
+    def __init__(self, role, name, ip, datacentre, service=None):
+        self.role = role
+        self.name = name
+        self.ip = ip
+        self.datacentre = datacentre
+        self.service = service
+        self.process: asyncio.subprocess.Process | None = None
+        self.is_ready = False
+        self.upstream: FlowUpstream | None = None
+        #: Between this process and the store.
+        self.relay: TcpRelay | None = None
+        self.log_path: Path | None = None
+        #: Ends that nobody asked for.
+        self.exits: list[int] = []
+
+    def log_lines(self) -> list[dict]:
+        """Return what the process has logged so far."""
+        text = self.log_path.read_text(errors='replace')
+        return [
+            json.loads(line)
+            for line in text.splitlines()
+            if line.startswith('{') and line.endswith('}')
+        ]
+
+
+async def call(address: Address, method, path, body=b'') -> Response | None:
+    """Make one HTTP call, ``None`` without an answer."""
+    client = HttpClient(address)
+    try:
+        return await client.call(method, path, body, CALL_S)
+    except (OSError, TimeoutError):
+        return None
+    finally:
+        client.close()
+
+
+class FlowProcesses:
+    """The deployment.
+
+    :param folder: where settings and logs go.
+    :param network: third byte of all addresses, one for each deployment.
+    :param balancers: data centre of each balancer.
+    :param agents: data centre and service of each agent.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        network: int,
+        balancers: Iterable[str],
+        agents: Iterable[tuple[str, str]],
+        seed: int,
+        work_s: float = 0.02,
+    ):
+        self.rng = random.Random(seed)
+        self.store = MemoryStore()
+        self.upstreams: list[tuple[ProcessHost, FlowUpstream]] = []
+        self.callers: list[FlowCaller] = []
+        #: Share of the callers' packets that the fabric loses or doubles.
+        self.loss = 0.0
+        self.doubling = 0.0
+        self.delay_s = 0.0
+        self._folder = folder
+        self._prefix = f'127.0.{network}'
+        self._work_s = work_s
+        self._stack = AsyncExitStack()
+        self._tasks: list[asyncio.Task] = []
+        self._loop = asyncio.get_running_loop()
+        self.is_first_start = True
+        self.balancers = [
+            ProcessHost(
+                'balancer', f'balancer-{name}-{index}',
+                f'{self._prefix}.{index + 1}', name,
+            )
+            for index, name in enumerate(balancers)
+        ]  # fmt: skip
+        self.agents = [
+            ProcessHost(
+                'agent', f'agent-{name}-{index}',
+                f'{self._prefix}.{index + 21}', name, service,
+            )
+            for index, (name, service) in enumerate(agents)
+        ]  # fmt: skip
+
+    @property
+    def hosts(self) -> list[ProcessHost]:
+        """All hosts."""
+        return [*self.balancers, *self.agents]
+
+    # Life of processes.
+
+    async def start(self, kinds: Iterable[Kind]) -> None:
+        """Start everything and wait until all balancers are ready.
+
+        :raises TimeoutError: if they do not become ready.
+        """
+        self.configure(1, kinds)
+        store = Address(f'{self._prefix}.100', STORE_PORT)
+        await self._stack.enter_async_context(StoreServer(self.store, store))
+        for index, host in enumerate(self.hosts):
+            listen = Address(f'{self._prefix}.{101 + index}', STORE_PORT)
+            host.relay = TcpRelay(listen, store)
+            await host.relay.start()
+            self._stack.callback(host.relay.stop)
+            host.log_path = self._folder / f'{host.name}.log'
+            host.log_path.touch()
+        for host in self.agents:
+            await self.start_upstream(host)
+        await asyncio.gather(*(self._start(host) for host in self.hosts))
+        self._tasks.append(self._loop.create_task(self._probe()))
+        async with asyncio.timeout(START_S):
+            while not all(host.is_ready for host in self.balancers):
+                await asyncio.sleep(0.05)
+        self.is_first_start = False
+
+    async def _start(self, host: ProcessHost) -> None:
+        path = self._folder / f'{host.name}.conf'
+        path.write_text(self.settings(host))
+        with host.log_path.open('ab') as log:
+            host.process = await asyncio.create_subprocess_exec(
+                sys.executable, '-m', 'ibispitch.platform', host.role,
+                env=os.environ | {'IBISPITCH_BOOT': str(path)},
+                stdout=log, stderr=log,
+            )  # fmt: skip
+
+    def settings(self, host: ProcessHost, seeds: int = 3) -> str:
+        """Return the text of a host's settings file."""
+        return settings_text(
+            host.name, host.ip, host.datacentre,
+            [balancer.ip for balancer in self.balancers[:seeds]],
+            service=host.service,
+            is_first_start=self.is_first_start,
+            store=host.relay.listen,
+        )  # fmt: skip
+
+    async def kill(self, host: ProcessHost, down_s: float = RESTART_S) -> None:
+        """Kill a process and start it again after a while."""
+        host.process.kill()
+        await host.process.wait()
+        host.is_ready = False
+        await asyncio.sleep(down_s)
+        await self._start(host)
+
+    async def restart(self, host: ProcessHost) -> None:
+        """Stop a process as planned and start it again.
+
+        :raises TimeoutError: if it does not end.
+        """
+        host.process.terminate()
+        async with asyncio.timeout(STOP_S):
+            code = await host.process.wait()
+        if code:
+            host.exits.append(code)
+        await asyncio.sleep(RESTART_S)
+        await self._start(host)
+
+    async def pause(self, host: ProcessHost, for_s: float) -> None:
+        """Let a process stand still for a while."""
+        host.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(for_s)
+        host.process.send_signal(signal.SIGCONT)
+
+    async def reload(self, host: ProcessHost) -> None:
+        """Change the settings file of a process and tell it."""
+        path = self._folder / f'{host.name}.conf'
+        path.write_text(self.settings(host, self.rng.randrange(1, 4)))
+        host.process.send_signal(signal.SIGHUP)
+
+    async def stop(self) -> None:
+        """End all processes and stand-ins."""
+        for task in self._tasks:
+            task.cancel()
+        for host in self.hosts:
+            if host.process is None:
+                continue
+            if host.process.returncode is not None:
+                host.exits.append(host.process.returncode)
+                continue
+            host.process.kill()
+            await host.process.wait()
+        for _, upstream in self.upstreams:
+            upstream.crash()
+        # Wakes the watches that wait, so that they end before the loop.
+        self.store.write('op/end', None)
+        await asyncio.sleep(HEARTBEAT_S)
+        await self._stack.aclose()
+
+    # Upstreams.
+
+    async def start_upstream(self, host: ProcessHost, cold_s: float = 0.0):
+        """Start an upstream beside an agent; it has crashed before."""
+        stack = await self._stack.enter_async_context(AsyncExitStack())
+        upstream: FlowUpstream | None = None
+        address = Address(host.ip, UPSTREAM_PORT)
+        socket = DatagramSocket(lambda raw, _: upstream.receive(raw), address)
+        outbound = Address(host.ip, OUTBOUND_PORT)
+        upstream = host.upstream = FlowUpstream(
+            self._loop, lambda raw: socket.send(raw, outbound), self.rng,
+            work_s=self._work_s, cold_s=cold_s,
+        )  # fmt: skip
+
+        async def answer_check(_request: Request) -> Response:
+            return Response(503 if upstream.is_draining else 200)
+
+        errors: list[Exception] = []
+        server = await serve(address, answer_check, errors.append)
+        stack.callback(server.close)
+        stack.callback(socket.close)
+        self.upstreams.append((host, upstream))
+        beats = self._beat(host, upstream, stack)
+        self._tasks.append(self._loop.create_task(beats))
+
+    async def _beat(self, host, upstream, stack) -> None:
+        while upstream.is_alive:
+            if not upstream.is_frozen:
+                body = upstream.heartbeat() | {'service': host.service}
+                path = f'/v1/instances/{upstream.name}'
+                control = Address(host.ip, HEARTBEAT_PORT)
+                await call(control, 'PUT', path, json.dumps(body).encode())
+            await asyncio.sleep(HEARTBEAT_S)
+        await stack.aclose()
+
+    async def replace_upstream(self, host, cold_s: float) -> None:
+        """Let an upstream crash and start another one at its place."""
+        host.upstream.crash()
+        await asyncio.sleep(2 * HEARTBEAT_S + CALL_S)
+        await self.start_upstream(host, cold_s)
+
+    async def drain_upstream(self, host, drain_s: float) -> None:
+        """Let an upstream drain, leave and come back as another one."""
+        upstream = host.upstream
+        upstream.is_draining = True
+        await asyncio.sleep(drain_s)
+        path = f'/v1/instances/{upstream.name}'
+        await call(Address(host.ip, HEARTBEAT_PORT), 'DELETE', path)
+        await self.replace_upstream(host, 0.0)
+
+    # The fabric, callers and the operator.
+
+    async def _probe(self) -> None:
+        misses = dict.fromkeys((host.name for host in self.balancers), 2)
+
+        async def probe(host: ProcessHost) -> None:
+            address = Address(host.ip, READY_PORT)
+            response = await call(address, 'GET', '/v1/readyz')
+            is_well = response is not None and response.status == 200
+            misses[host.name] = 0 if is_well else misses[host.name] + 1
+            host.is_ready = misses[host.name] < 2
+
+        while True:
+            await asyncio.gather(*map(probe, self.balancers))
+            await asyncio.sleep(PROBE_S)
+
+    def add_caller(
+        self, datacentre: str, kind: Kind, is_long: bool = False
+    ) -> FlowCaller:
+        """Add a caller of a data centre, with an address of its own."""
+        ip = f'{self._prefix}.{130 + len(self.callers)}'
+        caller: FlowCaller | None = None
+        socket = DatagramSocket(
+            lambda raw, _: caller.receive(raw), Address(ip, PACKET_PORT)
+        )
+        self._stack.callback(socket.close)
+        caller = FlowCaller(
+            self._loop, ip, kind.destination,
+            lambda raw: self._from_caller(socket, datacentre, raw), self.rng,
+            is_long, kind.kind == 'safe', kind.objective_s, kind.deadline_s,
+        )  # fmt: skip
+        self.callers.append(caller)
+        return caller
+
+    def _from_caller(self, socket, datacentre: str, raw: bytes) -> None:
+        if self.rng.random() < self.loss:
+            return
+        near = [h for h in self.balancers if h.datacentre == datacentre]
+        ready = [h for h in near if h.is_ready]
+        hosts = ready if 2 * len(ready) >= len(near) and ready else near
+        host = hosts[zlib.crc32(raw[14:26]) % len(hosts)]
+        send: Callable = socket.send
+        for _ in range(2 if self.rng.random() < self.doubling else 1):
+            if self.delay_s:
+                self._loop.call_later(
+                    self.rng.uniform(0.0, self.delay_s),
+                    send, raw, Address(host.ip, PACKET_PORT),
+                )  # fmt: skip
+            else:
+                send(raw, Address(host.ip, PACKET_PORT))
+
+    def configure(self, version: int, kinds: Iterable[Kind]) -> None:
+        """Write a configuration."""
+        self.store.write('op/config', configuration(version, kinds))
+
+    def take_out(self, datacentre: str, is_out: bool = True) -> None:
+        """Take a data centre out of service, or return it."""
+        key = f'op/evacuate/{datacentre}'
+        self.store.write(key, b'{}' if is_out else None)
--- a/testbed/memory_store.py
+++ b/testbed/memory_store.py
@@ -22,6 +22,8 @@
     BUSY = 'busy'
     RESET = 'reset'
     SILENT = 'silent'
+    #: More calls than the rates allow.
+    LIMITED = 'limited'
 
 
 class MemoryStore:
@@ -137,6 +139,8 @@
         fault = self._fault()
         if fault is Fault.BUSY:
             raise StoreCallError(503, 'busy')
+        if fault is Fault.LIMITED:
+            raise StoreCallError(429, 'more calls than the rates allow')
         if fault is Fault.RESET:
             await self._fail(0)
         if fault is Fault.SILENT:
--- a/testbed/store_server.py
+++ b/testbed/store_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from base64 import b64encode
+from contextlib import suppress
 import json
 from urllib.parse import parse_qs
 from urllib.parse import urlsplit
@@ -16,6 +17,8 @@
 
 #: Items of a page; the platform has about 500.
 PAGE_ITEMS = 500
+#: Time for calls that are being answered to end: some latencies.
+CLOSE_S = 0.05
 SILENCE_S = 60.0
 
 
@@ -33,6 +36,7 @@
         #: Why connections were closed.
         self.errors: list[Exception] = []
         self._server: asyncio.Server | None = None
+        self._closing = asyncio.Event()
 
     async def __aenter__(self) -> 'StoreServer':
         self._server = await serve(
@@ -42,16 +46,23 @@
 
     async def __aexit__(self, *exception) -> None:
         self._server.close()
+        self._closing.set()
+        await asyncio.sleep(CLOSE_S)
 
     async def _answer(self, request: Request) -> Response:
         store = self.store
         store.calls += 1
         if store.fault is Fault.SILENT:
-            await asyncio.sleep(SILENCE_S)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(SILENCE_S):
+                    await self._closing.wait()
         if store.fault is Fault.RESET:
             raise ConnectionResetError('as asked for')
         if store.fault is Fault.BUSY:
             return Response(503)
+        if store.fault is Fault.LIMITED:
+            return Response(429)
+        await asyncio.sleep(store.latency_s)
         url = urlsplit(request.path)
         query = {key: one[0] for key, one in parse_qs(url.query).items()}
         if url.path == '/v1/kv-range':
--- /dev/null
+++ b/tests/platform/test_soak.py
@@ -0,0 +1,106 @@
+"""The fault soak: one short seeded run, and checks that can fail."""
+
+import asyncio
+import time
+
+import pytest
+
+from ibispitch.ids import Address
+from testbed.flow_callers import Flow
+from testbed.flow_callers import Request
+from testbed.flow_upstream import FlowUpstream
+from testbed.flow_upstream import Opened
+from testbed.soak import EVACUATE_S
+from testbed.soak import QUOTE
+from testbed.soak import SCAN
+from testbed.soak import Soak
+from testbed.soak import soak_once
+
+SEED = 5
+SECONDS = 6.0
+
+
+@pytest.mark.process
+async def test_short_soak(tmp_path):
+    """Guards against promises that break only among overlapping faults."""
+    soak = await soak_once(tmp_path, 40, SEED, SECONDS)
+    assert soak.broken == []
+    assert len(soak.begun) >= 3
+    requests = [r for c in soak.deployment.callers for r in c.requests]
+    assert len(requests) > 300
+
+
+@pytest.fixture
+async def soak(tmp_path):
+    soak = Soak(tmp_path, 41, SEED, SECONDS)
+    deployment = soak.deployment
+    host = deployment.agents[0]
+    upstream = FlowUpstream(
+        asyncio.get_running_loop(), lambda raw: None, deployment.rng
+    )
+    deployment.upstreams.append((host, upstream))
+    soak._callers.append(deployment.add_caller('accra', QUOTE))
+    yield soak
+    await deployment.stop()
+
+
+def promises(soak) -> list[str]:
+    soak._check()
+    return [broken.promise for broken in soak.broken]
+
+
+async def test_a_request_that_ran_twice_is_noticed(soak):
+    """The check of requests that run twice must be able to fail."""
+    request = Request(0.0, 1.0, 1.0)
+    soak._callers[0].requests.append(request)
+    upstream = soak.deployment.upstreams[0][1]
+    upstream.runs.append(request.body)
+    assert promises(soak) == []
+    upstream.runs.append(request.body)
+    assert promises(soak) == ['nothing runs twice']
+
+
+async def test_a_reset_flow_that_is_held_is_noticed(soak):
+    """The check of open flows must be able to fail."""
+    caller = soak._callers[0]
+    flow = Flow(caller, 1024)
+    flow.end()
+    caller.reset_flows.append(flow)
+    assert promises(soak) == []
+    caller.reset_flows.append(flow)
+    upstream = soak.deployment.upstreams[0][1]
+    upstream.holds = lambda address: address == flow.address
+    assert promises(soak) == ['open flows live on']
+
+
+async def test_a_flow_at_another_service_is_noticed(soak):
+    """The check of the service must be able to fail."""
+    upstream = soak.deployment.upstreams[0][1]
+    caller = Address('127.0.41.130', 1024)
+    now = time.monotonic()
+    upstream.openings.append(Opened(now, caller, QUOTE.destination))
+    assert promises(soak) == []
+    upstream.openings.append(Opened(now, caller, SCAN.destination))
+    assert promises(soak) == ['flows reach their service']
+
+
+async def test_a_flow_where_taken_out_is_noticed(soak):
+    """The check of data centres that are out must be able to fail."""
+    upstream = soak.deployment.upstreams[0][1]
+    caller = Address('127.0.41.130', 1024)
+    soak._out['accra'] = 100.0
+    early = Opened(100.0 + EVACUATE_S, caller, QUOTE.destination)
+    upstream.openings.append(early)
+    assert promises(soak) == []
+    upstream.openings.append(early._replace(at=100.1 + EVACUATE_S))
+    assert promises(soak) == ['nothing new where taken out']
+
+
+async def test_damaged_and_mixed_packets_are_noticed(soak):
+    """The checks of packets must be able to fail."""
+    soak.deployment.upstreams[0][1].damaged = 1
+    soak._callers[0].mixed = 1
+    assert promises(soak) == [
+        'answers are whole and their own',
+        'packets arrive whole',
+    ]
