Pass no request to an upstream whose opening is unanswered, and end early stops well

The caller went on with one; its request reached the agent of the other before that upstream had answered the opening. The agent passed it on, as it compared acknowledgements only after the answer, and told balancers that it owned the flow. The request ran at both, since the stand-in took data that acknowledges another upstream's bytes. Ruled out: a repeat by the caller (the same flow and port at both). Change: until the upstream has answered an opening, the agent denies packets that acknowledge something, and such packets that an upstream hands back are not taken for an ended flow. The stand-in hands them back, as PROTOCOL says.

The check allows the end by the signal before the program ran (no line process.started and no handler possible); test: a start that is held in an import.

--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -299,7 +299,7 @@
                 return
             state = self.flows.add(flow, ip, self.routes, now)
             state.is_on_trial = True
-        elif not self._fits(state, packet):
+        elif packet.flags & ACK and not _fits(state, packet.acknowledged):
             self._return(ip, Reason.NOT_OWNED, forward)
             return
         state.balancer = ip
@@ -307,14 +307,6 @@
         self._follow_caller(state, packet, now)
         self._outbox.to_upstream(packet.raw)
 
-    @staticmethod
-    def _fits(state: FlowState, packet: Packet) -> bool:
-        """Return whether the packet acknowledges this upstream's bytes."""
-        if state.upstream_next is None or not packet.flags & ACK:
-            return True
-        distance = sequence_distance(packet.acknowledged, state.upstream_next)
-        return abs(distance) <= MAX_WINDOW_BYTES
-
     def _follow_caller(
         self, state: FlowState, packet: Packet, now: float
     ) -> None:
@@ -345,14 +337,9 @@
         """Answer whether the upstream holds a flow."""
         state = self.flows.state_by_flow.get(ask.flow)
         if state is not None and not state.is_on_trial:
-            distance = (
-                0
-                if state.upstream_next is None
-                else sequence_distance(ask.acknowledged, state.upstream_next)
-            )
             verdict = (
                 Verdict.OWNED
-                if abs(distance) <= MAX_WINDOW_BYTES
+                if _fits(state, ask.acknowledged)
                 else Verdict.NOT_OWNED
             )
         elif self._knows_all or ask.flow in self._denied:
@@ -450,7 +437,7 @@
             if state.is_answered:
                 return
             reason = Reason.FULL
-        elif state.is_answered:
+        elif state.is_answered and _fits(state, packet.acknowledged):
             reason = Reason.ENDED
         else:
             reason = Reason.NOT_OWNED
@@ -493,3 +480,15 @@
     def flow_count(self) -> int:
         """Flows that are known."""
         return len(self.flows.state_by_flow)
+
+
+def _fits(state: FlowState, acknowledged: int) -> bool:
+    """Return whether an acknowledgement is one of this upstream's bytes.
+
+    A caller whose opening reached two upstreams goes on with one of them. As
+    long as the upstream has not answered the opening, it is the other one.
+    """
+    if state.upstream_next is None:
+        return state.first is None
+    distance = sequence_distance(acknowledged, state.upstream_next)
+    return abs(distance) <= MAX_WINDOW_BYTES
--- /dev/null
+++ b/testbed/flow_load.py
@@ -0,0 +1,226 @@
+"""Load on a deployment of the prepared platform in simulated time.
+
+The real programs serve generated arrivals: a mean rate, a burst, and a data
+centre whose upstreams are lost for a while. Thousands of requests take some
+seconds. Prints goodput, latencies, and what came late or was refused, by kind
+and data centre, and draws them over time.
+"""
+
+import asyncio
+from collections import Counter
+from collections import defaultdict
+from dataclasses import dataclass
+from dataclasses import field
+from pathlib import Path
+
+import click
+from hdrh.histogram import HdrHistogram
+from tabulate import tabulate
+
+from testbed.flow_callers import FlowCaller
+from testbed.flow_callers import Outcome
+from testbed.flow_network import FEED
+from testbed.flow_network import FlowNetwork
+from testbed.flow_network import Kind
+from testbed.flow_network import QUOTE
+from testbed.simulated_loop import simulate
+
+MAX_LATENCY_US = 60_000_000
+CALLERS = 20
+#: Time to the first look at what a change has led to: lost upstreams are
+#: noticed after two missed heartbeats, and their requests end.
+SETTLE_S = 4.0
+
+
+@dataclass(frozen=True)
+class LoadShape:
+    """A load and the deployment that bears it.
+
+    :param datacentres: balancers of each data centre.
+    :param upstreams: upstreams of each data centre.
+    :param slots: requests that an upstream runs at a time.
+    :param work_s: mean time of a request.
+    :param use: share of all slots that the mean rate uses.
+    :param burst: factor of the rate while it is high.
+    :param lost: data centre whose upstreams are lost while it is high.
+    :param seconds: time before, during and after the burst.
+    """
+
+    datacentres: dict[str, int] = field(
+        default_factory=lambda: {'accra': 2, 'kumasi': 2, 'tema': 2}
+    )
+    upstreams: int = 4
+    slots: int = 2
+    work_s: float = 0.03
+    use: float = 0.7
+    burst: float = 1.7
+    lost: str | None = 'kumasi'
+    seconds: tuple[float, float, float] = (8.0, 16.0, 12.0)
+
+    @property
+    def capacity_per_s(self) -> float:
+        """Requests a second that all upstreams can run."""
+        return self.remaining_per_s * len(self.datacentres) / self._remaining
+
+    @property
+    def _remaining(self) -> int:
+        return len(self.datacentres) - (self.lost is not None)
+
+    @property
+    def remaining_per_s(self) -> float:
+        """Requests a second that can be run during the burst."""
+        return self._remaining * self.upstreams * self.slots / self.work_s
+
+    @property
+    def window(self) -> tuple[float, float]:
+        """The burst, without its first seconds, from the load's start."""
+        before, during, _ = self.seconds
+        return before + SETTLE_S, before + during
+
+
+@dataclass
+class LoadReport:
+    """What came of a load.
+
+    :param started_at: simulated time of its begin.
+    """
+
+    shape: LoadShape
+    network: FlowNetwork
+    callers: list[tuple[str, Kind, FlowCaller]]
+    started_at: float
+
+    def requests(self):
+        """Yield data centre, kind, time and request of each."""
+        for datacentre, kind, caller in self.callers:
+            for request in caller.requests:
+                at = request.asked_at - self.started_at
+                yield datacentre, kind, at, request
+
+    def goodput_per_s(self, since: float, until: float) -> float:
+        """Return answers within their objective, a second."""
+        good = sum(
+            request.outcome is Outcome.IN_TIME
+            and since <= request.answered_at - self.started_at < until
+            for _, _, _, request in self.requests()
+        )
+        return good / (until - since)
+
+    def rows(self) -> list[tuple]:
+        """Return a row for each kind and data centre."""
+        counts: dict[tuple, Counter] = defaultdict(Counter)
+        latencies: dict[tuple, HdrHistogram] = defaultdict(
+            lambda: HdrHistogram(1, MAX_LATENCY_US, 3)
+        )
+        for datacentre, kind, _, request in self.requests():
+            key = kind.kind, datacentre
+            counts[key][request.outcome] += 1
+            if request.answered_at is not None:
+                took_s = request.answered_at - request.asked_at
+                latencies[key].record_value(int(took_s * 1e6))
+        return [
+            (
+                *key,
+                *(counts[key][outcome] for outcome in Outcome),
+                latencies[key].get_value_at_percentile(50) / 1000,
+                latencies[key].get_value_at_percentile(99) / 1000,
+            )
+            for key in sorted(counts)
+        ]
+
+
+def run_load(shape: LoadShape, seed: int = 1) -> LoadReport:
+    """Play a load; the same seed gives the same arrivals."""
+
+    async def play(loop) -> LoadReport:
+        network = FlowNetwork(
+            loop, shape.datacentres,
+            [
+                (datacentre, 'counter')
+                for datacentre in shape.datacentres
+                for _ in range(shape.upstreams)
+            ],
+            seed=seed, slots=shape.slots, work_s=shape.work_s,
+        )  # fmt: skip
+        network.configure(1, (FEED, QUOTE))
+        await network.start()
+        callers = [
+            (datacentre, kind, network.add_caller(datacentre, kind))
+            for datacentre in shape.datacentres
+            for kind in (FEED, QUOTE)
+            for _ in range(CALLERS)
+        ]
+        report = LoadReport(shape, network, callers, loop.time())
+        everyone = [caller for _, _, caller in callers]
+        rate = shape.use * shape.capacity_per_s
+        before, during, after = shape.seconds
+        await network.load(everyone, rate, before)
+        lost = [h for h in network.agents if h.datacentre == shape.lost]
+        for host in lost:
+            host.upstream.crash()
+        await network.load(everyone, shape.burst * rate, during)
+        for host in lost:
+            network.start_upstream(host, cold_s=1.0)
+        await network.load(everyone, rate, after)
+        await asyncio.sleep(QUOTE.deadline_s)
+        return report
+
+    return simulate(play)
+
+
+def draw(report: LoadReport, path: Path) -> None:
+    """Draw what was asked and how it ended, second by second."""
+    # Only the drawing needs it, and its import takes a second.
+    from matplotlib import pyplot
+
+    shape = report.shape
+    asked: dict[int, Counter] = defaultdict(Counter)
+    for _, _, at, request in report.requests():
+        asked[int(at)][request.outcome] += 1
+    seconds = range(max(asked) + 1)
+    figure, axes = pyplot.subplots(figsize=(8, 4))
+    axes.stackplot(
+        seconds,
+        *(
+            [asked[second][outcome] for second in seconds]
+            for outcome in Outcome
+        ),
+        labels=[outcome.value for outcome in Outcome],
+    )
+    axes.plot(
+        shape.window, [shape.remaining_per_s] * 2, 'k--',
+        label='what the remaining slots can run',
+    )  # fmt: skip
+    axes.set_xlabel('second in which it was asked')
+    axes.set_ylabel('requests a second')
+    axes.legend(loc='upper right')
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+@click.command()
+@click.option('--seed', default=1, help='Seed of the arrivals.')
+@click.option('--burst', default=1.7, help='Factor of the rate.')
+@click.option('--use', default=0.7, help='Share of the slots in use.')
+@click.option('--slots', default=2, help='Slots of an upstream.')
+@click.option(
+    '--plot', type=click.Path(path_type=Path), default=Path('docs/load.png')
+)
+def main(seed, burst, use, slots, plot) -> None:
+    """Play a burst with the upstreams of a data centre lost."""
+    shape = LoadShape(burst=burst, use=use, slots=slots)
+    report = run_load(shape, seed)
+    headers = ('kind', 'data centre', *(o.value for o in Outcome))
+    click.echo(tabulate(report.rows(), headers=(*headers, 'p50 ms', 'p99 ms')))
+    goodput = report.goodput_per_s(*shape.window)
+    click.echo(
+        f'goodput in the burst: {goodput:.0f} a second, '
+        f'{goodput / shape.remaining_per_s:.1%} of what the remaining '
+        'slots can run'
+    )
+    draw(report, plot)
+    click.echo(f'drawn in {plot}')
+
+
+if __name__ == '__main__':
+    main()
--- a/testbed/flow_processes.py
+++ b/testbed/flow_processes.py
@@ -66,7 +66,9 @@
         #: Between this process and the store.
         self.relay: TcpRelay | None = None
         self.log_path: Path | None = None
-        #: Ends that nobody asked for.
+        #: Starts that were not ended before the program ran.
+        self.starts = 0
+        #: Ends that nobody asked for, and planned ones with an error.
         self.exits: list[int] = []
 
     def log_lines(self) -> list[dict]:
@@ -172,6 +174,7 @@
     async def _start(self, host: ProcessHost) -> None:
         path = self._folder / f'{host.name}.conf'
         path.write_text(self.settings(host))
+        host.starts += 1
         with host.log_path.open('ab') as log:
             host.process = await asyncio.create_subprocess_exec(
                 sys.executable, '-m', 'ibispitch.platform', host.role,
@@ -205,11 +208,22 @@
         host.process.terminate()
         async with asyncio.timeout(STOP_S):
             code = await host.process.wait()
-        if code:
+        # The interpreter itself ends by the signal before it runs the program.
+        is_early = code == -signal.SIGTERM and self._starts_logged(host) < (
+            host.starts
+        )
+        if is_early:
+            host.starts -= 1
+        elif code:
             host.exits.append(code)
         await asyncio.sleep(RESTART_S)
         await self._start(host)
 
+    @staticmethod
+    def _starts_logged(host: ProcessHost) -> int:
+        lines = host.log_lines()
+        return sum(line['event'] == 'process.started' for line in lines)
+
     async def pause(self, host: ProcessHost, for_s: float) -> None:
         """Let a process stand still for a while."""
         host.process.send_signal(signal.SIGSTOP)
--- a/testbed/flow_upstream.py
+++ b/testbed/flow_upstream.py
@@ -127,7 +127,9 @@
         flow = self._flow_by_caller.get(caller)
         if segment.flags & SYN:
             self._open(raw, segment, flow)
-        elif flow is None:
+        elif flow is None or not (
+            flow.is_open or segment.acknowledged == flow.next
+        ):
             self.bounced_by_caller.setdefault(caller, []).append(
                 self._loop.time()
             )
--- a/tests/forwarding/test_agent_core.py
+++ b/tests/forwarding/test_agent_core.py
@@ -163,6 +163,37 @@
     assert stranger not in outbox.to_upstreams
 
 
+def test_opening_that_reached_two_upstreams(core, outbox):
+    """Guards against a request that runs at both.
+
+    The opening was doubled on its way and placed at two upstreams. The caller
+    went on with the first one that answered; its request reached the other
+    one before that had answered the opening (soak, seed 129).
+    """
+    core.receive(BALANCER, forward(opening()), 0.0)
+    request = data(acknowledged=77_000_000)
+    ask = frames.Ask(CODEC.from_caller(request).flow, 77_000_000)
+    core.receive(BALANCER, forward(request, Purpose.OWNED), 0.001)
+    assert outbox.frames[-1][1].reason is Reason.NOT_OWNED
+    assert request not in outbox.to_upstreams
+    core.ask(BALANCER, ask, 0.001)
+    assert outbox.frames[-1][1].verdict is Verdict.NOT_OWNED
+    core.receive_upstream(answer(SYN | ACK, 500), 0.002)
+    own = data(acknowledged=501)
+    core.receive(BALANCER, forward(own, Purpose.OWNED), 0.003)
+    assert own in outbox.to_upstreams
+
+
+def test_request_for_another_upstream_that_was_handed_back(core, outbox):
+    """Guards against the reset of a flow that is open elsewhere."""
+    core.receive(BALANCER, forward(opening()), 0.0)
+    core.receive_upstream(answer(SYN | ACK, 500), 0.001)
+    stranger = data(acknowledged=77_000_000)
+    bounced = CODEC.from_upstream(flow_packets.bounced(stranger))
+    core.receive_upstream(bounced, 0.002)
+    assert outbox.frames[-1][1].reason is Reason.NOT_OWNED
+
+
 def test_upstream_that_was_replaced(core, outbox):
     """Guards against flows handed to the successor at the same address."""
     core.receive(BALANCER, forward(opening(), incarnation=7), 0.1)
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -1,6 +1,7 @@
 """The real programs as processes: a request from one end to the other."""
 
 import asyncio
+import sys
 
 import pytest
 
@@ -48,3 +49,33 @@
     assert events[0] == 'process.started'
     assert events[-1] == 'process.stopped'
     assert events.count('flow.placed') == 1
+
+
+#: Runs the program with an import that says that it has begun, then waits.
+SLOW_START = """
+import runpy, sys, time
+
+class Slow:
+    def find_spec(self, name, path=None, target=None):
+        if name == 'ibispitch.platform.agent':
+            print('importing', flush=True)
+            time.sleep(30)
+
+sys.meta_path.insert(0, Slow())
+sys.argv = ['-', 'agent']
+runpy.run_module('ibispitch.platform', run_name='__main__')
+"""
+
+
+async def test_stop_while_the_program_starts():
+    """Guards against an exit with an error when a start is interrupted.
+
+    Seeds 104 and 144 of the soak: a process was stopped during its imports.
+    """
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, '-c', SLOW_START, stdout=asyncio.subprocess.PIPE
+    )
+    assert await process.stdout.readline() == b'importing\n'
+    process.terminate()
+    async with asyncio.timeout(STOP_S):
+        assert await process.wait() == 0
