Leave time for the request in the line of openings, and replay bursts (make load)

Cause: an opening counted as in time until 60 % of its objective were over, and the queue of the upstream may take another 35 %: nothing was left for the request itself where the objective is a small multiple of the work. Ruled out: idle slots (all slots were busy in the burst; a third of the answers came late). Change: the line leaves the queue's share and 1.5 times the measured mean time of a request. testbed/flow_load.py replays a burst with a data centre lost in simulated time and draws it (make load); the goodput target has a test. The rest of the loss there: retries begin as new openings, so that a balancer cannot tell that their request is late.

--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -254,11 +254,13 @@
     def _wait(self, packet: Packet, now: float) -> None:
         """Keep an opening until an upstream can take it."""
         route = self._route(packet.flow)
+        service = self._service(packet.flow)
         opening = Opening(
             packet,
-            self._service(packet.flow),
+            service,
             route,
             sent_at(packet, now),
+            self._work_s(service),
         )
         relief_s = self._relief_s(opening.service)
         if not self._line.add(opening, relief_s, now):
@@ -271,6 +273,15 @@
             waiting=len(self._line),
         )  # fmt: skip
 
+    def _work_s(self, service: ServiceName | None) -> float:
+        """Return the mean time of a request, 0 if no agent has measured it."""
+        known = [
+            view.status.work_s
+            for view in self._fleet.agents_of(service)
+            if view.status.work_s > 0.0
+        ]
+        return sum(known) / len(known) if known else 0.0
+
     def _relief_s(self, service: ServiceName | None) -> float:
         """Return the time until upstreams that are cold are warm."""
         return min(
--- a/ibispitch/waiting/core.py
+++ b/ibispitch/waiting/core.py
@@ -16,6 +16,7 @@
 from ibispitch.forwarding.packets import FlowKey
 from ibispitch.forwarding.packets import Packet
 from ibispitch.ids import ServiceName
+from ibispitch.placement.core import QUEUE_SHARE
 from ibispitch.routes.model import Route
 
 #: Time after which a caller gives up an opening that nobody answers, and
@@ -27,9 +28,11 @@
 MAX_WAITING = 2048
 #: Time over which the rate of placements is counted.
 RATE_WINDOW_S = 0.5
-#: Part of the objective that remains for the request itself: an opening is
-#: late if it could only be placed after the rest.
+#: Part of the objective within which an opening has to be placed, at most.
 LATE_SHARE = 0.6
+#: Multiple of the mean time of a request that is left for the request
+#: itself, as requests vary.
+WORK_MARGIN = 1.5
 
 
 class Opening(NamedTuple):
@@ -37,18 +40,23 @@
 
     :param route: its route, ``None`` while there are no routes.
     :param since: time at which the caller sent the first copy.
+    :param work_s: mean time of a request of its service, 0 if not known.
     """
 
     packet: Packet
     service: ServiceName | None
     route: Route | None
     since: float
+    work_s: float = 0.0
 
     def is_late(self, now: float) -> bool:
         """Return whether the objective is out of reach."""
         if self.route is None:
             return False
-        return now - self.since > LATE_SHARE * self.route.objective_s
+        objective_s = self.route.objective_s
+        # The queue of the upstream and the request come after the wait here.
+        left_s = (1 - QUEUE_SHARE) * objective_s - WORK_MARGIN * self.work_s
+        return now - self.since > min(LATE_SHARE * objective_s, left_s)
 
 
 def sent_at(packet: Packet, now: float) -> float:
--- a/testbed/flow_load.py
+++ b/testbed/flow_load.py
@@ -25,6 +25,11 @@
 from testbed.flow_network import QUOTE
 from testbed.simulated_loop import simulate
 
+#: Objectives and deadlines of the users' busier site.
+KINDS = (
+    FEED._replace(objective_s=0.506, deadline_s=3.795),
+    QUOTE._replace(objective_s=0.5, deadline_s=3.75),
+)
 MAX_LATENCY_US = 60_000_000
 CALLERS = 20
 #: Time to the first look at what a change has led to: lost upstreams are
@@ -51,7 +56,7 @@
     )
     upstreams: int = 4
     slots: int = 2
-    work_s: float = 0.03
+    work_s: float = 0.06
     use: float = 0.7
     burst: float = 1.7
     lost: str | None = 'kumasi'
@@ -142,12 +147,12 @@
             ],
             seed=seed, slots=shape.slots, work_s=shape.work_s,
         )  # fmt: skip
-        network.configure(1, (FEED, QUOTE))
+        network.configure(1, KINDS)
         await network.start()
         callers = [
             (datacentre, kind, network.add_caller(datacentre, kind))
             for datacentre in shape.datacentres
-            for kind in (FEED, QUOTE)
+            for kind in KINDS
             for _ in range(CALLERS)
         ]
         report = LoadReport(shape, network, callers, loop.time())
@@ -162,7 +167,7 @@
         for host in lost:
             network.start_upstream(host, cold_s=1.0)
         await network.load(everyone, rate, after)
-        await asyncio.sleep(QUOTE.deadline_s)
+        await asyncio.sleep(KINDS[0].deadline_s)
         return report
 
     return simulate(play)
--- /dev/null
+++ b/tests/platform/test_flow_load.py
@@ -0,0 +1,41 @@
+"""A burst with the upstreams of a data centre lost."""
+
+from testbed.flow_callers import Outcome
+from testbed.flow_load import draw
+from testbed.flow_load import LoadShape
+from testbed.flow_load import run_load
+
+#: Target of the issue: 95 % of what the remaining slots can do.
+LEAST_GOODPUT = 0.95
+
+
+def test_goodput_in_a_burst(tmp_path):
+    """Guards against slots that work for callers who are late anyway."""
+    shape = LoadShape(upstreams=2, seconds=(3.0, 10.0, 0.0))
+    report = run_load(shape)
+    goodput_per_s = report.goodput_per_s(*shape.window)
+    assert goodput_per_s >= LEAST_GOODPUT * shape.remaining_per_s
+    runs = [run for _, up in report.network.upstreams for run in up.runs]
+    assert all(
+        runs.count(request.body) <= 1
+        for _, kind, _, request in report.requests()
+        if kind.kind == 'unsafe'
+    )
+    rows = report.rows()
+    counts = [sum(row[index] for row in rows) for index in (2, 3, 4)]
+    assert len(rows) == 6
+    assert sum(counts) == sum(1 for _ in report.requests())
+    assert counts[list(Outcome).index(Outcome.FAILED)] > 0
+    plot = tmp_path / 'load.png'
+    draw(report, plot)
+    assert plot.stat().st_size > 10_000
+
+
+def test_load_below_the_capacity():
+    """The measure itself: without a burst everything is in time."""
+    shape = LoadShape(
+        upstreams=2, use=0.5, burst=1.0, lost=None, seconds=(2.0, 6.0, 0.0)
+    )
+    report = run_load(shape)
+    outcomes = [request.outcome for _, _, _, request in report.requests()]
+    assert outcomes.count(Outcome.IN_TIME) >= 0.99 * len(outcomes)
--- a/tests/waiting/test_waiting.py
+++ b/tests/waiting/test_waiting.py
@@ -24,6 +24,23 @@
     return Opening(packet, 'counter', route, since)
 
 
+def test_time_for_the_request_itself_is_left():
+    """Guards against openings that are placed when they must become late.
+
+    With an objective of three times the work, 60 % of it spent in the line
+    and 35 % in the upstream's queue left nothing for the request; a burst
+    replayed with ``testbed.flow_load`` at an objective of 0.2 s had 44 % of
+    the goodput that the slots allow.
+    """
+    short = opening(1, since=0.0)
+    long = short._replace(work_s=0.03)
+    # 100 ms: 35 for the queue, 45 for the request, 20 for the line.
+    assert not long.is_late(0.019)
+    assert long.is_late(0.021)
+    assert not short.is_late(0.059)
+    assert short.is_late(0.061)
+
+
 def test_in_time_before_late_and_urgent_first():
     """Guards against a line in which everyone is late."""
     line = WaitingLine()
