Search flows that a copy of their opening left elsewhere, instead of resetting them

Ruled out by the log: flows that opened at the new upstream before its first heartbeat (kept, 9 of 33 at that agent). Change: a balancer remembers whether only one upstream can have got the opening; if not, an ended upstream leads to a search, and to a reset only when no agent has the flow. Before: tests/forwarding/test_balancer_core.py, a flow that is open elsewhere is reset (2 of 4 tests fail). After: passed.

--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -29,6 +29,7 @@
 from ibispitch.placement.core import choose
 from ibispitch.routes.model import Route
 from ibispitch.routes.model import RouteIndex
+from ibispitch.waiting.core import ATTEMPT_S
 from ibispitch.waiting.core import Opening
 from ibispitch.waiting.core import sent_at
 from ibispitch.waiting.core import WaitingLine
@@ -125,7 +126,7 @@
         elif self._fleet.has_ended(
             owner.ip, owner.incarnation, now
         ) and not self._fleet.is_replaced(owner.ip, owner.incarnation, now):
-            self._reset(packet, 'upstream ended', now, agent=owner.ip)
+            self._end(owner, packet, 'upstream ended', now)
         else:
             self._forward(owner, packet)
 
@@ -146,8 +147,13 @@
             self._open(packet, tried[-MAX_TRIED:], now)
         elif reason in WHY_OVER:
             owner = self._table.get(packet.flow)
-            if owner is None or owner.ip == ip:
+            if owner is not None and owner.ip != ip:
+                return
+            if reason is Reason.ENDED:
+                # Its agent has seen that the flow was at this upstream.
                 self._reset(packet, WHY_OVER[reason], now, agent=ip)
+            else:
+                self._end(owner, packet, WHY_OVER[reason], now)
         else:
             owner = self._table.get(packet.flow)
             if owner is None:
@@ -208,7 +214,8 @@
             Series('opening_wait', status.service, route.kind.value), waited_s
         )
         view.sent += 1
-        self._table.put(flow, Owner(view.ip, status.incarnation, now))
+        is_sole = self._is_sole(owner, view.ip, packet, tried, now)
+        self._table.put(flow, Owner(view.ip, status.incarnation, now, is_sole))
         self._outbox.to_agent(
             view.ip,
             frames.encode_forward(
@@ -238,6 +245,26 @@
             return None
         return view
 
+    @staticmethod
+    def _is_sole(
+        former: Owner | None,
+        ip: str,
+        packet: Packet,
+        tried: tuple[int, ...],
+        now: float,
+    ) -> bool:
+        """Return whether only this agent can have got the opening.
+
+        :param former: the owner that the flow had, if it had one.
+        :param ip: the agent that gets the opening now.
+        """
+        if former is None or now - former.placed_at > ATTEMPT_S:
+            return not packet.acknowledged and not tried
+        if former.ip == ip:
+            return former.is_sole
+        is_handed_back = bool(tried) and tried[-1] == ip_number(former.ip)
+        return former.is_sole and is_handed_back
+
     def _place(
         self, route: Route, flow: FlowKey, tried: tuple[int, ...], now: float
     ) -> AgentView | None:
@@ -328,6 +355,20 @@
             packet,
         )
 
+    def _end(
+        self, owner: Owner | None, packet: Packet, why: str, now: float
+    ) -> None:
+        """Reset a flow whose upstream has ended, unless it is elsewhere.
+
+        A copy of its opening may have gone to that upstream while the flow
+        opened at another one.
+        """
+        if owner is not None and owner.is_sole:
+            self._reset(packet, why, now, agent=owner.ip)
+            return
+        self._table.pop(packet.flow)
+        self._search(packet, now)
+
     def _search(self, packet: Packet, now: float) -> None:
         service = self._service(packet.flow)
         self._take(self._locator.search(packet, service, now), now)
