Measure the time of a request by its place in the queue

Cause: the agent divided the time of a request by the queue at its end, with openings in it that had come later. A longer queue made requests look shorter, so that more were let in: after a loss of power upstreams of 2 slots had up to 59 requests, and refused 530 in a second. The mean also started at 0, so that the first ten requests of an upstream seemed to take next to no time. Change: each request remembers its place among the requests of the upstream; its time is divided by the turns that the place stands for. The first measurement is the mean, and before it a quarter of the objective is presumed. Tests: three in tests/forwarding/test_agent_core.py, failed before.

--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -26,6 +26,7 @@
 from ibispitch.measures import Measures
 from ibispitch.measures import Series
 from ibispitch.placement.core import GATE_QUEUE_SHARE
+from ibispitch.placement.core import presumed_work_s
 from ibispitch.placement.core import queue_delay_s
 from ibispitch.routes.model import RouteIndex
 
@@ -276,7 +277,8 @@
         route = self.routes.route_of(flow) if self.routes else None
         if route is None:
             return None
-        delay_s = queue_delay_s(self.flows.running, self._slots, self.work_s)
+        work_s = presumed_work_s(self.work_s, route.objective_s)
+        delay_s = queue_delay_s(self.flows.running, self._slots, work_s)
         if delay_s > GATE_QUEUE_SHARE * route.objective_s:
             return Reason.FULL
         return None
@@ -320,6 +322,7 @@
                     self._note_request(state, packet, now)
                 state.request_at = now
                 self.flows.start_request(packet.flow, state)
+                state.place = self.flows.requests
         if packet.flags & (FIN | RST):
             self.flows.close(state, now)
 
@@ -418,8 +421,11 @@
         self._measures.record(
             Series('request_latency', self.gate.service, state.kind), took_s
         )
-        queued = max(1.0, self.flows.running / max(1, self._slots))
-        self.work_s += WORK_WEIGHT * (took_s / queued - self.work_s)
+        # An upstream takes its requests in the order in which they come.
+        slots = max(1, self._slots)
+        turns = 1.0 + max(0, state.place - slots) / slots
+        weight = WORK_WEIGHT if self.work_s else 1.0
+        self.work_s += weight * (took_s / turns - self.work_s)
 
     @property
     def _slots(self) -> int:
--- a/ibispitch/forwarding/flows.py
+++ b/ibispitch/forwarding/flows.py
@@ -29,6 +29,7 @@
         'is_on_trial',
         'is_running',
         'kind',
+        'place',
         'request_at',
         'request_id',
         'seen_at',
@@ -58,6 +59,8 @@
         #: Time of the last packet of the request that runs.
         self.request_at: float | None = None
         self.request_id: str | None = None
+        #: Its place among the requests of the upstream, from 1.
+        self.place = 1
         #: Agents that handed the opening back before.
         self.tried: tuple[int, ...] = ()
 
@@ -119,6 +122,11 @@
         self.running = 0
         self.long_flows = 0
 
+    @property
+    def requests(self) -> int:
+        """Requests that run or wait, without those that are expected."""
+        return self.running - len(self._expected)
+
     def expect_request(
         self, flow: FlowKey, state: FlowState, now: float
     ) -> None:
--- a/ibispitch/placement/core.py
+++ b/ibispitch/placement/core.py
@@ -36,6 +36,9 @@
 #: so that an opening is handed back only if balancers have acted at once on
 #: the same status.
 GATE_QUEUE_SHARE = 0.5
+#: Part of the objective that a request is presumed to take before one was
+#: measured: objectives leave some room for queues.
+UNMEASURED_SHARE = 0.25
 
 
 class Candidate(NamedTuple):
@@ -109,11 +112,22 @@
     return max(0, running + 1 - slots) * work_s / slots
 
 
+def presumed_work_s(work_s: float, objective_s: float) -> float:
+    """Return the time that a request takes, also before one was measured.
+
+    :param work_s: mean time that was measured, 0 if none was.
+    :param objective_s: objective of the request.
+
+    >>> presumed_work_s(0.0, objective_s=0.4)
+    0.1
+    """
+    return work_s or UNMEASURED_SHARE * objective_s
+
+
 def _starts_soon(view: AgentView, route: Route) -> bool:
     status = view.status
-    delay_s = queue_delay_s(
-        status.running + view.sent, status.slots, status.work_s
-    )
+    work_s = presumed_work_s(status.work_s, route.objective_s)
+    delay_s = queue_delay_s(status.running + view.sent, status.slots, work_s)
     return delay_s <= QUEUE_SHARE * route.objective_s
 
 
--- a/tests/forwarding/test_agent_core.py
+++ b/tests/forwarding/test_agent_core.py
@@ -297,6 +297,55 @@
     assert outbox.frames[-1][1].reason is Reason.FULL
 
 
+def test_upstream_that_was_not_measured_yet(core, outbox):
+    """Guards against a backlog that fills the queue of a new upstream.
+
+    Until ten requests were measured they seemed to take next to no time:
+    warm upstreams refused 454 requests within a second after a loss of power
+    (osa-returns-grown), instead of leaving them to others.
+    """
+    core.set_routes(RouteIndex(TABLE), 0.0)
+    for number in range(8):
+        caller = CALLER._replace(port=3000 + number)
+        core.receive(BALANCER, forward(opening(caller)), 0.001 * number)
+    reasons = [frame.reason for _, frame in outbox.frames]
+    # Presumed to take a quarter of the objective: 1 runs and 2 wait for half
+    # of it.
+    assert len(outbox.to_upstreams) == 3
+    assert reasons == [Reason.FULL] * 5
+
+
+def test_queue_does_not_shorten_the_mean_time(core):
+    """Guards against a queue that grows because it makes requests look short.
+
+    The time of a request was divided by the queue at its end, openings that
+    came after it included: 20 ms seemed to be 5, the queue was let grow, and
+    they seemed to be 2. An upstream of 2 slots had 59 requests
+    (osa-returns-grown, the seconds after a loss of power).
+    """
+    callers = [CALLER._replace(port=3000 + number) for number in range(10)]
+    for caller in callers:
+        open_flow(core, caller=caller)
+        request = forward(data(caller=caller), Purpose.OWNED)
+        core.receive(BALANCER, request, 0.01)
+    for number in range(20):
+        late = CALLER._replace(port=4000 + number)
+        core.receive(BALANCER, forward(opening(late)), 0.02)
+    for number, caller in enumerate(callers, 1):
+        core.receive_upstream(
+            answer(body=b'answer', caller=caller), 0.01 + 0.02 * number
+        )
+    assert core.work_s == pytest.approx(0.02)
+
+
+def test_first_request_gives_the_mean_time(core):
+    """Guards against a mean time that starts near nothing."""
+    open_flow(core)
+    core.receive(BALANCER, forward(data(), Purpose.OWNED), 0.01)
+    core.receive_upstream(answer(body=b'answer'), 0.09)
+    assert core.work_s == pytest.approx(0.08)
+
+
 def test_checkpoint_of_a_stopping_agent(core, outbox):
     """Guards against flows that a planned stop makes unknown."""
     callers = [CALLER._replace(port=port) for port in range(2000, 2200)]
