Count placements anew when upstreams turn warm

Cause: the line refuses late openings by the rate at which it places them. Ruled out: too little capacity; the warm upstreams run 1,700 requests a second where 700 are asked for. Change: a line that had relief in sight and has none any more counts anew. Tests: test_backlog_meets_upstreams_that_have_turned_warm failed before.

--- a/ibispitch/waiting/core.py
+++ b/ibispitch/waiting/core.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Callable
 from itertools import groupby
+import math
 from typing import NamedTuple
 
 from ibispitch.forwarding.packets import FlowKey
@@ -73,6 +74,17 @@
         self.busy_since = now
         self.placed: deque[float] = deque()
         self.arrived: deque[float] = deque()
+        self._has_relief = False
+
+    def note_relief(self, relief_s: float, now: float) -> None:
+        """Count anew once the upstreams have turned warm.
+
+        What cold upstreams could take says nothing of what warm ones can.
+        """
+        had_relief, self._has_relief = self._has_relief, relief_s < math.inf
+        if had_relief and not self._has_relief:
+            self.busy_since = now
+            self.placed.clear()
 
     def rate(self, now: float) -> float | None:
         """Return placements a second, ``None`` if that is not known yet."""
@@ -125,6 +137,7 @@
         line = self._line_by_service.get(opening.service)
         if line is None:
             line = self._line_by_service[opening.service] = _Line(now)
+        line.note_relief(relief_s, now)
         if former is None:
             line.arrived.append(now)
         if former is None and (
@@ -206,10 +219,12 @@
             sorted(late, key=lambda o: o.service or ''),
             key=lambda o: o.service,
         ):
-            spare = self._line_by_service[service].spare_rate(now)
+            line = self._line_by_service[service]
+            relief = relief_s(service)
+            line.note_relief(relief, now)
+            spare = line.spare_rate(now)
             if spare is None:
                 continue
-            relief = relief_s(service)
             for place, opening in enumerate(openings, 1):
                 left_s = ATTEMPT_S - (now - opening.since)
                 if relief >= left_s and place > spare * left_s:
