Search flows again while a balancer learns the fleet

Cause: after a loss of power balancers dropped the packets of flows that they could not find yet, and callers repeat them only 0.2 to 1.6 s later. Agents spoke to balancers that they had heard of only in the next round (0.4 s), and each flow cost a datagram for each of 60 agents, more than links of 5 Mbit/s bear (114 frames dropped). Ruled out by the log: slow starts of processes; they are up 0.3 s after the power, their routes and the upstreams' heartbeats at once. Change: packets of flows that were not found are kept for up to 1.6 s, and the search is repeated every 0.1 s. Questions and answers about several flows share a datagram; a balancer that does not know the fleet yet asks once a tick. Processes greet balancers that they are told of at once. A balancer counts as settled 0.4 s after its start and 0.25 s after it heard a new agent, instead of after 0.8 s. Tests: tests/locating and tests/forwarding/test_balancer_core.py; the test of a copied opening has one more tick, since a young balancer asks with it.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 from itertools import islice
+import math
 from typing import NamedTuple
 
 from ibispitch.fleet.messages import AgentState
@@ -96,6 +97,9 @@
         #: Agents that balancers named and that were not heard, with the
         #: time of the latest mention.
         self._expected: dict[str, float] = {}
+        self._introduced: list[str] = []
+        #: Time at which an agent was last heard for the first time.
+        self.grown_at = -math.inf
 
     def hear_agent(
         self, ip: str, status: AgentStatus, now: float
@@ -110,6 +114,7 @@
         if view is None:
             self.agents_by_ip[ip] = AgentView(ip, status, now)
             self._ips_by_service.setdefault(status.service, set()).add(ip)
+            self.grown_at = now
             return None
         former = view.status
         if _is_older(status, former):
@@ -156,8 +161,17 @@
         view = self.balancers_by_ip.get(ip)
         if view is None:
             view = self.balancers_by_ip[ip] = BalancerView(ip, None, now)
+            self._introduced.append(ip)
         view.known_at = now
 
+    def take_introduced(self) -> list[str]:
+        """Return the balancers introduced since the last call, once.
+
+        At most as many as a round of status messages addresses.
+        """
+        introduced, self._introduced = self._introduced, []
+        return introduced[:MAX_ROUND]
+
     def expects_agents(self, now: float) -> bool:
         """Return whether others know agents that this process has not heard.
 
--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -8,6 +8,7 @@
 from ibispitch.forwarding import frames
 from ibispitch.forwarding.flows import FlowState
 from ibispitch.forwarding.flows import UpstreamFlows
+from ibispitch.forwarding.frames import Answer
 from ibispitch.forwarding.frames import Purpose
 from ibispitch.forwarding.frames import Reason
 from ibispitch.forwarding.frames import Verdict
@@ -336,23 +337,29 @@
         )  # fmt: skip
 
     def ask(self, ip: str, ask: frames.Ask, now: float) -> None:
-        """Answer whether the upstream holds a flow."""
-        state = self.flows.state_by_flow.get(ask.flow)
+        """Answer whether the upstream holds some flows."""
+        self._tell(
+            ip,
+            *(
+                Answer(question.flow, self._verdict(question, now))
+                for question in ask.questions
+            ),
+        )
+
+    def _verdict(self, question: frames.Question, now: float) -> Verdict:
+        state = self.flows.state_by_flow.get(question.flow)
         if state is not None and not state.is_on_trial:
-            verdict = (
-                Verdict.OWNED
-                if _fits(state, ask.acknowledged)
-                else Verdict.NOT_OWNED
-            )
-        elif self._knows_all or ask.flow in self._denied:
-            verdict = Verdict.NOT_OWNED
-        elif now - self._started_at < self._recent_s:
-            verdict = Verdict.RESTARTED
-        else:
-            verdict = Verdict.UNKNOWN
+            fits = _fits(state, question.acknowledged)
+            return Verdict.OWNED if fits else Verdict.NOT_OWNED
+        if self._knows_all or question.flow in self._denied:
+            return Verdict.NOT_OWNED
+        if now - self._started_at < self._recent_s:
+            return Verdict.RESTARTED
+        return Verdict.UNKNOWN
+
+    def _tell(self, ip: str, *answers: Answer) -> None:
         self._outbox.to_balancer(
-            ip,
-            frames.encode_tell(ask.flow, verdict, self.gate.incarnation),
+            ip, frames.encode_tell(self.gate.incarnation, answers)
         )
 
     def _return(
@@ -380,12 +387,7 @@
         elif state.is_on_trial:
             state.is_on_trial = False
             if state.balancer is not None:
-                self._outbox.to_balancer(
-                    state.balancer,
-                    frames.encode_tell(
-                        flow, Verdict.OWNED, self.gate.incarnation
-                    ),
-                )
+                self._tell(state.balancer, Answer(flow, Verdict.OWNED))
         state.seen_at = now
         if state.answered_at is None:
             state.answered_at = now
--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -1,5 +1,6 @@
 """Decisions of a balancer on the packets of callers."""
 
+from collections import defaultdict
 import math
 import random
 import socket
@@ -12,6 +13,7 @@
 from ibispitch.forwarding import frames
 from ibispitch.forwarding.frames import MAX_TRIED
 from ibispitch.forwarding.frames import Purpose
+from ibispitch.forwarding.frames import Question
 from ibispitch.forwarding.frames import Reason
 from ibispitch.forwarding.packets import FlowKey
 from ibispitch.forwarding.packets import Packet
@@ -34,8 +36,11 @@
 from ibispitch.waiting.core import WaitingLine
 
 #: Age at which a balancer knows enough of the fleet to say that a flow is
-#: nowhere: two rounds of status messages.
-SETTLE_S = 0.8
+#: nowhere: a round of status messages.
+SETTLE_S = 0.4
+#: Time since an agent was first heard after which no more are expected: an
+#: agent greets all balancers within milliseconds of its start.
+GROWTH_S = 0.25
 #: Silence of an agent after an opening that a copy of the opening takes as
 #: a sign that the agent is gone.
 MUTE_S = 0.15
@@ -163,7 +168,7 @@
                 self._search(packet, now)
 
     def receive_tell(self, ip: str, tell: frames.Tell, now: float) -> None:
-        """Handle an agent's answer on a flow."""
+        """Handle an agent's answers on flows."""
         self._take(self._locator.tell(ip, tell, now), now)
 
     def tick(self, now: float) -> None:
@@ -371,19 +376,27 @@
 
     def _search(self, packet: Packet, now: float) -> None:
         service = self._service(packet.flow)
-        self._take(self._locator.search(packet, service, now), now)
+        if self._is_settled(now):
+            self._take(self._locator.search(packet, service, now), now)
+        else:
+            # After a start all flows are unknown, and few agents are known:
+            # the questions of one tick go together.
+            until = now + locating.KEEP_S
+            self._locator.keep([packet], service, now, until)
 
     def _service(self, flow: FlowKey) -> ServiceName | None:
         route = self._route(flow)
         return route.service_for(flow) if route else None
 
     def _take(self, steps: list[locating.Step], now: float) -> None:
+        questions_by_ip: dict[str, list[Question]] = defaultdict(list)
         for step in steps:
             match step:
                 case locating.AskAgents(flow, acknowledged, ips):
-                    data = frames.encode_ask(flow, acknowledged)
                     for ip in ips:
-                        self._outbox.to_agent(ip, data)
+                        questions_by_ip[ip].append(
+                            Question(flow, acknowledged)
+                        )
                 case locating.Found(ip, incarnation, packets):
                     owner = Owner(ip, incarnation, 0.0)
                     self._table.put(packets[0].flow, owner)
@@ -400,6 +413,9 @@
                     self._log.failure(
                         'flow.not_found', flow, now, missing=list(missing)
                     )
+        for ip, questions in questions_by_ip.items():
+            for data in frames.encode_ask(questions):
+                self._outbox.to_agent(ip, data)
 
     def _try(self, ip: str, packet: Packet, now: float) -> None:
         view = self._fleet.agents_by_ip.get(ip)
@@ -417,11 +433,19 @@
         self._log.decision('flow.tried', packet.flow, now, agent=ip)
 
     def _give_up(self, packet: Packet, now: float) -> None:
-        if (
-            now - self._started_at >= SETTLE_S
-            and not self._fleet.expects_agents(now)
-        ):
+        if self._is_settled(now) and not self._fleet.expects_agents(now):
             self._reset(packet, 'no agent has the flow', now)
+            return
+        self._locator.keep(
+            [packet], self._service(packet.flow), now + locating.REPEAT_S,
+            now + locating.KEEP_S,
+        )  # fmt: skip
+
+    def _is_settled(self, now: float) -> bool:
+        """Return whether this process knows what agents there are."""
+        since_start = now - self._started_at
+        since_growth = now - self._fleet.grown_at
+        return since_start >= SETTLE_S and since_growth >= GROWTH_S
 
     def _reset(
         self, packet: Packet, why: str, now: float, **inputs: Any
--- a/ibispitch/forwarding/frames.py
+++ b/ibispitch/forwarding/frames.py
@@ -4,6 +4,7 @@
 the same port; they are msgpack arrays, whose first byte is at least 0x90.
 """
 
+from collections.abc import Iterable
 import enum
 import struct
 from typing import NamedTuple
@@ -18,6 +19,8 @@
 
 #: Agents that a returned opening names at most.
 MAX_TRIED = 4
+#: Flows of one question at most, so that it fits into a datagram.
+MAX_ASKED = 64
 
 
 class Purpose(enum.IntEnum):
@@ -84,7 +87,7 @@
     raw: bytes
 
 
-class Ask(NamedTuple):
+class Question(NamedTuple):
     """Question whether an agent owns a flow.
 
     :param acknowledged: the caller's last acknowledgement, which only the
@@ -95,20 +98,36 @@
     acknowledged: int
 
 
-class Tell(NamedTuple):
-    """Answer of an agent on a flow."""
+class Ask(NamedTuple):
+    """Questions about some flows."""
+
+    questions: tuple[Question, ...]
+
+
+class Answer(NamedTuple):
+    """What an agent knows of a flow."""
 
     flow: FlowKey
     verdict: Verdict
+
+
+class Tell(NamedTuple):
+    """Answers of an agent on some flows.
+
+    :param incarnation: the agent's upstream, 0 if it is not known.
+    """
+
     incarnation: int
+    answers: tuple[Answer, ...]
 
 
 Frame = Forward | Return | Ask | Tell
 
 #: kind, purpose or reason, number of tried agents, revision, incarnation.
 _CARRIER = struct.Struct('<BBBQQ')
-_ASK = struct.Struct(f'<B{FLOW_KEY_BYTES}sI')
-_TELL = struct.Struct(f'<B{FLOW_KEY_BYTES}sBQ')
+_QUESTION = struct.Struct(f'<{FLOW_KEY_BYTES}sI')
+_TELL = struct.Struct('<BQ')
+_ANSWER = struct.Struct(f'<{FLOW_KEY_BYTES}sB')
 _TRIED = [struct.Struct(f'<{count}I') for count in range(MAX_TRIED + 1)]
 _PURPOSES = tuple(Purpose)
 _REASONS = tuple(Reason)
@@ -142,14 +161,19 @@
     return head + _TRIED[len(tried)].pack(*tried) + raw
 
 
-def encode_ask(flow: FlowKey, acknowledged: int) -> bytes:
-    """Return the datagram of an :class:`Ask` frame."""
-    return _ASK.pack(ASK, flow, acknowledged)
+def encode_ask(questions: Iterable[Question]) -> list[bytes]:
+    """Return the datagrams of :class:`Ask` frames with some questions."""
+    packed = [_QUESTION.pack(*question) for question in questions]
+    return [
+        bytes([ASK]) + b''.join(packed[start : start + MAX_ASKED])
+        for start in range(0, len(packed), MAX_ASKED)
+    ]
 
 
-def encode_tell(flow: FlowKey, verdict: Verdict, incarnation: int) -> bytes:
+def encode_tell(incarnation: int, answers: Iterable[Answer]) -> bytes:
     """Return the datagram of a :class:`Tell` frame."""
-    return _TELL.pack(TELL, flow, verdict, incarnation)
+    head = _TELL.pack(TELL, incarnation)
+    return head + b''.join(_ANSWER.pack(*answer) for answer in answers)
 
 
 def decode_frame(data: bytes) -> Frame | None:
@@ -181,9 +205,13 @@
         reason = _REASONS[code]
         return Return(reason, revision, incarnation, tried, data[head:])
     if kind == ASK:
-        _kind, flow, acknowledged = _ASK.unpack(data)
-        return Ask(FlowKey(flow), acknowledged)
+        questions = _QUESTION.iter_unpack(data[1:])
+        return Ask(tuple(Question(FlowKey(f), n) for f, n in questions))
     if kind == TELL:
-        _kind, flow, verdict, incarnation = _TELL.unpack(data)
-        return Tell(FlowKey(flow), _VERDICTS[verdict], incarnation)
+        _kind, incarnation = _TELL.unpack_from(data)
+        answers = _ANSWER.iter_unpack(data[_TELL.size :])
+        return Tell(
+            incarnation,
+            tuple(Answer(FlowKey(f), _VERDICTS[v]) for f, v in answers),
+        )
     return None
--- a/ibispitch/locating/core.py
+++ b/ibispitch/locating/core.py
@@ -16,6 +16,7 @@
 from ibispitch.fleet.core import LOST_S
 from ibispitch.fleet.core import RESTART_S
 from ibispitch.fleet.messages import AgentState
+from ibispitch.forwarding.frames import Answer
 from ibispitch.forwarding.frames import Tell
 from ibispitch.forwarding.frames import Verdict
 from ibispitch.forwarding.packets import FlowKey
@@ -42,6 +43,14 @@
 TRIAL_WINDOW_S = 2.5
 #: Flows whose denials are remembered, at most.
 MAX_DENIED_FLOWS = 8192
+#: Time for which a flow that was not found is searched again: the longest
+#: pause of a sender before it repeats a packet.
+KEEP_S = 1.6
+#: Interval of these searches. An agent that starts is known to all
+#: balancers after about this time.
+REPEAT_S = 0.1
+#: Packets of such flows that are kept, at most: 5 MB.
+MAX_KEPT_PACKETS = 4096
 
 
 class AskAgents(NamedTuple):
@@ -74,7 +83,7 @@
 
 
 class Unanswered(NamedTuple):
-    """The search ended without a result; the packets are dropped."""
+    """The search ended without a result; it is repeated for a while."""
 
     flow: FlowKey
     missing: tuple[str, ...]
@@ -90,6 +99,19 @@
     ips: frozenset[str]
 
 
+class _Kept(NamedTuple):
+    """A flow that was not found and is searched again.
+
+    :param due: time of the next search.
+    :param until: time at which the sender repeats the packets itself.
+    """
+
+    packets: list[Packet]
+    service: ServiceName | None
+    due: float
+    until: float
+
+
 class _Search:
     __slots__ = (
         'asked',
@@ -98,12 +120,21 @@
         'restarted',
         'service',
         'unknown',
+        'until',
         'waiting',
     )  # fmt: skip
 
-    def __init__(self, packet: Packet, service: ServiceName | None):
-        self.packets = [packet]
+    def __init__(
+        self,
+        packets: list[Packet],
+        service: ServiceName | None,
+        until: float | None,
+    ):
+        self.packets = packets
         self.service = service
+        #: End of the time for which it is repeated, ``None`` for a search
+        #: that is not a repetition.
+        self.until = until
         self.asked: set[str] = set()
         #: Agents that have not answered.
         self.waiting: set[str] = set()
@@ -138,6 +169,8 @@
         #: Denials of searches that ended without a result. Packets of the
         #: flow come again, and flows never move to another upstream.
         self._denials_by_flow: dict[FlowKey, _Denials] = {}
+        self._kept_by_flow: dict[FlowKey, _Kept] = {}
+        self._kept_packets = 0
 
     def __len__(self) -> int:
         return len(self._search_by_flow)
@@ -156,11 +189,26 @@
             if len(search.packets) < MAX_PACKETS:
                 search.packets.append(packet)
             return []
+        kept = self._drop_kept(packet.flow)
+        packets = [packet]
+        if kept is not None:
+            packets = [p for p in kept.packets if p.raw != packet.raw]
+            packets = [*packets, packet][-MAX_PACKETS:]
+        return self._begin(packets, service, None, now)
+
+    def _begin(
+        self,
+        packets: list[Packet],
+        service: ServiceName | None,
+        until: float | None,
+        now: float,
+    ) -> list[Step]:
+        flow = packets[0].flow
         if len(self._search_by_flow) >= MAX_SEARCHES:
-            return [Unanswered(packet.flow, ())]
-        search = _Search(packet, service)
-        self._search_by_flow[packet.flow] = search
-        denials = self._denials_by_flow.pop(packet.flow, None)
+            return [Unanswered(flow, ())]
+        search = _Search(packets, service, until)
+        self._search_by_flow[flow] = search
+        denials = self._denials_by_flow.pop(flow, None)
         if denials is not None and now - denials.at < TRIAL_WINDOW_S:
             search.asked.update(denials.ips)
         views = [
@@ -172,27 +220,83 @@
         near = [v for v in views if v.status.datacentre == self._datacentre]
         return self._ask(search, [view.ip for view in near or views], now)
 
+    def keep(
+        self,
+        packets: Iterable[Packet],
+        service: ServiceName | None,
+        due: float,
+        until: float,
+    ) -> None:
+        """Search the owner of a flow later, see :meth:`expire`.
+
+        :param packets: packets of one flow, to be forwarded if it is found.
+        :param due: time of the search in seconds.
+        :param until: time at which it is no longer repeated.
+        """
+        for packet in packets:
+            kept = self._kept_by_flow.get(packet.flow)
+            if kept is None:
+                kept = _Kept([], service, due, until)
+                self._kept_by_flow[packet.flow] = kept
+            if len(kept.packets) < MAX_PACKETS:
+                kept.packets.append(packet)
+                self._kept_packets += 1
+        while self._kept_packets > MAX_KEPT_PACKETS:
+            self._drop_kept(next(iter(self._kept_by_flow)))
+
+    def _drop_kept(self, flow: FlowKey) -> _Kept | None:
+        kept = self._kept_by_flow.pop(flow, None)
+        if kept is not None:
+            self._kept_packets -= len(kept.packets)
+        return kept
+
+    def _repeat(self, now: float) -> list[Step]:
+        """Search again the flows that were not found a moment ago."""
+        due = [
+            (flow, kept)
+            for flow, kept in self._kept_by_flow.items()
+            if now >= kept.due
+        ]
+        steps = []
+        for flow, kept in due:
+            self._drop_kept(flow)
+            if now < kept.until:
+                steps += self._begin(
+                    kept.packets, kept.service, kept.until, now
+                )
+        return steps
+
     def forget(self, flow: FlowKey) -> None:
         """Forget denials of a flow that opens now, with a used address."""
         self._denials_by_flow.pop(flow, None)
+        self._drop_kept(flow)
 
     def tell(self, ip: str, tell: Tell, now: float) -> list[Step]:
-        """Take in an agent's answer."""
-        search = self._search_by_flow.get(tell.flow)
+        """Take in an agent's answers."""
+        return [
+            step
+            for answer in tell.answers
+            for step in self._take_answer(ip, answer, tell.incarnation, now)
+        ]
+
+    def _take_answer(
+        self, ip: str, answer: Answer, incarnation: int, now: float
+    ) -> list[Step]:
+        search = self._search_by_flow.get(answer.flow)
         if search is None or ip not in search.waiting:
             return []
         search.waiting.discard(ip)
-        if tell.verdict is Verdict.OWNED:
-            del self._search_by_flow[tell.flow]
-            return [Found(ip, tell.incarnation, tuple(search.packets))]
-        if tell.verdict is Verdict.UNKNOWN:
+        if answer.verdict is Verdict.OWNED:
+            del self._search_by_flow[answer.flow]
+            return [Found(ip, incarnation, tuple(search.packets))]
+        if answer.verdict is Verdict.UNKNOWN:
             search.unknown.append(ip)
-        elif tell.verdict is Verdict.RESTARTED:
+        elif answer.verdict is Verdict.RESTARTED:
             search.restarted.append(ip)
         return [] if search.waiting else self._conclude(search, now)
 
     def expire(self, now: float) -> list[Step]:
-        """Conclude the searches whose answers are overdue."""
+        """Conclude overdue searches, and repeat those without a result."""
         overdue = [
             search
             for search in self._search_by_flow.values()
@@ -202,7 +306,7 @@
             step for search in overdue for step in self._conclude(search, now)
         ]
         self._drop_trials(now)
-        return steps
+        return steps + self._repeat(now)
 
     @staticmethod
     def _may_answer(view: AgentView, now: float) -> bool:
@@ -238,9 +342,19 @@
         if search.unknown or search.restarted:
             return self._try(search, packet, now)
         if search.waiting or not search.asked:
-            return [Unanswered(packet.flow, tuple(search.waiting))]
+            return self._keep_search(search, tuple(search.waiting), now)
         return [Nowhere(packet)]
 
+    def _keep_search(
+        self, search: _Search, missing: tuple[str, ...], now: float
+    ) -> list[Step]:
+        """Repeat a search that ended without a result."""
+        is_first = search.until is None
+        until = now + KEEP_S if is_first else search.until
+        self.keep(search.packets, search.service, now + REPEAT_S, until)
+        flow = search.packets[0].flow
+        return [Unanswered(flow, missing)] if is_first else []
+
     def _remember_denials(
         self, flow: FlowKey, search: _Search, now: float
     ) -> None:
@@ -271,9 +385,11 @@
         ]
         if not chosen:
             missing = (*search.unknown, *search.restarted)
-            return [Unanswered(packet.flow, missing)]
+            return self._keep_search(search, missing, now)
         trials.extend((now, ip) for ip in chosen)
         self._open_trials_by_flow[packet.flow] = set(chosen)
+        # The owner knows the flow once its upstream has answered.
+        self._keep_search(search, (), now)
         return [TryAgent(ip, packet) for ip in chosen]
 
     def _is_remote(self, ip: str) -> bool:
--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -178,6 +178,7 @@
                 node.send(CheckpointRequest(node.started_ms), [ip])
         elif status.wants_answer:
             self._tell([ip])
+        self._tell(node.fleet.take_introduced())
         node.heed_revision(ip, status)
 
     def _on_routes(self, _is_from_store: bool) -> None:
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -161,6 +161,10 @@
                 if is_new or agent not in node.fleet.agents_by_ip
             ]
             self._tell(greeted, wants_answer=True)
+            self._tell(
+                node.fleet.take_introduced(), wants_answer=True,
+                names_all=False,
+            )  # fmt: skip
             node.heed_revision(ip, status)
         if status.wants_answer:
             self._tell([ip])
--- a/tests/forwarding/test_agent_core.py
+++ b/tests/forwarding/test_agent_core.py
@@ -110,6 +110,15 @@
     )
 
 
+def question(flow, acknowledged):
+    return frames.Ask((frames.Question(flow, acknowledged),))
+
+
+def told(outbox):
+    [told] = outbox.frames[-1][1].answers
+    return told.verdict
+
+
 def open_flow(core, now=0.0, caller=CALLER):
     core.receive(BALANCER, forward(opening(caller)), now)
     core.receive_upstream(answer(SYN | ACK, 500, caller=caller), now + 0.001)
@@ -172,12 +181,12 @@
     """
     core.receive(BALANCER, forward(opening()), 0.0)
     request = data(acknowledged=77_000_000)
-    ask = frames.Ask(CODEC.from_caller(request).flow, 77_000_000)
+    ask = question(CODEC.from_caller(request).flow, 77_000_000)
     core.receive(BALANCER, forward(request, Purpose.OWNED), 0.001)
     assert outbox.frames[-1][1].reason is Reason.NOT_OWNED
     assert request not in outbox.to_upstreams
     core.ask(BALANCER, ask, 0.001)
-    assert outbox.frames[-1][1].verdict is Verdict.NOT_OWNED
+    assert told(outbox) is Verdict.NOT_OWNED
     core.receive_upstream(answer(SYN | ACK, 500), 0.002)
     own = data(acknowledged=501)
     core.receive(BALANCER, forward(own, Purpose.OWNED), 0.003)
@@ -229,8 +238,8 @@
     packet = answer(body=b'answer')
     core.receive_upstream(packet, 0.1)
     assert outbox.to_callers == [packet.raw]
-    core.ask(BALANCER, frames.Ask(packet.flow, 507), 0.2)
-    assert outbox.frames[-1][1].verdict is Verdict.OWNED
+    core.ask(BALANCER, question(packet.flow, 507), 0.2)
+    assert told(outbox) is Verdict.OWNED
 
 
 @pytest.mark.parametrize(
@@ -241,8 +250,8 @@
     core = make_core(outbox, knows_all=False)
     core.hear(report(), 0.0)
     flow = CODEC.from_caller(data()).flow
-    core.ask(BALANCER, frames.Ask(flow, 501), now)
-    assert outbox.frames[-1][1].verdict is verdict
+    core.ask(BALANCER, question(flow, 501), now)
+    assert told(outbox) is verdict
 
 
 def test_trial_that_fails(outbox):
@@ -361,8 +370,8 @@
     unknown = CODEC.from_caller(data(caller=CALLER)).flow
     answers = Outbox()
     successor._outbox = answers
-    successor.ask(BALANCER, frames.Ask(unknown, 501), 2.0)
-    assert answers.frames[-1][1].verdict is Verdict.NOT_OWNED
+    successor.ask(BALANCER, question(unknown, 501), 2.0)
+    assert told(answers) is Verdict.NOT_OWNED
 
 
 def test_checkpoint_of_another_upstream(core):
--- a/tests/forwarding/test_balancer_core.py
+++ b/tests/forwarding/test_balancer_core.py
@@ -9,13 +9,16 @@
 from ibispitch.fleet.messages import AgentState
 from ibispitch.forwarding import frames
 from ibispitch.forwarding.balancer import BalancerCore
+from ibispitch.forwarding.balancer import GROWTH_S
 from ibispitch.forwarding.frames import Reason
 from ibispitch.forwarding.frames import Verdict
+from ibispitch.locating.core import REPEAT_S
 from ibispitch.measures import Measures
 from ibispitch.platform.packets import PlatformPacketCodec
 from ibispitch.routes.model import RouteIndex
 from testbed.flow_packets import RST
 from tests.fleet.test_fleet import agent
+from tests.forwarding.test_agent_core import CALLER
 from tests.forwarding.test_agent_core import data
 from tests.forwarding.test_agent_core import opening
 from tests.forwarding.test_agent_core import TABLE
@@ -53,8 +56,7 @@
     return fleet
 
 
-@pytest.fixture
-def core(fleet, outbox):
+def start(fleet, outbox) -> BalancerCore:
     log = DecisionLog('test', lambda: 0.0, len)
     core = BalancerCore(
         'accra', fleet, CODEC, outbox, log, Measures(), random.Random(1), 0.0
@@ -63,6 +65,11 @@
     return core
 
 
+@pytest.fixture
+def core(fleet, outbox):
+    return start(fleet, outbox)
+
+
 def handed_back(reason, packet):
     return frames.Return(reason, 0, 2000, (), packet.raw)
 
@@ -101,16 +108,58 @@
         core.receive_return(
             SECOND, handed_back(Reason.OTHER_UPSTREAM, REQUEST), 0.3
         )
+    core.tick(0.3)
     assert outbox.to_callers == []
     assert FIRST in {ip for ip, _ in outbox.frames}
     outbox.frames.clear()
     core.receive_tell(
-        FIRST, frames.Tell(REQUEST.flow, Verdict.OWNED, 1000), 0.31
+        FIRST,
+        frames.Tell(1000, (frames.Answer(REQUEST.flow, Verdict.OWNED),)),
+        0.31,
     )
     [(ip, frame)] = outbox.frames
     assert (ip, frame.raw) == (FIRST, REQUEST.raw)
 
 
+def test_flows_that_a_new_balancer_does_not_know(fleet, outbox):
+    """Guards against a datagram for each question after a start.
+
+    23 balancers that started together asked 60 agents for each of their 70
+    flows, more than their links of 5 Mbit/s bear (osa-returns-grown).
+    """
+    core = start(fleet, outbox)
+    for number in range(70):
+        caller = CALLER._replace(port=3000 + number)
+        core.receive(CODEC.from_caller(data(caller=caller)), 0.01)
+    assert outbox.frames == []
+    core.tick(0.02)
+    asked = [frame.questions for ip, frame in outbox.frames if ip == FIRST]
+    assert [len(questions) for questions in asked] == [64, 6]
+
+
+def test_lost_flows_are_reset_once_the_fleet_is_known(fleet, outbox):
+    """Guards against resets while agents start, and against late ones.
+
+    A balancer that started with its agents dropped the packets of lost flows
+    for 0.8 s, and callers repeated them 1.6 s later.
+    """
+    core = start(fleet, outbox)
+    core.receive(REQUEST, 0.01)
+    nowhere = frames.Answer(REQUEST.flow, Verdict.NOT_OWNED)
+    now = 0.0
+    while now < 1.0 and not outbox.to_callers:
+        now += 0.02
+        core.tick(now)
+        for ip, _ in outbox.frames:
+            core.receive_tell(ip, frames.Tell(1000, (nowhere,)), now)
+        outbox.frames.clear()
+        if now == pytest.approx(0.3):
+            fleet.hear_agent(SECOND, agent(), now)
+    [raw] = outbox.to_callers
+    assert raw[30] & RST
+    assert 0.3 + GROWTH_S <= now < 0.3 + GROWTH_S + REPEAT_S + 0.05
+
+
 def test_opening_that_was_handed_back_has_one_owner(core, fleet, outbox):
     """Guards against searches for flows that can only be at one upstream."""
     core.receive(OPENING, 0.0)
--- a/tests/locating/test_locator.py
+++ b/tests/locating/test_locator.py
@@ -8,6 +8,7 @@
 
 from ibispitch.fleet.core import Fleet
 from ibispitch.fleet.messages import AgentState
+from ibispitch.forwarding.frames import Answer
 from ibispitch.forwarding.frames import Tell
 from ibispitch.forwarding.frames import Verdict
 from ibispitch.forwarding.packets import ACK
@@ -16,9 +17,12 @@
 from ibispitch.locating.core import ANSWER_S
 from ibispitch.locating.core import AskAgents
 from ibispitch.locating.core import Found
+from ibispitch.locating.core import KEEP_S
 from ibispitch.locating.core import Locator
+from ibispitch.locating.core import MAX_KEPT_PACKETS
 from ibispitch.locating.core import MAX_TRIALS
 from ibispitch.locating.core import Nowhere
+from ibispitch.locating.core import REPEAT_S
 from ibispitch.locating.core import TRIAL_WINDOW_S
 from ibispitch.locating.core import TryAgent
 from ibispitch.locating.core import Unanswered
@@ -53,7 +57,8 @@
 
 
 def tell(locator, ips, verdict, now=0.01):
-    steps = [locator.tell(ip, Tell(FLOW, verdict, 7), now) for ip in ips]
+    answers = Tell(7, (Answer(FLOW, verdict),))
+    steps = [locator.tell(ip, answers, now) for ip in ips]
     return list(itertools.chain.from_iterable(steps))
 
 
@@ -117,6 +122,47 @@
     assert tell(locator, OWN[:1], Verdict.NOT_OWNED, 0.21) == [Nowhere(PACKET)]
 
 
+def test_flow_is_found_when_its_agent_starts(locator, fleet):
+    """Guards against callers who wait for their next repeated packet.
+
+    After a loss of power balancers met the packets of all flows before they
+    knew the agents, and dropped them; senders repeat them after 1.6 s.
+    """
+    locator.search(PACKET, 'counter', 0.0)
+    tell(locator, OWN[1:], Verdict.NOT_OWNED)
+    locator.expire(ANSWER_S)
+    tell(locator, OTHER, Verdict.NOT_OWNED, 0.05)
+    [end] = locator.expire(2 * ANSWER_S)
+    assert end == Unanswered(FLOW, (OWN[0],))
+    assert locator.expire(REPEAT_S) == []
+    [asked] = locator.expire(2 * ANSWER_S + REPEAT_S)
+    assert asked.ips == (OWN[0],)
+    [found] = tell(locator, OWN[:1], Verdict.OWNED, 0.2)
+    assert found == Found(OWN[0], 7, (PACKET,))
+
+
+def test_repeated_searches_end(locator):
+    """Guards against searches for callers that have gone, and their logs."""
+    locator.search(PACKET, 'counter', 0.0)
+    steps = []
+    for tick in range(200):
+        steps += locator.expire(0.02 * tick)
+    assert steps.count(Unanswered(FLOW, tuple(OWN + OTHER))) <= 1
+    assert sum(isinstance(step, Unanswered) for step in steps) == 1
+    last = max(n for n, step in enumerate(steps))
+    assert len(locator) == 0
+    assert last < 2 * (KEEP_S / REPEAT_S + 2)
+
+
+def test_kept_packets_are_bounded(locator):
+    """Guards against a flood of unknown flows that fills the memory."""
+    for number in range(2 * MAX_KEPT_PACKETS):
+        flow = FlowKey(number.to_bytes(12, 'big'))
+        locator.keep([PACKET._replace(flow=flow)], 'counter', 1.0, 2.0)
+    steps = locator.expire(1.0)
+    assert len(steps) == MAX_KEPT_PACKETS
+
+
 def test_denials_are_forgotten(locator):
     """Guards against denials that outlive the flow they were about."""
     locator.search(PACKET, 'counter', 0.0)
@@ -249,15 +295,12 @@
                 for ip in data.draw(st.permutations(step.ips)):
                     if ip == owner:
                         if owner_answers:
-                            verdict = Verdict.UNKNOWN
-                            steps += locator.tell(
-                                ip, Tell(FLOW, verdict, 7), now
-                            )
+                            steps += tell(locator, [ip], Verdict.UNKNOWN, now)
                     else:
                         verdict = (
                             Verdict.NOT_OWNED if knows[ip] else Verdict.UNKNOWN
                         )
-                        steps += locator.tell(ip, Tell(FLOW, verdict, 7), now)
+                        steps += tell(locator, [ip], verdict, now)
                 if not steps:
                     steps += locator.expire(now + ANSWER_S + 0.001)
         if reached:
