Keep status messages of a grown fleet within 4 KB/s a host

Rounds had up to 128 receivers in larger fleets. Change: IP numbers in 4 bytes, numbers for message types; names go out while processes start or are silent, otherwise once in three rounds and in one of 16 answers; agents ask one balancer a round. A round has 8 near and 15 far receivers at most, and the silence after which a process is lost or forgotten grows with its interval. A balancer asks each one that it hears for the first time for names, and does not settle before it was told some. Ruled out: names that seldom go out at all times.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -15,6 +15,7 @@
 from ibispitch.fleet.messages import AgentState
 from ibispitch.fleet.messages import AgentStatus
 from ibispitch.fleet.messages import BalancerStatus
+from ibispitch.fleet.messages import unpack_ips
 from ibispitch.ids import DatacentreName
 from ibispitch.ids import ServiceName
 
@@ -41,9 +42,16 @@
 #: Silence after which a process is forgotten; a partition that heals before
 #: needs no new introduction.
 FORGET_S = 30.0
-#: Most processes of the own and of other data centres that one round of
-#: status messages addresses.
-MAX_ROUND = 64
+#: Rounds without a status after which an agent counts as lost, in fleets so
+#: large that rounds take long: one more than :data:`SUSPECT_ROUNDS`.
+LOST_ROUNDS = 3
+#: Most processes of the own data centre that one round of status messages
+#: addresses, and of others that one far round does. With 90 bytes each, and
+#: the headers, they are 3.4 KB/s of the 4 KB/s that a host has for control.
+MAX_NEAR = 8
+MAX_FAR = 15
+#: Processes that are greeted at once.
+MAX_GREETED = 64
 
 
 class AgentView:
@@ -100,6 +108,10 @@
         self._introduced: list[str] = []
         #: Time at which an agent was last heard for the first time.
         self.grown_at = -math.inf
+        #: Time at which a balancer was last heard for the first time.
+        self._met_at = -math.inf
+        #: Whether a balancer has named the agents that it knows.
+        self.was_told = False
 
     def hear_agent(
         self, ip: str, status: AgentStatus, now: float
@@ -135,9 +147,10 @@
 
         :returns: whether it was not known, or is a new process.
         """
-        for known in status.balancers:
+        for known in unpack_ips(status.balancers):
             self.introduce(known, now)
-        for agent in status.agents:
+        self.was_told = self.was_told or bool(status.agents)
+        for agent in unpack_ips(status.agents):
             if agent not in self.agents_by_ip:
                 self._expected[agent] = now
         view = self.balancers_by_ip.get(ip)
@@ -145,14 +158,16 @@
             self.balancers_by_ip.pop(ip, None)
             return False
         if view is None:
-            self.balancers_by_ip[ip] = BalancerView(ip, status, now)
-            return True
+            view = self.balancers_by_ip[ip] = BalancerView(ip, None, now)
         former = view.status
         if former is not None and _is_older(status, former):
             return False
         view.status = status
         view.heard_at = view.known_at = now
-        return former is None or former.started_ms != status.started_ms
+        is_new = former is None or former.started_ms != status.started_ms
+        if is_new:
+            self._met_at = now
+        return is_new
 
     def introduce(self, ip: str, now: float) -> None:
         """Add a balancer of which only the address is known."""
@@ -167,10 +182,10 @@
     def take_introduced(self) -> list[str]:
         """Return the balancers introduced since the last call, once.
 
-        At most as many as a round of status messages addresses.
+        At most :data:`MAX_GREETED`; the others come with the next rounds.
         """
         introduced, self._introduced = self._introduced, []
-        return introduced[:MAX_ROUND]
+        return introduced[:MAX_GREETED]
 
     def expects_agents(self, now: float) -> bool:
         """Return whether others know agents that this process has not heard.
@@ -182,12 +197,22 @@
         }
         return bool(self._expected)
 
+    def is_changing(self, now: float) -> bool:
+        """Return whether others may not know what this process knows.
+
+        An agent is silent and may be back soon, or a balancer has started.
+        """
+        return now - self._met_at < SUSPECT_S or any(
+            not self.hears(self.agents_by_ip[ip], now)
+            for ip in self.recent_agents(now)
+        )
+
     def recent_agents(self, now: float) -> list[str]:
         """Return the agents that are alive or expected back."""
         return [
             view.ip
             for view in self.agents_by_ip.values()
-            if now - view.heard_at < RESTART_S
+            if now - view.heard_at < max(RESTART_S, self.lost_after_s(view))
         ]
 
     def split_balancers(
@@ -199,7 +224,7 @@
         """
         near, far = [], []
         for ip in self.balancers_by_ip:
-            (far if self._is_far(ip, datacentre) else near).append(ip)
+            (far if self.is_far(ip, datacentre) else near).append(ip)
         return near, far
 
     def strangers(self) -> Iterator[str]:
@@ -210,11 +235,8 @@
             if view.status is None
         )
 
-    def rounds_to(self, ip: str, datacentre: DatacentreName) -> int:
-        """Return after how many rounds a process hears from a data centre."""
-        return FAR_ROUNDS if self._is_far(ip, datacentre) else 1
-
-    def _is_far(self, ip: str, datacentre: DatacentreName) -> bool:
+    def is_far(self, ip: str, datacentre: DatacentreName) -> bool:
+        """Return whether a process is known to be in another data centre."""
         view = self.balancers_by_ip.get(ip) or self.agents_by_ip.get(ip)
         return (
             view is not None
@@ -261,8 +283,14 @@
         if incarnation and status.state is AgentState.ENDED:
             return True
         silence = now - view.heard_at
-        limit = RESTART_S if status.state is AgentState.RESTARTING else LOST_S
-        return silence > limit and self._hears_most(now)
+        return silence > self.lost_after_s(view) and self._hears_most(now)
+
+    @staticmethod
+    def lost_after_s(view: AgentView) -> float:
+        """Return the silence after which an agent counts as lost."""
+        is_back_soon = view.status.state is AgentState.RESTARTING
+        limit_s = RESTART_S if is_back_soon else LOST_S
+        return max(limit_s, LOST_ROUNDS * view.status.interval_s)
 
     def is_replaced(self, ip: str, incarnation: int, now: float) -> bool:
         """Return whether an agent that is heard has another upstream now.
@@ -282,7 +310,11 @@
 
     def _hears_most(self, now: float) -> bool:
         views = self.agents_by_ip.values()
-        recent = [v for v in views if now - v.heard_at < RESTART_S]
+        recent = [
+            view
+            for view in views
+            if now - view.heard_at < max(RESTART_S, self.lost_after_s(view))
+        ]
         heard = sum(self.hears(view, now) for view in recent)
         return 2 * heard > len(recent)
 
@@ -294,12 +326,12 @@
         silent: list[AgentView | BalancerView] = [
             view
             for view in self.agents_by_ip.values()
-            if now - view.heard_at > FORGET_S
+            if now - view.heard_at > self._forget_after_s(view)
         ]
         silent += [
             view
             for view in self.balancers_by_ip.values()
-            if now - view.known_at > FORGET_S
+            if now - view.known_at > self._forget_after_s(view)
         ]
         for view in silent:
             if isinstance(view, AgentView):
@@ -309,6 +341,11 @@
                 del self.balancers_by_ip[view.ip]
         return [view.ip for view in silent]
 
+    @staticmethod
+    def _forget_after_s(view: AgentView | BalancerView) -> float:
+        interval_s = view.status.interval_s if view.status else 0.0
+        return max(FORGET_S, (LOST_ROUNDS + 1) * interval_s)
+
 
 class Round(NamedTuple):
     """Receivers of one round of status messages.
@@ -328,6 +365,9 @@
         self._number = 0
         self._near_at = 0
         self._far_at = 0
+        #: Rounds after which a near and a far process hear again.
+        self.near_rounds = 1
+        self.far_rounds = FAR_ROUNDS
 
     def next(self, near: Iterable[str], far: Iterable[str]) -> Round:
         """Return the receivers of the next round.
@@ -335,16 +375,19 @@
         All of a small fleet; of a large one a part, in rotation.
         """
         self._number += 1
-        near, self._near_at = _part(sorted(near), self._near_at)
+        near, far = sorted(near), sorted(far)
+        self.near_rounds = max(1, math.ceil(len(near) / MAX_NEAR))
+        self.far_rounds = FAR_ROUNDS * max(1, math.ceil(len(far) / MAX_FAR))
+        near, self._near_at = _part(near, self._near_at, MAX_NEAR)
         if self._number % FAR_ROUNDS:
             return Round(near, [])
-        far, self._far_at = _part(sorted(far), self._far_at)
+        far, self._far_at = _part(far, self._far_at, MAX_FAR)
         return Round(near, far)
 
 
-def _part(ordered: list[str], start: int) -> tuple[list[str], int]:
-    if len(ordered) <= MAX_ROUND:
+def _part(ordered: list[str], start: int, most: int) -> tuple[list[str], int]:
+    if len(ordered) <= most:
         return ordered, 0
     start %= len(ordered)
-    chosen = islice(ordered + ordered, start, start + MAX_ROUND)
-    return list(chosen), start + MAX_ROUND
+    chosen = islice(ordered + ordered, start, start + most)
+    return list(chosen), start + most
--- a/ibispitch/fleet/messages.py
+++ b/ibispitch/fleet/messages.py
@@ -1,9 +1,12 @@
 """Status messages of balancers and agents.
 
-They are msgpack arrays in datagrams, encoded with a tag for their type.
+They are msgpack arrays in datagrams that begin with a number for their type:
+1 and 2 here, 3 and 4 in ``ibispitch.checkpoint.messages``.
 """
 
+from collections.abc import Iterable
 import enum
+import socket
 
 import msgspec
 
@@ -12,6 +15,8 @@
 from ibispitch.ids import DatacentreName
 from ibispitch.ids import ServiceName
 
+IP_BYTES = 4
+
 
 class AgentState(enum.IntEnum):
     """Whether an upstream takes new flows, as its agent says."""
@@ -32,7 +37,7 @@
     PRESUMED = 6
 
 
-class AgentStatus(msgspec.Struct, frozen=True, array_like=True, tag='agent'):
+class AgentStatus(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """State and load of an agent and its upstream.
 
     :param started_ms: start of the agent's process, Unix time.
@@ -68,9 +73,7 @@
     wants_answer: bool
 
 
-class BalancerStatus(
-    msgspec.Struct, frozen=True, array_like=True, tag='balancer'
-):
+class BalancerStatus(msgspec.Struct, frozen=True, array_like=True, tag=2):
     """Routes and acquaintances of a balancer.
 
     :param started_ms: start of the process, Unix time.
@@ -79,8 +82,9 @@
     :param age_s: time since the store confirmed these routes.
     :param link_mbps: what its link bears, in Mbit/s.
     :param is_leaving: whether the process stops.
-    :param balancers: IP numbers of the balancers that it hears.
-    :param agents: IP numbers of agents that it hears; sent to balancers.
+    :param balancers: IP numbers of balancers that it hears, see
+        :func:`pack_ips`.
+    :param agents: IP numbers of agents that it hears.
     :param interval_s: time to the sender's next status for this receiver.
     :param wants_answer: whether the receiver is asked for its own status.
     """
@@ -92,8 +96,8 @@
     age_s: float
     link_mbps: float
     is_leaving: bool
-    balancers: tuple[str, ...]
-    agents: tuple[str, ...]
+    balancers: bytes
+    agents: bytes
     interval_s: float
     wants_answer: bool
 
@@ -105,6 +109,23 @@
 _decoder = msgspec.msgpack.Decoder(Message)
 
 
+def pack_ips(ips: Iterable[str]) -> bytes:
+    """Return IP numbers in 4 bytes each.
+
+    >>> unpack_ips(pack_ips(['10.1.0.12', '10.2.0.4']))
+    ['10.1.0.12', '10.2.0.4']
+    """
+    return b''.join(map(socket.inet_aton, ips))
+
+
+def unpack_ips(packed: bytes) -> list[str]:
+    """Return the IP numbers of :func:`pack_ips`."""
+    return [
+        socket.inet_ntoa(packed[start : start + IP_BYTES])
+        for start in range(0, len(packed) - IP_BYTES + 1, IP_BYTES)
+    ]
+
+
 def encode_message(message: Message) -> bytes:
     """Return the datagram of a message."""
     return _encoder.encode(message)
--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -38,6 +38,9 @@
 #: Age at which a balancer knows enough of the fleet to say that a flow is
 #: nowhere: a round of status messages.
 SETTLE_S = 0.4
+#: The same for a balancer that knows of others, but was not told by them what
+#: agents there are: its seeds may be stale, and are corrected within 3 s.
+SETTLE_UNTOLD_S = 3.5
 #: Time since an agent was first heard after which no more are expected: an
 #: agent greets all balancers within milliseconds of its start.
 GROWTH_S = 0.25
@@ -445,7 +448,9 @@
         """Return whether this process knows what agents there are."""
         since_start = now - self._started_at
         since_growth = now - self._fleet.grown_at
-        return since_start >= SETTLE_S and since_growth >= GROWTH_S
+        is_told = self._fleet.was_told or not self._fleet.balancers_by_ip
+        settle_s = SETTLE_S if is_told else SETTLE_UNTOLD_S
+        return since_start >= settle_s and since_growth >= GROWTH_S
 
     def _reset(
         self, packet: Packet, why: str, now: float, **inputs: Any
--- a/ibispitch/locating/core.py
+++ b/ibispitch/locating/core.py
@@ -13,9 +13,6 @@
 
 from ibispitch.fleet.core import AgentView
 from ibispitch.fleet.core import Fleet
-from ibispitch.fleet.core import LOST_S
-from ibispitch.fleet.core import RESTART_S
-from ibispitch.fleet.messages import AgentState
 from ibispitch.forwarding.frames import Answer
 from ibispitch.forwarding.frames import Tell
 from ibispitch.forwarding.frames import Verdict
@@ -308,11 +305,8 @@
         self._drop_trials(now)
         return steps + self._repeat(now)
 
-    @staticmethod
-    def _may_answer(view: AgentView, now: float) -> bool:
-        is_back_soon = view.status.state is AgentState.RESTARTING
-        limit = RESTART_S if is_back_soon else LOST_S
-        return now - view.heard_at < limit
+    def _may_answer(self, view: AgentView, now: float) -> bool:
+        return now - view.heard_at < self._fleet.lost_after_s(view)
 
     def _ask(
         self, search: _Search, ips: Iterable[str], now: float
--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -27,7 +27,7 @@
 #: come together cost one message. It is below the time of a request.
 NOTIFY_S = 0.008
 #: Balancers that an agent asks for their status in a round.
-ASKED = 2
+ASKED = 1
 #: Interval at which closed and idle flows are forgotten.
 SWEEP_S = 0.5
 #: Interval at which the gate of a cold upstream is looked at.
@@ -110,7 +110,7 @@
             node.fleet.balancers_by_ip.values(),
             key=lambda view: (
                 not node.fleet.hears(view, now),
-                node.fleet.rounds_to(view.ip, datacentre),
+                node.fleet.is_far(view.ip, datacentre),
             ),
         )
         ips = [view.ip for view in best[:CHECKPOINT_COPIES]]
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from itertools import islice
 import random
 
 from ibispitch.checkpoint.core import CheckpointKeeper
@@ -11,7 +12,9 @@
 from ibispitch.fleet.messages import AgentStatus
 from ibispitch.fleet.messages import BalancerStatus
 from ibispitch.fleet.messages import Message
+from ibispitch.fleet.messages import pack_ips
 from ibispitch.fleet.messages import Status
+from ibispitch.fleet.messages import unpack_ips
 from ibispitch.forwarding.balancer import BalancerCore
 from ibispitch.forwarding.frames import Frame
 from ibispitch.forwarding.frames import Return
@@ -32,9 +35,17 @@
 #: Time after the start at which a balancer calls itself ready even if it
 #: knows no agent.
 PATIENCE_S = 2.0
-#: Balancers that get the names of all known processes in a round; the others
-#: get a short status.
+#: Balancers that get the names of known processes in a round while processes
+#: start or are silent; the others get a short status. Each balancer hears
+#: names from two others in a round then, and they count for 3 s.
 TOLD = 2
+#: Rounds in which one balancer gets them otherwise, one in three.
+NAMES_ROUNDS = 3
+#: Answers to known processes that have the names while nothing changes, one
+#: in sixteen.
+NAMES_ANSWERS = 16
+#: Names of each kind in a status, so that it fits into a datagram.
+MAX_NAMES = 128
 #: The platform asks for readiness twice a second and takes a host out of
 #: rotation after two misses. A balancer that stops waits for that.
 ROTATION_S = 1.3
@@ -52,12 +63,15 @@
         self._codec = PlatformPacketCodec()
         self._checkpoints = CheckpointKeeper()
         self._packet_at = 0.0
+        self._answers = 0
+        self._rounds = 0
+        self._random = random.Random()
         #: Whether the process ends now; until then others write to it.
         self._is_leaving = False
         self._started_at = node.clock()
         self._core = BalancerCore(
             node.settings.datacentre, node.fleet, self._codec, self,
-            node.log, node.measures, random.Random(), node.clock(),
+            node.log, node.measures, self._random, node.clock(),
         )  # fmt: skip
         node.on_message = self._on_message
         node.on_frame = self._on_frame
@@ -146,6 +160,7 @@
         now = node.clock()
         if isinstance(status, AgentStatus):
             former = node.fleet.hear_agent(ip, status, now)
+            is_new = former is None or former.started_ms != status.started_ms
             if former is None or former.state is not status.state:
                 node.log.change(
                     'fleet.agent', now, agent=ip, state=status.state.name,
@@ -155,9 +170,11 @@
             is_new = node.fleet.hear_balancer(ip, status, now)
             if is_new:
                 node.log.change('fleet.balancer', now, balancer=ip)
+                # Its answer has the names that it knows.
+                self._tell([ip], wants_answer=True)
             greeted = [
                 agent
-                for agent in status.agents
+                for agent in unpack_ips(status.agents)
                 if is_new or agent not in node.fleet.agents_by_ip
             ]
             self._tell(greeted, wants_answer=True)
@@ -167,7 +184,10 @@
             )  # fmt: skip
             node.heed_revision(ip, status)
         if status.wants_answer:
-            self._tell([ip])
+            self._answers += 1
+            is_turn = self._answers % NAMES_ANSWERS == 0
+            names_all = is_new or is_turn or node.fleet.is_changing(now)
+            self._tell([ip], names_all=names_all)
 
     def _on_routes(self, is_from_store: bool) -> None:
         self._core.set_routes(self._node.routes.index)
@@ -198,16 +218,24 @@
             age_s=min(1e6, node.routes.age_s(now)),
             link_mbps=node.settings.link_mbps,
             is_leaving=self._is_leaving,
-            balancers=tuple(
-                view.ip for view in node.fleet.heard_balancers(now)
-            )
-            if names_all
-            else (),
-            agents=tuple(node.fleet.recent_agents(now)) if names_all else (),
+            balancers=self._names(
+                view.ip
+                for view in node.fleet.heard_balancers(now)
+                if names_all
+            ),
+            agents=self._names(
+                node.fleet.recent_agents(now) if names_all else ()
+            ),
             interval_s=rounds * STATUS_INTERVAL_S,
             wants_answer=wants_answer,
         )
 
+    def _names(self, ips: Iterable[str]) -> bytes:
+        ips = list(ips)
+        if len(ips) > MAX_NAMES:
+            ips = self._random.sample(ips, MAX_NAMES)
+        return pack_ips(ips)
+
     def _known_ips(self) -> list[str]:
         fleet = self._node.fleet
         return [*fleet.balancers_by_ip, *fleet.agents_by_ip]
@@ -217,7 +245,13 @@
         receivers = node.begin_round()
         self._checkpoints.expire(node.clock())
         known = [*receivers.near, *receivers.far]
-        told = node.choose_asked(known, TOLD)
+        self._rounds += 1
+        if node.fleet.is_changing(node.clock()):
+            told = node.choose_asked(known, TOLD)
+        elif self._rounds % NAMES_ROUNDS == 0:
+            told = node.choose_asked(known, 1)
+        else:
+            told = set(islice(node.fleet.strangers(), 1))
         self._tell(told, wants_answer=True)
         self._tell([ip for ip in known if ip not in told], names_all=False)
 
--- a/ibispitch/platform/node.py
+++ b/ibispitch/platform/node.py
@@ -319,7 +319,12 @@
         """
         by_rounds: dict[int, list[str]] = {}
         for ip in ips:
-            rounds = self.fleet.rounds_to(ip, self.settings.datacentre)
+            is_far = self.fleet.is_far(ip, self.settings.datacentre)
+            rounds = (
+                self._rounds.far_rounds
+                if is_far
+                else (self._rounds.near_rounds)
+            )
             by_rounds.setdefault(rounds, []).append(ip)
         for rounds, receivers in by_rounds.items():
             self.send(make_status(rounds), receivers)
--- a/testbed/flow_network.py
+++ b/testbed/flow_network.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from collections.abc import Iterable
 import json
@@ -176,6 +177,8 @@
         self.loss = 0.0
         #: What the links of all hosts bear, 0 for without limit.
         self.link_mbps = 0.0
+        #: Bytes of datagrams that each host sent, headers included.
+        self.sent_bytes: Counter[str] = Counter()
         #: Datagrams that came faster than a link passes them on.
         self.lost_on_links = 0
         #: Seeds in the settings, if they are not the first balancers.
@@ -331,6 +334,7 @@
             if upstream is not None:
                 self.loop.call_soon(upstream.receive, data)
             return
+        self.sent_bytes[host.name] += len(data) + HEADER_BYTES
         queue_s = self._queue_on_link(host, len(data))
         if queue_s is None or self.rng.random() < self.loss:
             return
--- a/tests/forwarding/test_balancer_core.py
+++ b/tests/forwarding/test_balancer_core.py
@@ -18,6 +18,7 @@
 from ibispitch.routes.model import RouteIndex
 from testbed.flow_packets import RST
 from tests.fleet.test_fleet import agent
+from tests.fleet.test_fleet import balancer
 from tests.forwarding.test_agent_core import CALLER
 from tests.forwarding.test_agent_core import data
 from tests.forwarding.test_agent_core import opening
@@ -144,6 +145,7 @@
     for 0.8 s, and callers repeated them 1.6 s later.
     """
     core = start(fleet, outbox)
+    fleet.hear_balancer('10.1.0.2', balancer(agents=(FIRST,)), 0.01)
     core.receive(REQUEST, 0.01)
     nowhere = frames.Answer(REQUEST.flow, Verdict.NOT_OWNED)
     now = 0.0
@@ -160,6 +162,28 @@
     assert 0.3 + GROWTH_S <= now < 0.3 + GROWTH_S + REPEAT_S + 0.05
 
 
+def test_balancer_that_nobody_told_of_agents_resets_nothing(fleet, outbox):
+    """Guards against resets by a balancer whose seeds are stale.
+
+    It heard its near agents at once, and other balancers only after 3 s, when
+    the settings were corrected.
+    """
+    core = start(fleet, outbox)
+    fleet.introduce('10.1.0.2', 0.0)
+    core.receive(REQUEST, 0.01)
+    nowhere = frames.Answer(REQUEST.flow, Verdict.NOT_OWNED)
+    for tick in range(150):
+        now = 0.02 * tick
+        if tick % 20 == 0:
+            core.receive(REQUEST, now)
+            fleet.hear_agent(FIRST, agent(number=tick + 2), now)
+        core.tick(now)
+        for ip, _ in outbox.frames:
+            core.receive_tell(ip, frames.Tell(1000, (nowhere,)), now)
+        outbox.frames.clear()
+    assert outbox.to_callers == []
+
+
 def test_opening_that_was_handed_back_has_one_owner(core, fleet, outbox):
     """Guards against searches for flows that can only be at one upstream."""
     core.receive(OPENING, 0.0)
