Use one rule for agents that are expected back, and one grown fleet in tests

Cause: a reading of the whole change for what it wrote twice. Change: Fleet._is_recent, start_grown_fleet, types, an initial value. Behaviour and assertions are as before.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -233,7 +233,7 @@
         return [
             view.ip
             for view in self.agents_by_ip.values()
-            if now - view.heard_at < max(RESTART_S, self.lost_after_s(view))
+            if self._is_recent(view, now)
         ]
 
     def split_balancers(
@@ -313,6 +313,11 @@
         limit_s = RESTART_S if is_back_soon else LOST_S
         return max(limit_s, LOST_ROUNDS * view.status.interval_s)
 
+    def _is_recent(self, view: AgentView, now: float) -> bool:
+        """Return whether an agent is alive or expected back."""
+        silence = now - view.heard_at
+        return silence < max(RESTART_S, self.lost_after_s(view))
+
     def is_replaced(self, ip: str, incarnation: int, now: float) -> bool:
         """Return whether an agent that is heard has another upstream now.
 
@@ -331,11 +336,7 @@
 
     def _hears_most(self, now: float) -> bool:
         views = self.agents_by_ip.values()
-        recent = [
-            view
-            for view in views
-            if now - view.heard_at < max(RESTART_S, self.lost_after_s(view))
-        ]
+        recent = [view for view in views if self._is_recent(view, now)]
         heard = sum(self.hears(view, now) for view in recent)
         return 2 * heard > len(recent)
 
--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -450,7 +450,9 @@
         )
         self.outcomes.note_answer(took_s, state.place, self._slots, now)
 
-    def _note_failure(self, flow: FlowKey, state: FlowState, why, now) -> None:
+    def _note_failure(
+        self, flow: FlowKey, state: FlowState, why: str, now: float
+    ) -> None:
         self.outcomes.note_failure(now)
         self._log.failure(
             'request.failed', flow, now, why=why, request=state.request_id,
--- a/testbed/flow_days.py
+++ b/testbed/flow_days.py
@@ -165,6 +165,8 @@
         self._seed = seed
         self.told: list[str] = []
         self.network: FlowNetwork | None = None
+        #: Simulated time from which all must be served.
+        self.calm_at = 0.0
 
     def play(self) -> list[str]:
         """Play the day.
--- a/tests/platform/test_control_traffic.py
+++ b/tests/platform/test_control_traffic.py
@@ -17,6 +17,16 @@
 CALM_S = 10
 
 
+async def start_grown_fleet(loop) -> FlowNetwork:
+    agents = [
+        (name, 'counter') for name in DATACENTRES for _ in range(AGENTS_EACH)
+    ]
+    network = FlowNetwork(loop, DATACENTRES, agents)
+    network.configure(1, (FEED,))
+    await network.start()
+    return network
+
+
 def test_control_bytes_of_a_grown_fleet():
     """Guards against status messages that cost more than the letter allows.
 
@@ -25,16 +35,7 @@
     """
 
     async def day(loop):
-        network = FlowNetwork(
-            loop, DATACENTRES,
-            [
-                (name, 'counter')
-                for name in DATACENTRES
-                for _ in range(AGENTS_EACH)
-            ],
-        )  # fmt: skip
-        network.configure(1, (FEED,))
-        await network.start()
+        network = await start_grown_fleet(loop)
         await asyncio.sleep(3.0)
         before = Counter(network.sent_bytes)
         await asyncio.sleep(CALM_S)
@@ -55,16 +56,7 @@
     """
 
     async def day(loop):
-        network = FlowNetwork(
-            loop, DATACENTRES,
-            [
-                (name, 'counter')
-                for name in DATACENTRES
-                for _ in range(AGENTS_EACH)
-            ],
-        )  # fmt: skip
-        network.configure(1, (FEED,))
-        await network.start()
+        network = await start_grown_fleet(loop)
         worst = 0.0
         for _ in range(90):
             await asyncio.sleep(0.5)
