Serve requests of any kind, and observe whether flows are long

Change: kinds are a registry of properties (large body, flows expected to be long); an unknown kind is served without hints. Agents observe whether flows of a destination carry several requests and report it in their status.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -16,6 +16,7 @@
 from ibispitch.fleet.messages import AgentStatus
 from ibispitch.fleet.messages import BalancerStatus
 from ibispitch.fleet.messages import unpack_ips
+from ibispitch.forwarding.packets import Destination
 from ibispitch.ids import DatacentreName
 from ibispitch.ids import ServiceName
 
@@ -57,6 +58,8 @@
 #: 3.4 KB/s of the 4 KB/s that a host may send for control.
 MAX_NEAR_PER_ROUND = 8
 MAX_FAR_PER_ROUND = 15
+#: Maximum number of destinations whose flow length is remembered.
+MAX_DESTINATIONS = 4096
 #: Maximum number of new or silent processes that get a message at once.
 MAX_ADDRESSED_AT_ONCE = 64
 
@@ -123,6 +126,9 @@
         #: time of the last mention.
         self._unheard_agents: dict[str, float] = {}
         self._added_balancers: list[str] = []
+        #: Whether flows of a destination carry several requests, as the last
+        #: agent with flows of this destination reported.
+        self._is_long_by_destination: dict[Destination, bool] = {}
         #: Time of the last status from an agent that was not known.
         self.last_new_agent_at = -math.inf
         #: Time of the last status from a balancer that was not known.
@@ -139,6 +145,7 @@
             status itself if it is older than the last one and was ignored.
         """
         self._unheard_agents.pop(ip, None)
+        self._record_reuse(status)
         view = self.agents_by_ip.get(ip)
         if view is None:
             self.agents_by_ip[ip] = AgentView(ip, status, now)
@@ -157,6 +164,20 @@
         view.is_unresponsive = False
         return former
 
+    def _record_reuse(self, status: AgentStatus) -> None:
+        is_long_by_destination = self._is_long_by_destination
+        for destination, is_long in status.reuse:
+            is_long_by_destination[Destination(destination)] = is_long
+        while len(is_long_by_destination) > MAX_DESTINATIONS:
+            del is_long_by_destination[next(iter(is_long_by_destination))]
+
+    def has_long_flows(self, destination: Destination) -> bool | None:
+        """Return whether flows of a destination carry several requests.
+
+        :returns: ``None`` if no agent has reported it.
+        """
+        return self._is_long_by_destination.get(destination)
+
     def record_balancer_status(
         self, ip: str, status: BalancerStatus, now: float
     ) -> bool:
--- a/ibispitch/fleet/messages.py
+++ b/ibispitch/fleet/messages.py
@@ -56,6 +56,8 @@
     :param revision: revision of the agent's routes.
     :param interval_s: time to the sender's next status for this receiver.
     :param wants_answer: whether the receiver is asked for its own status.
+    :param reuse: destinations of its recent flows, and whether these carry
+        several requests.
     """
 
     datacentre: DatacentreName
@@ -74,6 +76,7 @@
     revision: int
     interval_s: float
     wants_answer: bool
+    reuse: tuple[tuple[bytes, bool], ...] = ()
 
 
 class BalancerStatus(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -367,13 +367,14 @@
             ):
                 state.caller_next_sequence = end
                 if state.request_received_at is None:
+                    self.flows.count_request(packet.flow, state)
                     self._record_request(state, packet, now)
                 state.request_received_at = now
                 self.flows.start_request(packet.flow, state)
                 state.queue_position = self.flows.started_requests
                 state.is_overdue = False
         if packet.flags & (FIN | RST):
-            self.flows.close(state, now)
+            self.flows.close(packet.flow, state, now)
 
     def _record_request(
         self, state: FlowState, packet: Packet, now: float
@@ -474,7 +475,7 @@
             if state.is_awaiting_answer and not is_reordered:
                 self._record_failure(packet.flow, state, 'broken off', now)
                 state.request_received_at = None
-            self.flows.close(state, now)
+            self.flows.close(packet.flow, state, now)
 
     def _record_answer(
         self, state: FlowState, took_s: float, now: float
--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -15,6 +15,7 @@
 from ibispitch.forwarding.frames import Purpose
 from ibispitch.forwarding.frames import Question
 from ibispitch.forwarding.frames import Reason
+from ibispitch.forwarding.packets import Destination
 from ibispitch.forwarding.packets import FlowKey
 from ibispitch.forwarding.packets import Packet
 from ibispitch.forwarding.packets import PacketCodec
@@ -28,6 +29,7 @@
 from ibispitch.locating.table import FlowTable
 from ibispitch.locating.table import Owner
 from ibispitch.placement.core import choose_agent
+from ibispitch.routes.kinds import kind_named
 from ibispitch.routes.model import Route
 from ibispitch.routes.model import RouteIndex
 from ibispitch.waiting.core import ATTEMPT_TIMEOUT_S
@@ -234,7 +236,7 @@
         opening = self._queue.remove_placed(flow, now)
         waited_s = now - opening.sent_at if opening else 0.0
         self._histograms.record(
-            Series('opening_wait', status.service, route.kind.value), waited_s
+            Series('opening_wait', status.service, route.kind), waited_s
         )
         view.flows_since_status += 1
         is_only_recipient = self._is_only_recipient(
@@ -304,7 +306,10 @@
             if self._can_take_openings(view, now)
             and not (tried and ip_number(view.ip) in tried)
         )
-        return choose_agent(views, route, self._datacentre, self._rng)
+        is_long = self._fleet.has_long_flows(Destination(route.destination))
+        if is_long is None:
+            is_long = kind_named(route.kind).expects_long_flows
+        return choose_agent(views, route, self._datacentre, is_long, self._rng)
 
     def _can_take_openings(self, view: AgentView, now: float) -> bool:
         status = view.status
--- a/ibispitch/forwarding/flows.py
+++ b/ibispitch/forwarding/flows.py
@@ -1,8 +1,11 @@
 """The flows of an upstream and the load that they cause."""
 
+from ibispitch.forwarding.packets import Destination
+from ibispitch.forwarding.packets import destination_of
 from ibispitch.forwarding.packets import FlowKey
 from ibispitch.outcomes.core import OVERDUE_AFTER_OBJECTIVES
-from ibispitch.routes.model import RequestKind
+from ibispitch.reuse.core import FlowReuse
+from ibispitch.routes.kinds import kind_named
 from ibispitch.routes.model import RouteIndex
 
 #: Time for which an opening counts as load without a request: the round trip
@@ -38,6 +41,7 @@
         'queue_position',
         'request_id',
         'request_received_at',
+        'requests',
         'tried',
         'upstream_next_sequence',
     )  # fmt: skip
@@ -72,6 +76,8 @@
         #: Time of the last packet of the unanswered request, if any.
         self.request_received_at: float | None = None
         self.request_id: str | None = None
+        #: Number of requests that have arrived on the flow.
+        self.requests = 0
         #: Whether the request has been recorded as failed for lack of an
         #: answer.
         self.is_overdue = False
@@ -106,6 +112,7 @@
 
     def __init__(self):
         self.state_by_flow: dict[FlowKey, FlowState] = {}
+        self.reuse = FlowReuse()
         #: Flows that count as load because a request is expected, with the
         #: time at which they stop counting.
         self._expected: dict[FlowKey, float] = {}
@@ -133,9 +140,12 @@
         state = FlowState(balancer, now)
         route = routes.route_of(flow) if routes else None
         if route is not None:
-            state.kind = route.kind.value
+            state.kind = route.kind
             state.objective_s = route.objective_s
-            state.is_long = route.kind is RequestKind.SAFE
+            is_long = self.reuse.is_long(Destination(route.destination))
+            if is_long is None:
+                is_long = kind_named(route.kind).expects_long_flows
+            state.is_long = is_long
         self.long_flows += state.is_long
         self.state_by_flow[flow] = state
         return state
@@ -174,14 +184,28 @@
         self._expected.pop(flow, None)
         self._set_running(state, True)
 
+    def count_request(self, flow: FlowKey, state: FlowState) -> None:
+        """Count a request that begins on a flow.
+
+        The second one shows that the flow is long.
+        """
+        state.requests += 1
+        if state.requests == 2:
+            self.reuse.record_flow(destination_of(flow), is_reused=True)
+            if not state.is_long:
+                state.is_long = True
+                self.long_flows += 1
+
     def end_request(self, state: FlowState) -> None:
         """Record that the upstream has answered."""
         self._set_running(state, False)
 
-    def close(self, state: FlowState, now: float) -> None:
+    def close(self, flow: FlowKey, state: FlowState, now: float) -> None:
         """Record that one end has closed a flow."""
         if state.closed_at is None:
             state.closed_at = now
+            if state.requests == 1:
+                self.reuse.record_flow(destination_of(flow), is_reused=False)
             self.long_flows -= state.is_long
             self._set_running(state, False)
 
--- a/ibispitch/forwarding/packets.py
+++ b/ibispitch/forwarding/packets.py
@@ -19,6 +19,12 @@
 #: Destination address and port, the last 6 bytes of a flow key.
 Destination = NewType('Destination', bytes)
 
+
+def destination_of(flow: FlowKey) -> Destination:
+    """Return the destination of a flow."""
+    return Destination(flow[6:])
+
+
 SYN = 1
 ACK = 2
 FIN = 4
--- a/ibispitch/placement/core.py
+++ b/ibispitch/placement/core.py
@@ -13,16 +13,18 @@
 from ibispitch.fleet.core import AgentView
 from ibispitch.fleet.messages import AgentState
 from ibispitch.ids import DatacentreName
-from ibispitch.routes.model import RequestKind
+from ibispitch.routes.kinds import kind_named
+from ibispitch.routes.kinds import LargeBody
 from ibispitch.routes.model import Route
 
 #: Load, in requests per slot, that is added to upstreams in other data
-#: centres. Traffic between data centres costs money, most of all the body of
-#: an upload, and a round trip of some milliseconds.
-REMOTE_LOAD_BY_KIND = {
-    RequestKind.SAFE: 0.4,
-    RequestKind.UNSAFE: 0.5,
-    RequestKind.UPLOAD: 2.0,
+#: centres, by the large body of their requests. Traffic between data centres
+#: costs money, most of all a large body, and a round trip of some
+#: milliseconds.
+REMOTE_LOAD_BY_LARGE_BODY = {
+    LargeBody.NONE: 0.5,
+    LargeBody.REQUEST: 2.0,
+    LargeBody.ANSWER: 2.0,
 }
 #: Load that is added for an average number of long flows, whose later
 #: requests go to the same upstream.
@@ -66,6 +68,7 @@
     views: Iterable[AgentView],
     route: Route,
     datacentre: DatacentreName,
+    is_long: bool,
     rng: random.Random,
 ) -> AgentView | None:
     """Return the agent for a new flow.
@@ -73,11 +76,11 @@
     :param views: agents that may get the flow.
     :param route: route of the flow.
     :param datacentre: the data centre of this balancer.
+    :param is_long: whether the flow is expected to carry several requests.
     :param rng: breaks ties.
     :returns: ``None`` if no upstream can start a request soon. The opening
         should then wait at the balancer, where more urgent ones go first.
     """
-    kind = route.kind
     views = [
         view
         for view in views
@@ -86,17 +89,17 @@
     if not views:
         return None
     slots = sum(max(1, view.status.slots) for view in views)
-    long_flows = sum(_long_flows(view, kind) for view in views)
+    long_flows = sum(_long_flows(view) for view in views)
     mean = max(1.0, long_flows / slots)
     usual_s = _usual_work_s(views)
-    remote_load = REMOTE_LOAD_BY_KIND[kind]
+    remote_load = REMOTE_LOAD_BY_LARGE_BODY[kind_named(route.kind).large_body]
     candidates = (
         Candidate(
             _load(view, usual_s)
             + LONG_FLOW_LOAD
-            * _long_flows(view, kind)
+            * _long_flows(view)
             / (max(1, view.status.slots) * mean)
-            * (kind is RequestKind.SAFE)
+            * is_long
             + remote_load * (view.status.datacentre != datacentre)
             + PRESUMED_LOAD * (view.status.state is AgentState.PRESUMED),
             rng.random(),
@@ -168,7 +171,5 @@
     return delay_s <= MAX_QUEUE_SHARE * route.objective_s
 
 
-def _long_flows(view: AgentView, kind: RequestKind) -> int:
-    if kind is not RequestKind.SAFE:
-        return 0
+def _long_flows(view: AgentView) -> int:
     return view.status.long_flows + view.flows_since_status
--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -254,6 +254,7 @@
             revision=node.routes.revision,
             interval_s=rounds * STATUS_INTERVAL_S,
             wants_answer=wants_answer,
+            reuse=core.flows.reuse.report(),
         )
 
     def _send_round(self) -> None:
--- a/ibispitch/platform/node.py
+++ b/ibispitch/platform/node.py
@@ -382,8 +382,11 @@
             self._poll_timing,
         )  # fmt: skip
 
-    def _log_unreadable(self, name: str) -> None:
-        self.log.change('routes.unreadable', self.clock(), name=name)
+    def _log_unreadable(self, name: str, problem: str, count: int) -> None:
+        self.log.change(
+            'routes.unreadable', self.clock(), name=name, problem=problem,
+            count=count,
+        )  # fmt: skip
 
     def _poll_timing(self) -> PollTiming:
         is_balancer = self.settings.upstream_reply_address is None
--- a/ibispitch/platform/routes.py
+++ b/ibispitch/platform/routes.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import math
 from typing import Any
 
 import msgspec
@@ -12,7 +13,8 @@
 from ibispitch.platform.store import Item
 from ibispitch.platform.store import MetadataStore
 from ibispitch.platform.store import StoreCallError
-from ibispitch.routes.model import RequestKind
+from ibispitch.routes.kinds import is_known
+from ibispitch.routes.kinds import KindName
 from ibispitch.routes.model import Route
 from ibispitch.routes.model import RouteTable
 from ibispitch.routes.model import ServiceLimits
@@ -31,19 +33,23 @@
 #: Idle time after which a flow may be removed if the configuration sets no
 #: limit: the maximum age of flows on this platform.
 DEFAULT_IDLE_TIMEOUT_S = 60.0
+#: Latency objective and caller's timeout of a route without readable ones.
+DEFAULT_OBJECTIVE_S = 0.5
+DEFAULT_TIMEOUT_S = 5.0
+
+#: Called with the name of an entry that could not be decoded as a whole, the
+#: problem, and the number of entries with this problem.
+OnUnreadable = Callable[[str, str, int], None]
 
 
 class PlatformRoutes:
     """Reads the routes of the platform's operator, see :class:`RouteSource`.
 
     :param store: a client without other users, since a call may wait.
-    :param on_unreadable: called with the key of an entry, or the name of a
-        route or service, that cannot be decoded and is left out.
+    :param on_unreadable: called for each problem of an entry.
     """
 
-    def __init__(
-        self, store: MetadataStore, on_unreadable: Callable[[str], None]
-    ):
+    def __init__(self, store: MetadataStore, on_unreadable: OnUnreadable):
         self._store = store
         self._on_unreadable = on_unreadable
 
@@ -87,101 +93,169 @@
             elif item.key == CONFIGURATION_KEY and item.value is not None:
                 table = decode_configuration(item.value, self._on_unreadable)
                 if table is None:
-                    self._on_unreadable(item.key)
+                    self._on_unreadable(item.key, 'not a configuration', 1)
                 else:
                     yield RoutesChange(item.revision, table)
 
 
 def decode_configuration(
-    data: bytes, on_unreadable: Callable[[str], None]
+    data: bytes, on_unreadable: OnUnreadable
 ) -> RouteTable | None:
     """Decode the operator's configuration.
 
+    A part that cannot be decoded costs only what it describes: a route is
+    left out without a destination or service, a service without a name. Other
+    settings get a default.
+
     :param data: the value of its key.
-    :param on_unreadable: called for each route or service left out.
+    :param on_unreadable: see :class:`PlatformRoutes`.
     :returns: the table without revision and data centres, ``None`` if the
-        data is not a configuration. Routes and services that cannot be
-        decoded are left out.
+        data is not a configuration.
     """
     try:
         raw = msgspec.json.decode(data)
-        return RouteTable(
-            revision=0,
-            version=int(raw['version']),
-            routes=_decode_all(raw['routes'], _decode_route, on_unreadable),
-            services=_decode_all(
-                raw['services'], _decode_service, on_unreadable
-            ),
-            idle_timeout_s=_decode_idle_timeout_s(raw.get('limits')),
-            out=frozenset(),
-        )
+        version, raw_routes = int(raw['version']), list(raw['routes'])
     except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
         return None
+    problems = _Problems()
+    raw_services = raw.get('services')
+    if not isinstance(raw_services, list):
+        problems.add('services', 'services')
+        raw_services = []
+    table = RouteTable(
+        revision=0,
+        version=version,
+        routes=_decode_all(raw_routes, _decode_route, problems),
+        services=_decode_all(raw_services, _decode_service, problems),
+        idle_timeout_s=_decode_idle_timeout_s(raw.get('limits'), problems),
+        out=frozenset(),
+    )
+    for problem, names in problems.names_by_problem.items():
+        on_unreadable(names[0], problem, len(names))
+    return table
+
+
+class _Problems:
+    """Names of the entries with each problem of a configuration."""
+
+    def __init__(self):
+        self.names_by_problem: dict[str, list[str]] = {}
+
+    def add(self, problem: str, name: str) -> None:
+        self.names_by_problem.setdefault(problem, []).append(name)
+
+
+class _FieldReader:
+    """Reads optional fields of an entry; unreadable ones get a default."""
+
+    def __init__(self, raw: dict, problems: _Problems):
+        self.raw = raw
+        self._problems = problems
+        self.name = str(raw.get('name'))
+
+    def number(self, field: str, default: float = 0.0) -> float:
+        """Return a field that holds a finite number."""
+        value = self.raw.get(field, default)
+        is_number = isinstance(value, int | float)
+        if is_number and not isinstance(value, bool) and math.isfinite(value):
+            return value
+        self.report(f'{field} is not a number')
+        return default
+
+    def report(self, problem: str) -> None:
+        """Record a problem of the entry."""
+        self._problems.add(problem, self.name)
 
 
 def _decode_all(
-    entries: list, decode: Callable[[Any], Any], on_unreadable: Callable
+    entries: list,
+    decode: Callable[[_FieldReader], Any],
+    problems: _Problems,
 ) -> tuple:
-    decoded = [(entry, decode(entry)) for entry in entries]
-    for entry, value in decoded:
-        if value is None:
+    decoded = []
+    for entry in entries:
+        try:
+            decoded.append(decode(_FieldReader(entry, problems)))
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
             named = entry.get('name') if isinstance(entry, dict) else entry
-            on_unreadable(str(named))
-    return tuple(value for _, value in decoded if value is not None)
+            reason = f'left out: {type(error).__name__} {error}'
+            problems.add(reason, str(named))
+    return tuple(decoded)
 
 
-def _decode_idle_timeout_s(limits: Any) -> float:
+def _decode_idle_timeout_s(limits: Any, problems: _Problems) -> float:
     if not isinstance(limits, dict):
         return DEFAULT_IDLE_TIMEOUT_S
-    return (
-        float(limits.get('idle_timeout_ms', DEFAULT_IDLE_TIMEOUT_S * 1000))
-        / 1000
+    reader = _FieldReader({'name': 'limits'} | limits, problems)
+    default_ms = DEFAULT_IDLE_TIMEOUT_S * 1000
+    return reader.number('idle_timeout_ms', default_ms) / 1000
+
+
+def _decode_route(reader: _FieldReader) -> Route:
+    """Decode a route.
+
+    :raises KeyError, TypeError, ValueError: if it has no valid destination
+        or no service.
+    """
+    raw = reader.raw
+    # The host name of a route is an IPv4 address and its prefix a port
+    # between slashes. They are the destination of callers' packets.
+    address = bytes(int(part) for part in raw['hostname'].split('.'))
+    port = int(raw['prefix'].strip('/'))
+    if len(address) != 4 or not 0 < port < 1 << 16:
+        raise ValueError('not an IPv4 address and a port')
+    kind = KindName(str(raw.get('type')))
+    if not is_known(kind):
+        reader.report(f'type {kind!r} is unknown, served without its hints')
+    return Route(
+        destination=Destination(address[::-1] + port.to_bytes(2, 'little')),
+        shares=_decode_shares(reader),
+        kind=kind,
+        objective_s=_positive(reader, 'aim_ms', DEFAULT_OBJECTIVE_S),
+        timeout_s=_positive(reader, 'timeout_ms', DEFAULT_TIMEOUT_S),
+        priority=int(reader.number('priority')),
     )
 
 
-def _decode_route(raw: dict) -> Route | None:
-    try:
-        # The host name of a route is an IPv4 address and its prefix a port
-        # between slashes. They are the destination of callers' packets.
-        address = bytes(int(part) for part in raw['hostname'].split('.'))
-        port = int(raw['prefix'].strip('/'))
-        if len(address) != 4:
-            return None
-        return Route(
-            destination=Destination(
-                address[::-1] + port.to_bytes(2, 'little')
-            ),
-            shares=_decode_shares(raw),
-            kind=RequestKind(raw['type']),
-            objective_s=float(raw['aim_ms']) / 1000,
-            timeout_s=float(raw['timeout_ms']) / 1000,
-            priority=int(raw.get('priority', 0)),
-        )
-    except (AttributeError, KeyError, TypeError, ValueError, OverflowError):
-        return None
+def _positive(reader: _FieldReader, field: str, default_s: float) -> float:
+    """Return a field in milliseconds as seconds."""
+    seconds = reader.number(field, default_s * 1000) / 1000
+    if seconds > 0.0:
+        return seconds
+    reader.report(f'{field} is not positive')
+    return default_s
+
 
+def _decode_shares(reader: _FieldReader) -> tuple[Share, ...]:
+    """Decode the services of a route: one, or several with weights.
 
-def _decode_shares(raw: dict) -> tuple[Share, ...]:
-    """Decode the services of a route: one, or several with weights."""
+    :raises KeyError, TypeError, ValueError: if there is none.
+    """
+    raw = reader.raw
     if raw.get('service'):
         return (Share(ServiceName(str(raw['service'])), 1),)
-    shares = tuple(
-        Share(ServiceName(str(part['service'])), int(part['weight']))
-        for part in raw['backends']
-        if int(part['weight']) > 0
-    )
+    shares = []
+    for part in raw['backends']:
+        try:
+            service, weight = part['service'], int(part['weight'])
+        except (KeyError, TypeError, ValueError) as error:
+            reader.report(f'part left out: {type(error).__name__} {error}')
+            continue
+        if weight > 0:
+            shares.append(Share(ServiceName(str(service)), weight))
     if not shares:
-        raise ValueError('route has no service with a weight above 0')
-    return shares
+        raise ValueError('no service with a weight above 0')
+    return tuple(shares)
 
 
-def _decode_service(raw: dict) -> ServiceLimits | None:
-    try:
-        return ServiceLimits(
-            name=ServiceName(str(raw['name'])),
-            cold_start_s=float(raw.get('cold_start_s', 0.0)),
-            cold_openings_per_s=float(raw.get('cold_per_s', 0.0)),
-            health_path=str(raw.get('health_path', '')),
-        )
-    except (AttributeError, KeyError, TypeError, ValueError):
-        return None
+def _decode_service(reader: _FieldReader) -> ServiceLimits:
+    """Decode a service.
+
+    :raises KeyError: if it has no name.
+    """
+    return ServiceLimits(
+        name=ServiceName(str(reader.raw['name'])),
+        cold_start_s=reader.number('cold_start_s'),
+        cold_openings_per_s=reader.number('cold_per_s'),
+        health_path=str(reader.raw.get('health_path', '')),
+    )
--- /dev/null
+++ b/ibispitch/reuse/__init__.py
@@ -0,0 +1,1 @@
+"""Whether the flows of a destination carry one request or several."""
