Order route tables by the era of the store, its revision and the version

Cause: a store that comes back from a copy gives revisions out again. Tables were ordered by the revision alone, so edits after the return were ignored until the store had counted past the former revision, and a data centre that the copy returned got new flows. Ruled out: following the store alone after a return (it reverts an accepted edit, and uses a data centre that is out until the operator has written again); dropping the table (nothing is served while the store is away). Change: the era from the header Store-Era is part of a table's position, of frames and of statuses. An answer of an earlier era is refused; one without an era counts as of the era last seen. A return is logged (store.restored) and shown by a gauge (store_era). test_older_tables_are_ignored held that a table at an earlier position with a greater version is ignored; after a return, a process may carry the greater version, and ignoring it would revert an edit. It is replaced by two tests.

--- a/ibispitch/fleet/messages.py
+++ b/ibispitch/fleet/messages.py
@@ -14,6 +14,7 @@
 from ibispitch.checkpoint.messages import CheckpointRequest
 from ibispitch.ids import DatacentreName
 from ibispitch.ids import ServiceName
+from ibispitch.routes.position import TablePosition
 
 IP_BYTES = 4
 
@@ -94,6 +95,8 @@
     :param agents: IP addresses of agents that are alive or may return.
     :param interval_s: time to the sender's next status for this receiver.
     :param wants_answer: whether the receiver is asked for its own status.
+    :param era: era of its routes, see :class:`TablePosition`.
+    :param version: version of the operator's configuration in its routes.
     """
 
     datacentre: DatacentreName
@@ -108,6 +111,13 @@
     agents: bytes
     interval_s: float
     wants_answer: bool
+    era: int = 0
+    version: int = 0
+
+    @property
+    def position(self) -> TablePosition:
+        """Position of its routes."""
+        return TablePosition(self.era, self.revision)
 
 
 Status = AgentStatus | BalancerStatus
--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -31,6 +31,7 @@
 from ibispitch.placement.core import MAX_GATE_QUEUE_SHARE
 from ibispitch.placement.core import queue_delay_s
 from ibispitch.routes.model import RouteIndex
+from ibispitch.routes.position import NO_POSITION
 
 #: Tolerance on the start time of an upstream, since its first heartbeat may
 #: be delayed on a busy host. If a flow is kept by mistake, the upstream hands
@@ -295,7 +296,7 @@
             state.opened_at = now
         reason = self._queue_refusal(flow, now) if state is None else None
         if reason is None and (state is None or is_opening_unanswered):
-            reason = self.gate.admit(flow, self.routes, forward.revision, now)
+            reason = self.gate.admit(flow, self.routes, forward.position, now)
         if reason is not None:
             if state is not None:
                 self.flows.drop(flow)
@@ -416,11 +417,11 @@
     def _return_packet(
         self, ip: str, reason: Reason, raw: bytes, tried: tuple[int, ...]
     ) -> None:
-        revision = self.routes.revision if self.routes else 0
+        position = self.routes.position if self.routes else NO_POSITION
         self._outbox.to_balancer(
             ip,
             frames.encode_return(
-                reason, revision, self.gate.incarnation, raw, tried
+                reason, position, self.gate.incarnation, raw, tried
             ),
         )
 
--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -32,6 +32,8 @@
 from ibispitch.routes.kinds import kind_named
 from ibispitch.routes.model import Route
 from ibispitch.routes.model import RouteIndex
+from ibispitch.routes.position import NO_POSITION
+from ibispitch.routes.position import TablePosition
 from ibispitch.waiting.core import ATTEMPT_TIMEOUT_S
 from ibispitch.waiting.core import first_copy_sent_at
 from ibispitch.waiting.core import Opening
@@ -248,7 +250,7 @@
         self._outbox.to_agent(
             view.ip,
             frames.encode_forward(
-                Purpose.OPENING, self.routes.revision, status.incarnation,
+                Purpose.OPENING, self.routes.position, status.incarnation,
                 packet.raw, tried,
             ),
         )  # fmt: skip
@@ -257,7 +259,7 @@
             agent=view.ip, load=round(view.load, 2),
             age_ms=round(1000 * (now - view.heard_at)),
             waited_ms=round(1000 * waited_s),
-            copy=packet.acknowledged, revision=self.routes.revision,
+            copy=packet.acknowledged, revision=self.routes.position.revision,
         )  # fmt: skip
 
     def _view_for_copy(
@@ -316,7 +318,7 @@
         return (
             status.state in STATES_ADMITTING_FLOWS
             and not view.is_unresponsive
-            and status.datacentre not in self.routes.table.out
+            and status.datacentre not in self.routes.all_out
             and self._fleet.has_recent_status(view, now)
         )
 
@@ -407,8 +409,8 @@
         return self.routes.route_of(flow) if self.routes else None
 
     @property
-    def _revision(self) -> int:
-        return self.routes.revision if self.routes else 0
+    def _position(self) -> TablePosition:
+        return self.routes.position if self.routes else NO_POSITION
 
     # Open flows.
 
@@ -416,7 +418,7 @@
         self._outbox.to_agent(
             owner.ip,
             frames.encode_forward(
-                Purpose.OWNED, self._revision, owner.incarnation, packet.raw
+                Purpose.OWNED, self._position, owner.incarnation, packet.raw
             ),
             packet,
         )
@@ -489,7 +491,7 @@
             ip,
             frames.encode_forward(
                 Purpose.TRIAL,
-                self._revision,
+                self._position,
                 view.status.incarnation,
                 packet.raw,
             ),
@@ -537,5 +539,10 @@
             flow, self._codec.reset(flow, packet.acknowledged)
         )
         self._log.failure(
-            'flow.reset', flow, now, why=why, revision=self._revision, **inputs
+            'flow.reset',
+            flow,
+            now,
+            why=why,
+            revision=self._position.revision,
+            **inputs,
         )
--- a/ibispitch/forwarding/frames.py
+++ b/ibispitch/forwarding/frames.py
@@ -12,6 +12,7 @@
 
 from ibispitch.forwarding.packets import FLOW_KEY_BYTES
 from ibispitch.forwarding.packets import FlowKey
+from ibispitch.routes.position import TablePosition
 
 #: Kinds of frames, the first byte.
 FORWARD = 1
@@ -71,14 +72,14 @@
     """A caller's packet that a balancer forwards to an agent.
 
     :param purpose: why it is forwarded.
-    :param revision: revision of the routes that the balancer used.
+    :param position: position of the routes that the balancer used.
     :param incarnation: the intended upstream, 0 for any.
     :param tried: agents that handed this opening back, as IPv4 numbers.
     :param raw: the packet.
     """
 
     purpose: Purpose
-    revision: int
+    position: TablePosition
     incarnation: int
     tried: tuple[int, ...]
     raw: bytes
@@ -88,7 +89,7 @@
     """A caller's packet that an agent hands back to the balancer.
 
     :param reason: why it is handed back.
-    :param revision: revision of the agent's routes.
+    :param position: position of the agent's routes.
     :param incarnation: the agent's upstream, 0 if it is not known.
     :param tried: agents that handed this opening back before, as IPv4
         numbers.
@@ -96,7 +97,7 @@
     """
 
     reason: Reason
-    revision: int
+    position: TablePosition
     incarnation: int
     tried: tuple[int, ...]
     raw: bytes
@@ -139,7 +140,7 @@
 Frame = Forward | Return | OwnershipQuestions | OwnershipAnswers
 
 #: Header of FORWARD and RETURN frames: kind, purpose or reason, number of
-#: tried agents, revision, incarnation.
+#: tried agents, packed position, incarnation.
 _PACKET_HEADER = struct.Struct('<BBBQQ')
 _QUESTION_LAYOUT = struct.Struct(f'<{FLOW_KEY_BYTES}sI')
 _ANSWERS_HEADER = struct.Struct('<BQ')
@@ -154,28 +155,30 @@
 
 def encode_forward(
     purpose: Purpose,
-    revision: int,
+    position: TablePosition,
     incarnation: int,
     raw: bytes,
     tried: tuple[int, ...] = (),
 ) -> bytes:
     """Return the datagram of a :class:`Forward` frame."""
-    return _encode_packet(FORWARD, purpose, revision, incarnation, tried, raw)
+    return _encode_packet(FORWARD, purpose, position, incarnation, tried, raw)
 
 
 def encode_return(
     reason: Reason,
-    revision: int,
+    position: TablePosition,
     incarnation: int,
     raw: bytes,
     tried: tuple[int, ...] = (),
 ) -> bytes:
     """Return the datagram of a :class:`Return` frame."""
-    return _encode_packet(RETURN, reason, revision, incarnation, tried, raw)
+    return _encode_packet(RETURN, reason, position, incarnation, tried, raw)
 
 
-def _encode_packet(kind, code, revision, incarnation, tried, raw) -> bytes:
-    head = _PACKET_HEADER.pack(kind, code, len(tried), revision, incarnation)
+def _encode_packet(kind, code, position, incarnation, tried, raw) -> bytes:
+    head = _PACKET_HEADER.pack(
+        kind, code, len(tried), position.pack(), incarnation
+    )
     return head + _TRIED_LAYOUTS[len(tried)].pack(*tried) + raw
 
 
@@ -199,9 +202,12 @@
 
     :returns: the frame, ``None`` if the datagram is not a valid frame.
 
-    >>> decode_frame(encode_forward(Purpose.OPENING, 7, 9, b'raw', (1,)))
-    Forward(purpose=<Purpose.OPENING: 0>, revision=7, incarnation=9, \
-tried=(1,), raw=b'raw')
+    >>> position = TablePosition(2, 7)
+    >>> decode_frame(
+    ...     encode_forward(Purpose.OPENING, position, 9, b'raw', (1,))
+    ... )
+    Forward(purpose=<Purpose.OPENING: 0>, position=TablePosition(era=2, \
+revision=7), incarnation=9, tried=(1,), raw=b'raw')
     >>> decode_frame(b'') is None
     True
     """
@@ -214,16 +220,17 @@
 def _decode_frame(data: bytes) -> Frame | None:
     kind = data[0]
     if kind in (FORWARD, RETURN):
-        _kind, code, count, revision, incarnation = _PACKET_HEADER.unpack_from(
+        _kind, code, count, packed, incarnation = _PACKET_HEADER.unpack_from(
             data
         )
+        position = TablePosition.unpack(packed)
         head = _PACKET_HEADER.size + 4 * count
         tried = _TRIED_LAYOUTS[count].unpack_from(data, _PACKET_HEADER.size)
         if kind == FORWARD:
             purpose = _PURPOSES[code]
-            return Forward(purpose, revision, incarnation, tried, data[head:])
+            return Forward(purpose, position, incarnation, tried, data[head:])
         reason = _REASONS[code]
-        return Return(reason, revision, incarnation, tried, data[head:])
+        return Return(reason, position, incarnation, tried, data[head:])
     if kind == QUESTIONS:
         questions = _QUESTION_LAYOUT.iter_unpack(data[1:])
         return OwnershipQuestions(
--- a/ibispitch/gate/core.py
+++ b/ibispitch/gate/core.py
@@ -15,6 +15,7 @@
 from ibispitch.ids import DatacentreName
 from ibispitch.ids import ServiceName
 from ibispitch.routes.model import RouteIndex
+from ibispitch.routes.position import TablePosition
 
 #: Heartbeat intervals without a heartbeat after which an upstream counts as
 #: silent: one heartbeat may be lost and the next one late.
@@ -186,7 +187,7 @@
         counts as cold until the next heartbeat, because it may have become
         cold meanwhile.
         """
-        is_datacentre_out = self._datacentre in routes.table.out
+        is_datacentre_out = self._datacentre in routes.all_out
         if self._is_datacentre_out and not is_datacentre_out:
             limits = routes.limits_by_service.get(self.service)
             if limits is not None:
@@ -267,21 +268,21 @@
         self,
         flow: FlowKey,
         routes: RouteIndex | None,
-        revision: int,
+        position: TablePosition,
         now: float,
     ) -> Reason | None:
         """Decide whether the upstream may get an opening, and count it if so.
 
         :param flow: the flow.
         :param routes: the agent's routes.
-        :param revision: revision of the routes by which the balancer routed
+        :param position: position of the routes by which the balancer routed
             the flow.
         :param now: time in seconds.
         :returns: why the upstream must not get it, ``None`` if it may.
         """
         if self.state(now) not in STATES_ADMITTING_FLOWS:
             return Reason.CLOSED
-        if routes is not None and routes.revision >= revision:
+        if routes is not None and routes.position >= position:
             if self._is_datacentre_out:
                 return Reason.CLOSED
             if not routes.allows_service(flow, self.service):
--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -155,8 +155,8 @@
         now = node.clock()
         if isinstance(frame, Forward):
             self._core.receive(ip, frame, now)
-            if frame.revision > node.routes.revision:
-                node.fetch_if_newer(ip, frame.revision)
+            if frame.position > node.routes.position:
+                node.fetch_if_newer(ip, frame.position)
             self._schedule_notification()
         elif isinstance(frame, OwnershipQuestions):
             self._core.answer_questions(ip, frame, now)
@@ -181,7 +181,7 @@
         elif status.wants_answer:
             self._send_status([ip])
         self._send_status(node.fleet.take_added_balancers())
-        node.check_revision(ip, status)
+        node.check_position(ip, status)
 
     def _on_routes(self, _is_from_store: bool) -> None:
         node = self._node
@@ -251,7 +251,7 @@
             long_flows=core.flows.long_flows,
             cold_openings=gate.cold_openings(node.routes.index, now),
             cold_left_s=gate.cold_left_s(now),
-            revision=node.routes.revision,
+            revision=node.routes.position.revision,
             interval_s=rounds * STATUS_INTERVAL_S,
             wants_answer=wants_answer,
             reuse=core.flows.reuse.report(),
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -192,7 +192,7 @@
                 node.fleet.take_added_balancers(), wants_answer=True,
                 lists_fleet=False,
             )  # fmt: skip
-            node.check_revision(ip, status)
+            node.check_position(ip, status)
         if status.wants_answer:
             self._answer_count += 1
             is_turn = self._answer_count % FULL_STATUS_ANSWERS == 0
@@ -224,7 +224,7 @@
             datacentre=node.settings.datacentre,
             started_ms=node.started_ms,
             number=node.next_message_number(),
-            revision=node.routes.revision,
+            revision=node.routes.position.revision,
             age_s=min(1e6, node.routes.age_s(now)),
             link_mbps=node.settings.link_mbps,
             is_leaving=self._is_leaving,
@@ -239,6 +239,8 @@
             ),
             interval_s=rounds * STATUS_INTERVAL_S,
             wants_answer=wants_answer,
+            era=node.routes.position.era,
+            version=node.routes.version,
         )
 
     def _pack_sample(self, ips: Iterable[str]) -> bytes:
--- a/ibispitch/platform/http.py
+++ b/ibispitch/platform/http.py
@@ -40,6 +40,18 @@
     status: int
     body: bytes = b''
     content_type: str = 'application/json'
+    headers: tuple[tuple[str, str], ...] = ()
+
+    def header(self, name: str) -> str | None:
+        """Return the value of a header, ``None`` if it is missing.
+
+        >>> Response(200, headers=(('Store-Era', '2'),)).header('store-era')
+        '2'
+        """
+        for key, value in self.headers:
+            if key.lower() == name.lower():
+                return value
+        return None
 
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -54,6 +66,7 @@
 
     def reset(self) -> None:
         self.url = b''
+        self.headers: list[tuple[str, str]] = []
         self.parts: list[bytes] = []
         self.size = 0
         self.is_complete = False
@@ -61,6 +74,9 @@
     def on_url(self, url: bytes) -> None:
         self.url += url
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers.append((name.decode('latin-1'), value.decode('latin-1')))
+
     def on_body(self, body: bytes) -> None:
         self.size += len(body)
         if self.size > MAX_BODY_BYTES:
@@ -122,8 +138,11 @@
 def _render(response: Response, keeps_alive: bool) -> bytes:
     reason = _REASONS.get(response.status, 'Status')
     connection = 'keep-alive' if keeps_alive else 'close'
+    headers = ''.join(
+        f'{name}: {value}\r\n' for name, value in response.headers
+    )
     return (
-        f'HTTP/1.1 {response.status} {reason}\r\n'
+        f'HTTP/1.1 {response.status} {reason}\r\n{headers}'
         f'Content-Type: {response.content_type}\r\n'
         f'Content-Length: {len(response.body)}\r\n'
         f'Connection: {connection}\r\n\r\n'
@@ -186,7 +205,11 @@
             parser.feed_data(data)
         if not parser.should_keep_alive():
             self.close()
-        return Response(parser.get_status_code(), b''.join(message.parts))
+        return Response(
+            parser.get_status_code(),
+            b''.join(message.parts),
+            headers=tuple(message.headers),
+        )
 
     def close(self) -> None:
         """Close the connection; the next request opens a new one."""
--- a/ibispitch/platform/node.py
+++ b/ibispitch/platform/node.py
@@ -44,6 +44,7 @@
 from ibispitch.platform.transport import HostTransport
 from ibispitch.platform.transport import Transport
 from ibispitch.routes.core import RoutesCore
+from ibispitch.routes.position import TablePosition
 from ibispitch.routes.reader import RouteReader
 from ibispitch.routes.reader_choice import poll_timing
 from ibispitch.routes.reader_choice import PollTiming
@@ -57,6 +58,8 @@
 #: balancer has a recent status. The platform corrects stale seeds within 3 s.
 RELOAD_INTERVAL_S = 5.0
 ALONE_RELOAD_INTERVAL_S = 1.0
+#: Maximum number of route tables that are fetched at the same time.
+MAX_FETCHES = 2
 #: Status messages begin with a byte of at least this value, frames with a
 #: lower one.
 FIRST_STATUS_BYTE = 0x90
@@ -84,6 +87,7 @@
         self.clock = transport.clock
         self.fleet = Fleet(settings.ip)
         self.routes = RoutesCore()
+        self._store_era = 0
         self.histograms = LatencyHistograms()
         self.started_ms = transport.unix_ms()
         self.is_stopping = asyncio.Event()
@@ -256,7 +260,8 @@
         def read_gauges() -> dict[str, float]:
             now = self.clock()
             return gauges() | {
-                'routes_revision': self.routes.revision,
+                'routes_revision': self.routes.position.revision,
+                'store_era': self.routes.position.era,
                 'routes_age_seconds': self.routes.age_s(now),
                 'balancers_heard': len(self.fleet.heard_balancers(now)),
                 'series_left_out': self.histograms.left_out,
@@ -304,16 +309,15 @@
         )
         return list(dict.fromkeys(chosen))
 
-    def check_revision(self, ip: str, status: BalancerStatus) -> None:
-        """Fetch or confirm routes, by the revision that a balancer has.
+    def check_position(self, ip: str, status: BalancerStatus) -> None:
+        """Fetch or confirm routes, by those that a balancer has.
 
         :param status: status of the balancer.
         """
-        self.fetch_if_newer(ip, status.revision)
-        if status.revision == self.routes.revision:
-            self.routes.record_confirmation(
-                status.revision, self.clock() - status.age_s
-            )
+        self.fetch_if_newer(ip, status.position, status.version)
+        confirmed_at = self.clock() - status.age_s
+        if self.routes.record_confirmation(status.position, confirmed_at):
+            self._on_routes_changed(is_from_store=False)
 
     def next_message_number(self) -> int:
         """Return the number of the next status message."""
@@ -392,15 +396,19 @@
         is_balancer = self.settings.upstream_reply_address is None
         return poll_timing(len(self.fleet.balancers_by_ip) + is_balancer)
 
-    def fetch_if_newer(self, ip: str, revision: int) -> None:
+    def fetch_if_newer(
+        self, ip: str, position: TablePosition, version: int = 0
+    ) -> None:
         """Fetch the routes of a process if they are newer.
 
-        :param revision: revision of the routes of that process.
+        :param position: position of the routes of that process.
+        :param version: version of its configuration, 0 if not known.
         """
-        if revision > self.routes.revision and ip not in self._fetching_ips:
-            if len(self._fetching_ips) < 2:
-                self._fetching_ips.add(ip)
-                self.start(self._fetch(ip))
+        if ip in self._fetching_ips or len(self._fetching_ips) >= MAX_FETCHES:
+            return
+        if self.routes.is_newer(position, version):
+            self._fetching_ips.add(ip)
+            self.start(self._fetch(ip))
 
     async def _fetch(self, ip: str) -> None:
         try:
@@ -415,15 +423,23 @@
             return
         finally:
             self._fetching_ips.discard(ip)
-        if self.routes.replace_if_newer(table):
+        if self.routes.merge(table, self.clock()):
             self._on_routes_changed(is_from_store=False)
 
     def _on_routes_changed(self, is_from_store: bool = True) -> None:
-        index = self.routes.index
+        table = self.routes.index.table
+        now = self.clock()
+        if self._store_era not in (0, table.era):
+            self.log.change(
+                'store.restored', now, era=table.era,
+                former_era=self._store_era, revision=table.revision,
+                held_out=sorted(table.held_out),
+            )  # fmt: skip
+        self._store_era = table.era
         self.log.change(
-            'routes.changed', self.clock(), revision=index.revision,
-            version=index.table.version, routes=len(index.table.routes),
-            out=sorted(index.table.out), is_from_store=is_from_store,
+            'routes.changed', now, era=table.era, revision=table.revision,
+            version=table.version, routes=len(table.routes),
+            out=sorted(table.all_out), is_from_store=is_from_store,
         )  # fmt: skip
         self.on_routes(is_from_store)
 
--- a/ibispitch/platform/routes.py
+++ b/ibispitch/platform/routes.py
@@ -71,7 +71,10 @@
                 'no readable routes in the store; write them to op/config'
             )
         return msgspec.structs.replace(
-            table, revision=listing.revision, out=frozenset(out)
+            table,
+            era=listing.era,
+            revision=listing.revision,
+            out=frozenset(out),
         )
 
     async def wait(self, after: int, wait_s: float) -> Changes:
@@ -82,7 +85,11 @@
             if error.status == HISTORY_LOST_STATUS:
                 raise HistoryLostError(str(error)) from error
             raise SourceError(str(error)) from error
-        return Changes(listing.revision, tuple(self._changes(listing.items)))
+        return Changes(
+            listing.revision,
+            tuple(self._changes(listing.items)),
+            listing.era,
+        )
 
     def _changes(self, items: tuple[Item, ...]) -> Iterator[Change]:
         for item in items:
--- a/ibispitch/platform/store.py
+++ b/ibispitch/platform/store.py
@@ -19,6 +19,8 @@
 #: Time-out of a call. The store usually answers in 4 ms, and one that is 100
 #: times slower still answers in time.
 CALL_TIMEOUT_S = 1.5
+#: Header with a number that rises each time the store comes back from a copy.
+ERA_HEADER = 'Store-Era'
 
 
 class StoreCallError(Exception):
@@ -44,10 +46,15 @@
 
 
 class Listing(NamedTuple):
-    """Items under a prefix, and the store's revision."""
+    """Items under a prefix, and the store's revision.
+
+    :param era: rises by one each time the store comes back from a copy; 0 if
+        the answer does not say.
+    """
 
     revision: int
     items: tuple[Item, ...]
+    era: int = 0
 
 
 class MetadataStore:
@@ -69,10 +76,10 @@
         :raises StoreCallError: if a page could not be read.
         """
         items: list[Item] = []
-        revision = None
+        revision = first_era = None
         query = {'prefix': prefix}
         while True:
-            page = await self._read(f'/v1/kv-range?{urlencode(query)}')
+            page, era = await self._read(f'/v1/kv-range?{urlencode(query)}')
             raw_items = _list_of(page, 'items')
             items.extend(
                 item
@@ -80,9 +87,11 @@
                 if (item := _decode_item(raw)) is not None
             )
             if revision is None:
-                revision = _revision_of(page, 'current_rev')
+                revision, first_era = _revision_of(page, 'current_rev'), era
+            if era != first_era:
+                raise StoreCallError(0, 'the era changed between two pages')
             if not page.get('has_more') or not raw_items:
-                return Listing(revision, tuple(items))
+                return Listing(revision, tuple(items), era)
             query['after'] = str(raw_items[-1].get('key', ''))
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Listing:
@@ -99,7 +108,7 @@
                 'wait_ms': round(wait_s * 1000),
             }
         )
-        answer = await self._read(
+        answer, era = await self._read(
             f'/v1/kv-watch?{query}', wait_s + CALL_TIMEOUT_S
         )
         events = tuple(
@@ -107,7 +116,7 @@
             for raw in _list_of(answer, 'events')
             if (item := _decode_item(raw)) is not None
         )
-        return Listing(_revision_of(answer, 'current_rev'), events)
+        return Listing(_revision_of(answer, 'current_rev'), events, era)
 
     def close(self) -> None:
         """Close the connection."""
@@ -115,13 +124,14 @@
 
     async def _read(
         self, path: str, timeout_s: float = CALL_TIMEOUT_S
-    ) -> dict[str, Any]:
+    ) -> tuple[dict[str, Any], int]:
+        """Return the body of an answer and its era."""
         try:
             response = await self._http.call('GET', path, b'', timeout_s)
         except (OSError, TimeoutError) as error:
             detail = str(error) or type(error).__name__
             raise StoreCallError(0, detail) from error
-        return _decode_answer(response)
+        return _decode_answer(response), _decode_era(response)
 
 
 def _decode_answer(response: Response) -> dict[str, Any]:
@@ -138,6 +148,15 @@
     return answer
 
 
+def _decode_era(response: Response) -> int:
+    """Return the era of a response, from 1; 0 if it has no valid one.
+
+    The store may count from 0.
+    """
+    text = response.header(ERA_HEADER) or ''
+    return int(text) + 1 if text.isascii() and text.isdecimal() else 0
+
+
 def _list_of(answer: dict[str, Any], field: str) -> list[dict]:
     value = answer.get(field)
     if not isinstance(value, list):
--- a/ibispitch/routes/model.py
+++ b/ibispitch/routes/model.py
@@ -1,7 +1,7 @@
 """One versioned table of routes, services and data centres out of service.
 
 The decisions of all processes on new flows depend on this table. It is
-immutable: a change makes a new table with a greater revision.
+immutable: a change makes a new table at a later position.
 """
 
 import zlib
@@ -14,6 +14,7 @@
 from ibispitch.ids import DatacentreName
 from ibispitch.ids import ServiceName
 from ibispitch.routes.kinds import KindName
+from ibispitch.routes.position import TablePosition
 
 
 class Share(msgspec.Struct, frozen=True, array_like=True):
@@ -78,6 +79,9 @@
     :param version: version of the operator's configuration.
     :param idle_timeout_s: time after which an idle flow may be removed.
     :param out: data centres that are out of service.
+    :param era: era of the store, see :class:`TablePosition`.
+    :param held_out: data centres that were out of service before the store
+        came back from a copy in which they are not.
     """
 
     revision: int
@@ -86,6 +90,18 @@
     services: tuple[ServiceLimits, ...]
     idle_timeout_s: float
     out: frozenset[DatacentreName]
+    era: int = 0
+    held_out: frozenset[DatacentreName] = frozenset()
+
+    @property
+    def position(self) -> TablePosition:
+        """Position up to which all changes are included."""
+        return TablePosition(self.era, self.revision)
+
+    @property
+    def all_out(self) -> frozenset[DatacentreName]:
+        """Data centres that get no new flows."""
+        return self.out | self.held_out
 
 
 class RouteIndex:
@@ -93,7 +109,8 @@
 
     def __init__(self, table: RouteTable):
         self.table = table
-        self.revision = table.revision
+        self.position = table.position
+        self.all_out = table.all_out
         self.route_by_destination: dict[Destination, Route] = {
             Destination(route.destination): route for route in table.routes
         }
@@ -115,10 +132,10 @@
 
 
 def has_same_content(one: RouteTable | None, other: RouteTable) -> bool:
-    """Return whether two tables are equal except for their revision."""
+    """Return whether two tables are equal except for their position."""
     return one is not None and (
-        msgspec.structs.replace(one, revision=0)
-        == msgspec.structs.replace(other, revision=0)
+        msgspec.structs.replace(one, era=0, revision=0)
+        == msgspec.structs.replace(other, era=0, revision=0)
     )
 
 
--- a/ibispitch/routes/reader.py
+++ b/ibispitch/routes/reader.py
@@ -4,9 +4,12 @@
 from collections.abc import Callable
 import random
 
+import msgspec
+
 from ibispitch.decisionlog import DecisionLog
 from ibispitch.retry.backoff import backoff_s
 from ibispitch.routes.core import RoutesCore
+from ibispitch.routes.position import TablePosition
 from ibispitch.routes.reader_choice import PollTiming
 from ibispitch.routes.source import HistoryLostError
 from ibispitch.routes.source import RouteSource
@@ -51,7 +54,7 @@
         self._on_change = on_change
         self._bound_s = bound_s
         self._poll_timing = poll_timing
-        self._position: int | None = None
+        self._position: TablePosition | None = None
         self._failures = 0
 
     async def follow(self, is_reader: Callable[[], bool]) -> None:
@@ -103,16 +106,36 @@
         started_at = self._clock()
         if self._position is None:
             table = await self._source.read()
-            self._position = table.revision
-            is_changed = self._core.replace_if_newer(table)
-            self._core.record_confirmation(table.revision, started_at)
-            return is_changed
+            table = msgspec.structs.replace(table, era=self._era(table.era))
+            self._position = table.position
+            is_changed = self._core.merge(table, self._clock())
+            return (
+                self._core.record_confirmation(table.position, started_at)
+                or is_changed
+            )
         wait_s = self._bound_s * self._poll_timing().wait
-        changes = await self._source.wait(self._position, wait_s)
-        self._position = max(self._position, changes.revision)
+        changes = await self._source.wait(self._position.revision, wait_s)
+        era = self._era(changes.era)
+        if era != self._position.era:
+            raise HistoryLostError('the store came back from a copy')
+        revision = max(self._position.revision, changes.revision)
+        self._position = TablePosition(era, revision)
         is_changed = self._core.apply(changes.changes)
         # An answer without changes confirms that there were none while the
         # store held the call.
-        if changes.revision >= self._core.revision:
-            self._core.record_confirmation(self._core.revision, self._clock())
+        if self._position >= self._core.position:
+            is_changed |= self._core.record_confirmation(
+                self._core.position, self._clock()
+            )
         return is_changed
+
+    def _era(self, era: int) -> int:
+        """Return the era of an answer of the store.
+
+        :param era: as the answer says, 0 if it says none.
+        :raises SourceError: if the answer is from an earlier era.
+        """
+        known = self._core.position.era
+        if 0 < era < known:
+            raise SourceError(f'answer of era {era}, but {known} is known')
+        return era or known
--- a/ibispitch/routes/source.py
+++ b/ibispitch/routes/source.py
@@ -34,17 +34,21 @@
 
 
 class Changes(NamedTuple):
-    """Changes in their order, complete up to a revision."""
+    """Changes in their order, complete up to a revision.
+
+    :param era: era of the store, 0 if it reports none.
+    """
 
     revision: int
     changes: tuple[Change, ...]
+    era: int = 0
 
 
 class RouteSource(Protocol):
     """Reads routes and the data centres that are out of service."""
 
     async def read(self) -> RouteTable:
-        """Return the whole table at the store's current revision.
+        """Return the whole table at the store's current position.
 
         :raises SourceError: if there is no answer or no table in it.
         """
--- a/ibispitch/routes/transfer.py
+++ b/ibispitch/routes/transfer.py
@@ -32,15 +32,15 @@
         process tries again, here or elsewhere.
     :raises OSError: if the address cannot be bound.
     """
-    encoded: tuple[int, bytes] = (0, b'')
+    encoded: tuple[RouteTable | None, bytes] = (None, b'')
 
     async def send(_reader, writer):
         nonlocal encoded
         try:
             table = read()
             if table is not None:
-                if encoded[0] != table.revision:
-                    encoded = (table.revision, encode_table(table))
+                if encoded[0] is not table:
+                    encoded = (table, encode_table(table))
                 size = len(encoded[1]).to_bytes(_LENGTH_BYTES, 'big')
                 writer.write(size + encoded[1])
                 async with asyncio.timeout(TRANSFER_TIMEOUT_S):
--- a/testbed/memory_store.py
+++ b/testbed/memory_store.py
@@ -8,6 +8,7 @@
 import asyncio
 import bisect
 import enum
+from typing import NamedTuple
 
 from ibispitch.platform.store import Item
 from ibispitch.platform.store import Listing
@@ -27,6 +28,14 @@
     LIMITED = 'limited'
 
 
+class StoreCopy(NamedTuple):
+    """State of a store at a time."""
+
+    revision: int
+    item_by_key: dict[str, Item]
+    events: list[Item]
+
+
 class MemoryStore:
     """Items and revisions, shared by all clients.
 
@@ -35,6 +44,7 @@
 
     def __init__(self):
         self.revision = 1
+        self.era = 1
         self._item_by_key: dict[str, Item] = {}
         self._events: list[Item] = []
         self._compacted_revision = 0
@@ -64,6 +74,22 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def copy(self) -> 'StoreCopy':
+        """Return a copy of the present state, see :meth:`restore`."""
+        return StoreCopy(
+            self.revision, dict(self._item_by_key), list(self._events)
+        )
+
+    def restore(self, copy: 'StoreCopy') -> None:
+        """Return to an earlier state; its revisions are given out again."""
+        self.era += 1
+        self.revision = copy.revision
+        self._item_by_key = dict(copy.item_by_key)
+        self._events = list(copy.events)
+        self._compacted_revision = min(self._compacted_revision, copy.revision)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def items(self, prefix: str) -> tuple[Item, ...]:
         """Return the items under a prefix."""
         return tuple(
@@ -73,8 +99,12 @@
         )
 
     def events(self, prefix: str, after: int) -> tuple[Item, ...] | None:
-        """Return the changes after a revision, ``None`` if dropped."""
-        if after < self._compacted_revision:
+        """Return the changes after a revision.
+
+        :returns: ``None`` if they were dropped or the store does not have
+            this revision.
+        """
+        if not self._compacted_revision <= after <= self.revision:
             return None
         start = bisect.bisect_right(
             self._events, after, key=lambda event: event.revision
@@ -108,7 +138,8 @@
     async def list(self, prefix: str) -> Listing:
         """Return all items under a prefix."""
         await self._begin_call()
-        return Listing(self._store.revision, self._store.items(prefix))
+        store = self._store
+        return Listing(store.revision, store.items(prefix), store.era)
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Listing:
         """Return the changes under a prefix after a revision."""
@@ -122,7 +153,7 @@
             left_s = until - asyncio.get_running_loop().time()
             if events or left_s <= 0:
                 await self._apply_fault()
-                return Listing(store.revision, events)
+                return Listing(store.revision, events, store.era)
             await store.wait_for_change(left_s)
 
     def close(self) -> None:
--- a/testbed/store_server.py
+++ b/testbed/store_server.py
@@ -11,6 +11,7 @@
 from ibispitch.platform.http import Request
 from ibispitch.platform.http import Response
 from ibispitch.platform.http import serve
+from ibispitch.platform.store import ERA_HEADER
 from ibispitch.platform.store import Item
 from testbed.memory_store import Fault
 from testbed.memory_store import MemoryStore
@@ -50,6 +51,11 @@
         await asyncio.sleep(CLOSE_GRACE_S)
 
     async def _answer(self, request: Request) -> Response:
+        response = await self._answer_call(request)
+        era = (ERA_HEADER, str(self.store.era))
+        return response._replace(headers=(era,))
+
+    async def _answer_call(self, request: Request) -> Response:
         store = self.store
         store.calls += 1
         if store.fault is Fault.SILENT:
--- a/tests/forwarding/test_agent_core.py
+++ b/tests/forwarding/test_agent_core.py
@@ -25,6 +25,7 @@
 from ibispitch.routes.model import RouteTable
 from ibispitch.routes.model import ServiceLimits
 from ibispitch.routes.model import Share
+from ibispitch.routes.position import NO_POSITION
 from testbed import flow_packets
 from testbed.flow_packets import ACK
 from testbed.flow_packets import FIN
@@ -104,7 +105,7 @@
 
 
 def forward(raw, purpose=Purpose.OPENING, incarnation=1000):
-    return frames.Forward(purpose, 0, incarnation, (), raw)
+    return frames.Forward(purpose, NO_POSITION, incarnation, (), raw)
 
 
 def opening(caller=CALLER, copy=0, sequence=100):
--- a/tests/forwarding/test_balancer_core.py
+++ b/tests/forwarding/test_balancer_core.py
@@ -16,6 +16,7 @@
 from ibispitch.locating.core import RETRY_INTERVAL_S
 from ibispitch.platform.packets import PlatformPacketCodec
 from ibispitch.routes.model import RouteIndex
+from ibispitch.routes.position import NO_POSITION
 from testbed.flow_packets import RST
 from tests.fleet.test_fleet import agent
 from tests.fleet.test_fleet import balancer
@@ -79,7 +80,7 @@
 
 
 def returned(reason, packet):
-    return frames.Return(reason, 0, 2000, (), packet.raw)
+    return frames.Return(reason, NO_POSITION, 2000, (), packet.raw)
 
 
 def test_flow_of_an_upstream_that_ended_is_reset_at_once(core, outbox):
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -16,6 +16,7 @@
 from ibispitch.routes.model import RouteTable
 from ibispitch.routes.model import ServiceLimits
 from ibispitch.routes.model import Share
+from ibispitch.routes.position import TablePosition
 
 FLOW = b'caller' + b'place1'
 COLD_LIMITS = ColdLimits(1.5, 5.0)
@@ -36,6 +37,10 @@
     return RouteIndex(msgspec.structs.replace(TABLE, **changes))
 
 
+def at(revision) -> TablePosition:
+    return TablePosition(0, revision)
+
+
 @pytest.fixture
 def gate():
     return Gate('counter', 'accra', 1.2, COLD_LIMITS)
@@ -44,17 +49,17 @@
 def test_unknown_upstream_gets_nothing(gate):
     """An unknown upstream must not get new flows."""
     assert gate.state(0.0) is AgentState.UNKNOWN
-    assert gate.admit(FLOW, index(), 10, 0.0) is Reason.CLOSED
+    assert gate.admit(FLOW, index(), at(10), 0.0) is Reason.CLOSED
 
 
 def test_draining_is_final_for_its_start(gate):
     """A late heartbeat must not let new flows into a draining upstream."""
     gate.receive_heartbeat(HEARTBEAT, 0.0)
-    assert gate.admit(FLOW, index(), 10, 0.1) is None
+    assert gate.admit(FLOW, index(), at(10), 0.1) is None
     draining = HEARTBEAT._replace(state=UpstreamState.DRAINING, sequence=3)
     gate.receive_heartbeat(draining, 0.2)
     assert not gate.receive_heartbeat(HEARTBEAT._replace(sequence=2), 0.3)
-    assert gate.admit(FLOW, index(), 10, 0.4) is Reason.CLOSED
+    assert gate.admit(FLOW, index(), at(10), 0.4) is Reason.CLOSED
 
 
 def test_heartbeat_of_a_dead_predecessor(gate):
@@ -92,9 +97,9 @@
     """A flow that only older routes allow must be refused."""
     gate.receive_heartbeat(HEARTBEAT, 0.0)
     other = b'caller' + b'place2'
-    assert gate.admit(other, index(), 10, 0.1) is Reason.NO_ROUTE
+    assert gate.admit(other, index(), at(10), 0.1) is Reason.NO_ROUTE
     # The routes of the balancer are newer than those of this agent.
-    assert gate.admit(other, index(), 11, 0.1) is None
+    assert gate.admit(other, index(), at(11), 0.1) is None
 
 
 def test_datacentre_out(gate):
@@ -102,7 +107,7 @@
     gate.receive_heartbeat(HEARTBEAT, 0.0)
     out = index(revision=11, out=frozenset({'accra'}))
     gate.set_routes(out, 0.0)
-    assert gate.admit(FLOW, out, 10, 0.1) is Reason.CLOSED
+    assert gate.admit(FLOW, out, at(10), 0.1) is Reason.CLOSED
     back = index(revision=12)
     gate.set_routes(back, 5.0)
     assert gate.cold_openings(back, 5.0) == 11
@@ -114,7 +119,7 @@
     """An upstream that may have restarted must not be overloaded."""
     gate.record_health_answer(0.0)
     assert gate.state(0.1) is AgentState.PRESUMED
-    reasons = [gate.admit(FLOW, index(), 10, 0.1) for _ in range(20)]
+    reasons = [gate.admit(FLOW, index(), at(10), 0.1) for _ in range(20)]
     assert reasons.count(None) == 11
     assert gate.state(4.0) is AgentState.UNKNOWN
 
@@ -124,7 +129,7 @@
     gate.receive_heartbeat(HEARTBEAT, 0.0)
     gate.close()
     assert gate.state(0.1) is AgentState.RESTARTING
-    assert gate.admit(FLOW, index(), 10, 0.1) is Reason.CLOSED
+    assert gate.admit(FLOW, index(), at(10), 0.1) is Reason.CLOSED
 
 
 @given(
@@ -144,7 +149,7 @@
         now += gap
         if gate.state(now) is AgentState.SILENT:
             break
-        if gate.admit(FLOW, routes, 10, now) is None:
+        if gate.admit(FLOW, routes, at(10), now) is None:
             admitted.append(now)
     bound = per_s * 1.5 + slack
     for start in admitted:
--- a/tests/platform/test_store_calls.py
+++ b/tests/platform/test_store_calls.py
@@ -127,3 +127,33 @@
     writer.close()
     server.close()
     assert len(errors) == 1
+
+
+async def test_era(server, client):
+    """Guards against a return of the store from a copy that is missed."""
+    copy = server.store.copy()
+    first = (await client.list('op/')).era
+    revision = server.store.write('op/config', b'x')
+    server.store.restore(copy)
+    listing = await client.list('op/')
+    assert listing.era == first + 1
+    assert listing.revision < revision
+    with pytest.raises(StoreCallError) as caught:
+        await client.watch('op/', revision, 0.1)
+    assert caught.value.status == 410
+
+
+@pytest.mark.parametrize('header', [(), (('Store-Era', 'x-1'),)])
+async def test_answers_without_an_era(header):
+    """Guards against a store without eras that cannot be used."""
+
+    async def answer(_request):
+        body = b'{"items": [], "has_more": false, "current_rev": 7}'
+        return Response(200, body, headers=header)
+
+    other = Address('127.0.31.1', 18170)
+    running = await serve(other, answer, print)
+    client = MetadataStore(other)
+    assert (await client.list('op/')).era == 0
+    client.close()
+    running.close()
--- a/tests/routes/test_routes_core.py
+++ b/tests/routes/test_routes_core.py
@@ -8,6 +8,7 @@
 from ibispitch.routes.model import decode_table
 from ibispitch.routes.model import encode_table
 from ibispitch.routes.model import RouteTable
+from ibispitch.routes.position import TablePosition
 from ibispitch.routes.source import DatacentreChange
 from ibispitch.routes.source import RoutesChange
 
@@ -35,24 +36,43 @@
 def test_older_tables_are_ignored():
     """Guards against stale tables from the store and from peers."""
     core = RoutesCore()
-    assert core.replace_if_newer(table(10, 2))
-    assert not core.replace_if_newer(table(9, 3))
-    assert not core.replace_if_newer(table(11, 1))
+    assert core.merge(table(10, 2, ['accra']), 0.0)
+    assert not core.merge(table(9, 2), 0.0)
+    assert not core.merge(table(9, 1, ['tema']), 0.0)
+    assert core.position == (0, 10)
     assert core.index.table.version == 2
+    assert core.index.all_out == {'accra'}
+
+
+def test_versions_never_fall():
+    """Guards against an accepted edit that is reverted.
+
+    A process may carry a version over a return of the store from a copy, so
+    that an earlier position can have the later version.
+    """
+    core = RoutesCore()
+    assert core.merge(table(10, 2, ['accra']), 0.0)
+    assert not core.merge(table(11, 1, ['accra']), 0.0)
+    assert core.position == (0, 11)
+    assert core.version == 2
+    assert core.merge(table(9, 3), 0.0)
+    assert core.position == (0, 11)
+    assert core.version == 3
+    assert core.index.all_out == {'accra'}
 
 
 def test_same_content_with_a_later_revision():
     """Guards against endless transfers of equal tables."""
     core = RoutesCore()
-    core.replace_if_newer(table(10, 2))
-    assert not core.replace_if_newer(table(12, 2))
-    assert core.revision == 12
+    core.merge(table(10, 2), 0.0)
+    assert not core.merge(table(12, 2), 0.0)
+    assert core.position == (0, 12)
 
 
 def test_changes_that_are_included_already():
     """Guards against old changes from a watch that lags behind a peer."""
     core = RoutesCore()
-    core.replace_if_newer(table(10, 2))
+    core.merge(table(10, 2), 0.0)
     assert not core.apply((DatacentreChange(9, 'accra', True),))
     assert core.apply((DatacentreChange(11, 'accra', True),))
     assert core.index.table.out == {'accra'}
@@ -61,11 +81,12 @@
 def test_confirmation_of_another_revision():
     """Guards against routes that count as confirmed by another revision."""
     core = RoutesCore()
-    core.replace_if_newer(table(10, 2))
-    core.record_confirmation(9, 5.0)
-    core.record_confirmation(11, 5.0)
+    core.merge(table(10, 2), 0.0)
+    core.record_confirmation(TablePosition(0, 9), 5.0)
+    core.record_confirmation(TablePosition(0, 11), 5.0)
+    core.record_confirmation(TablePosition(1, 10), 5.0)
     assert core.age_s(5.0) == float('inf')
-    core.record_confirmation(10, 4.0)
+    core.record_confirmation(TablePosition(0, 10), 4.0)
     assert core.age_s(5.0) == 1.0
 
 
@@ -87,11 +108,11 @@
             history.append(table(revision, last.version, out))
     core = RoutesCore()
     position = 0
-    core.replace_if_newer(history[0])
+    core.merge(history[0], 0.0)
     for _ in range(20):
         before = core.index.table
         if data.draw(st.booleans()):
-            core.replace_if_newer(data.draw(st.sampled_from(history)))
+            core.merge(data.draw(st.sampled_from(history)), 0.0)
         else:
             end = data.draw(st.integers(position, len(changes)))
             core.apply(tuple(changes[position:end]))
