Recover from a loss of power by what upstreams can take, not by old rates

Load pattern: all processes or all machines are gone for a second; callers repeat openings, give up and come again; cold upstreams take little for two seconds, then everything at once. Change: openings count as load for four times the usual time to their request; they end with the route's timeout; late ones wait for upstreams with short queues and leave cold ones to others if these need them; refusals compare the backlog with the share of the fleet's capacity, too; statuses age; a status places what waits.

--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -368,7 +368,7 @@
             ):
                 state.caller_next_sequence = end
                 if state.request_received_at is None:
-                    self.flows.count_request(packet.flow, state)
+                    self.flows.count_request(packet.flow, state, now)
                     self._record_request(state, packet, now)
                 state.request_received_at = now
                 self.flows.start_request(packet.flow, state)
--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -1,7 +1,6 @@
 """Decides what a balancer does with the packets of callers."""
 
 from collections import defaultdict
-import math
 import random
 import socket
 from typing import Any
@@ -10,12 +9,14 @@
 from ibispitch.decisionlog import DecisionLog
 from ibispitch.fleet.core import AgentView
 from ibispitch.fleet.core import Fleet
+from ibispitch.fleet.summary import ServiceSummaries
 from ibispitch.forwarding import frames
 from ibispitch.forwarding.frames import MAX_TRIED
 from ibispitch.forwarding.frames import Purpose
 from ibispitch.forwarding.frames import Question
 from ibispitch.forwarding.frames import Reason
 from ibispitch.forwarding.packets import Destination
+from ibispitch.forwarding.packets import destination_of
 from ibispitch.forwarding.packets import FlowKey
 from ibispitch.forwarding.packets import Packet
 from ibispitch.forwarding.packets import PacketCodec
@@ -35,6 +36,7 @@
 from ibispitch.routes.position import NO_POSITION
 from ibispitch.routes.position import TablePosition
 from ibispitch.waiting.core import ATTEMPT_TIMEOUT_S
+from ibispitch.waiting.core import Capacity
 from ibispitch.waiting.core import first_copy_sent_at
 from ibispitch.waiting.core import Opening
 from ibispitch.waiting.core import OpeningQueue
@@ -121,11 +123,13 @@
         self._table = FlowTable()
         self._locator = Locator(fleet, datacentre)
         self._queue = OpeningQueue()
+        self._summaries = ServiceSummaries(fleet)
         self.routes: RouteIndex | None = None
 
     def set_routes(self, routes: RouteIndex) -> None:
         """Use these routes for new flows; open flows keep their upstream."""
         self.routes = routes
+        self._summaries.clear()
 
     def receive(self, packet: Packet, now: float) -> None:
         """Handle a packet from a caller."""
@@ -155,6 +159,7 @@
         reason = returned.reason
         if packet.is_opening:
             tried = (*returned.tried, ip_number(ip))
+            self._table.record_return(packet.flow, ip)
             self._log.decision(
                 'flow.handed_back', packet.flow, now,
                 agent=ip, reason=reason.name,
@@ -200,6 +205,11 @@
         if self.routes is not None:
             self._table.expire(self.routes.table.idle_timeout_s, now)
 
+    def place_waiting(self, now: float) -> None:
+        """Place waiting openings, because the state of agents has changed."""
+        if self._queue:
+            self._place_waiting(now)
+
     @property
     def flow_count(self) -> int:
         """Number of flows whose owner is remembered."""
@@ -225,18 +235,20 @@
             return
         view = None
         owner = self._table.get(flow)
-        if owner is not None and packet.acknowledged and not tried:
+        is_copy = packet.acknowledged and not tried
+        if owner is not None and is_copy and not owner.is_returned:
             view = self._view_for_copy(owner, packet, now)
+        opening = self._queue.get(flow) or self._make_opening(packet, now)
         if view is None:
-            view = self._choose_agent(route, flow, tried, now)
-        if view is not None and self._should_defer(view, packet, now):
+            view = self._choose_agent(route, flow, tried, opening, now)
+        if view is not None and self._should_defer(view, opening, now):
             view = None
         if view is None:
             self._enqueue(packet, now)
             return
         status = view.status
-        opening = self._queue.remove_placed(flow, now)
-        waited_s = now - opening.sent_at if opening else 0.0
+        waited = self._queue.remove_placed(flow, now)
+        waited_s = now - waited.sent_at if waited else 0.0
         self._histograms.record(
             Series('opening_wait', status.service, route.kind), waited_s
         )
@@ -300,7 +312,12 @@
         return former.is_only_recipient and is_handed_back
 
     def _choose_agent(
-        self, route: Route, flow: FlowKey, tried: tuple[int, ...], now: float
+        self,
+        route: Route,
+        flow: FlowKey,
+        tried: tuple[int, ...],
+        opening: Opening,
+        now: float,
     ) -> AgentView | None:
         views = (
             view
@@ -311,7 +328,10 @@
         is_long = self._fleet.has_long_flows(Destination(route.destination))
         if is_long is None:
             is_long = kind_named(route.kind).expects_long_flows
-        return choose_agent(views, route, self._datacentre, is_long, self._rng)
+        return choose_agent(
+            views, route, self._datacentre, is_long, opening.is_late(now),
+            self._rng,
+        )  # fmt: skip
 
     def _can_take_openings(self, view: AgentView, now: float) -> bool:
         status = view.status
@@ -323,7 +343,7 @@
         )
 
     def _should_defer(
-        self, view: AgentView, packet: Packet, now: float
+        self, view: AgentView, opening: Opening, now: float
     ) -> bool:
         """Return whether an opening should wait so that others go first.
 
@@ -332,19 +352,10 @@
         """
         if view.status.cold_openings is None:
             return False
-        opening = self._queue.get(packet.flow) or self._make_opening(
-            packet, now
-        )
-        cold_openings = sum(
-            max(
-                0, (other.status.cold_openings or 0) - other.flows_since_status
-            )
-            for other in self._fleet.agents_of(opening.service)
-        )
+        summary = self._summaries.get(opening.service, now)
         balancers = 1 + len(self._fleet.heard_balancers(now))
-        warm_in_s = self._warm_in_s(opening.service)
         return self._queue.should_defer(
-            opening, cold_openings / balancers, warm_in_s, now
+            opening, summary.cold_openings / balancers, summary.warm_in_s, now
         )
 
     def _make_opening(self, packet: Packet, now: float) -> Opening:
@@ -354,14 +365,14 @@
             service,
             self._route_of(packet.flow),
             first_copy_sent_at(packet, now),
-            self._mean_work_s(service),
+            self._summaries.get(service, now).work_s,
         )
 
     def _enqueue(self, packet: Packet, now: float) -> None:
         """Queue an opening, or refuse it if it cannot be served in time."""
         opening = self._make_opening(packet, now)
-        warm_in_s = self._warm_in_s(opening.service)
-        if not self._queue.add(opening, warm_in_s, now):
+        capacity = self._capacity_of(opening.service, now)
+        if not self._queue.add(opening, capacity, now):
             self._refuse(opening, now)
 
     def _refuse(self, opening: Opening, now: float) -> None:
@@ -371,39 +382,34 @@
             waiting=len(self._queue),
         )  # fmt: skip
 
-    def _mean_work_s(self, service: ServiceName | None) -> float:
-        """Return the mean request time, 0 if no agent has measured it."""
-        known = [
-            view.status.work_s
-            for view in self._fleet.agents_of(service)
-            if view.status.work_s > 0.0
-        ]
-        return sum(known) / len(known) if known else 0.0
-
-    def _warm_in_s(self, service: ServiceName | None) -> float:
-        """Return the time until the first cold upstream is warm.
-
-        :returns: infinity if no upstream of the service is cold.
-        """
-        return min(
-            (
-                view.status.cold_left_s
-                for view in self._fleet.agents_of(service)
-                if view.status.cold_left_s > 0.0
-            ),
-            default=math.inf,
-        )
+    def _capacity_of(
+        self, service: ServiceName | None, now: float
+    ) -> Capacity:
+        """Return what the upstreams of a service can take from here."""
+        summary = self._summaries.get(service, now)
+        balancers = 1 + len(self._fleet.heard_balancers(now))
+        return Capacity(summary.warm_in_s, summary.requests_per_s / balancers)
 
     def _place_waiting(self, now: float) -> None:
-        for opening in self._queue.remove_unservable(self._warm_in_s, now):
+        for opening in self._queue.remove_unservable(
+            lambda service: self._capacity_of(service, now), now
+        ):
             self._refuse(opening, now)
         for opening in self._queue.remove_expired(now):
             self._log.failure(
                 'flow.not_placed', opening.packet.flow, now,
                 waited_ms=round(1000 * (now - opening.sent_at)),
             )  # fmt: skip
+        # If no upstream can take one opening of a route, the following ones
+        # of this route wait as well.
+        full_destinations: set[Destination] = set()
         for opening in self._queue.by_precedence(now):
-            self._handle_opening(opening.packet, (), now)
+            flow = opening.packet.flow
+            destination = destination_of(flow)
+            if destination not in full_destinations:
+                self._handle_opening(opening.packet, (), now)
+                if flow in self._queue:
+                    full_destinations.add(destination)
 
     def _route_of(self, flow: FlowKey) -> Route | None:
         return self.routes.route_of(flow) if self.routes else None
--- a/ibispitch/forwarding/flows.py
+++ b/ibispitch/forwarding/flows.py
@@ -8,10 +8,19 @@
 from ibispitch.routes.kinds import kind_named
 from ibispitch.routes.model import RouteIndex
 
-#: Time for which an opening counts as load without a request: the round trip
-#: to the caller and one lost packet (200 ms). A caller that has given up
-#: sends no request.
-REQUEST_WAIT_S = 0.25
+#: Time for which an opening counts as load without a request, at least and at
+#: most. The longest is the round trip to the caller and one lost packet
+#: (200 ms). A caller that has given up sends no request: after a mass kill one
+#: opening in ten comes from such a caller, and each would hold a slot.
+MIN_REQUEST_WAIT_S = 0.025
+MAX_REQUEST_WAIT_S = 0.25
+#: The same before any request was received.
+INITIAL_REQUEST_WAIT_S = 0.06
+#: Multiple of the usual time from an opening to its request for which the
+#: opening counts as load.
+REQUEST_WAIT_FACTOR = 4.0
+#: Weight of a new measurement in the usual time.
+REQUEST_WAIT_WEIGHT = 0.1
 #: Time for which a request without an answer counts as load. It applies to
 #: all routes, even if they say how long the caller waits.
 MAX_REQUEST_S = 10.0
@@ -116,6 +125,8 @@
         #: Flows that count as load because a request is expected, with the
         #: time at which they stop counting.
         self._expected: dict[FlowKey, float] = {}
+        self._usual_request_delay_s: float | None = None
+        self._request_wait_s = INITIAL_REQUEST_WAIT_S
         #: Requests that run, wait or are expected at the upstream.
         self.running = 0
         #: Open flows on which further requests may arrive.
@@ -177,20 +188,36 @@
         """Count an opening as load until its request should have arrived."""
         if not state.is_running:
             self._set_running(state, True)
-            self._expected[flow] = now + REQUEST_WAIT_S
+            self._expected[flow] = now + self._request_wait_s
 
     def start_request(self, flow: FlowKey, state: FlowState) -> None:
         """Record that data of a request has arrived."""
         self._expected.pop(flow, None)
         self._set_running(state, True)
 
-    def count_request(self, flow: FlowKey, state: FlowState) -> None:
+    def _record_request_delay(self, delay_s: float) -> None:
+        """Update the time for which openings count as load."""
+        usual_s = self._usual_request_delay_s
+        if usual_s is None:
+            usual_s = delay_s
+        usual_s += REQUEST_WAIT_WEIGHT * (delay_s - usual_s)
+        self._usual_request_delay_s = usual_s
+        self._request_wait_s = min(
+            MAX_REQUEST_WAIT_S,
+            max(MIN_REQUEST_WAIT_S, REQUEST_WAIT_FACTOR * usual_s),
+        )
+
+    def count_request(
+        self, flow: FlowKey, state: FlowState, now: float
+    ) -> None:
         """Count a request that begins on a flow.
 
         The second one shows that the flow is long.
         """
         state.requests += 1
-        if state.requests == 2:
+        if state.requests == 1 and state.first_sequence is not None:
+            self._record_request_delay(now - state.opened_at)
+        elif state.requests == 2:
             self.reuse.record_flow(destination_of(flow), is_reused=True)
             if not state.is_long:
                 state.is_long = True
--- a/ibispitch/locating/table.py
+++ b/ibispitch/locating/table.py
@@ -19,12 +19,15 @@
         forwarded.
     :param is_only_recipient: whether no other upstream can have received the
         opening.
+    :param is_returned: whether the agent handed the opening back, so that a
+        copy of it need not go there.
     """
 
     ip: str
     incarnation: int
     placed_at: float
     is_only_recipient: bool = True
+    is_returned: bool = False
 
 
 class FlowTable:
@@ -60,6 +63,12 @@
         if len(self._young) > self._max_young:
             self._change_generations()
 
+    def record_return(self, flow: FlowKey, ip: str) -> None:
+        """Record that an agent handed the opening of a flow back."""
+        owner = self.get(flow)
+        if owner is not None and owner.ip == ip:
+            self._young[flow] = owner._replace(is_returned=True)
+
     def pop(self, flow: FlowKey) -> None:
         """Forget a flow."""
         self._young.pop(flow, None)
--- a/ibispitch/placement/core.py
+++ b/ibispitch/placement/core.py
@@ -42,6 +42,9 @@
 #: upstream's queue. Beyond that it waits at the balancer, which can reorder
 #: its queue.
 MAX_QUEUE_SHARE = 0.35
+#: The same for a request that is late already: it must not make requests late
+#: that arrive after it.
+MAX_LATE_QUEUE_SHARE = 0.2
 #: The same limit at the agent, which sees the flows of all balancers. It is
 #: larger, so that an opening is handed back only if several balancers have
 #: acted on the same status at the same time.
@@ -69,6 +72,7 @@
     route: Route,
     datacentre: DatacentreName,
     is_long: bool,
+    is_late: bool,
     rng: random.Random,
 ) -> AgentView | None:
     """Return the agent for a new flow.
@@ -77,14 +81,19 @@
     :param route: route of the flow.
     :param datacentre: the data centre of this balancer.
     :param is_long: whether the flow is expected to carry several requests.
+    :param is_late: whether the flow's request misses its latency objective
+        anyway. Then it gets no place in a queue that would delay others.
     :param rng: breaks ties.
     :returns: ``None`` if no upstream can start a request soon. The opening
         should then wait at the balancer, where more urgent ones go first.
     """
+    queue_share = MAX_LATE_QUEUE_SHARE if is_late else MAX_QUEUE_SHARE
+    max_delay_s = queue_share * route.objective_s
     views = [
         view
         for view in views
-        if _can_take_opening(view) and _can_start_soon(view, route)
+        if _can_take_opening(view)
+        and _start_delay_s(view, route) <= max_delay_s
     ]
     if not views:
         return None
@@ -162,13 +171,12 @@
     return work_s or ESTIMATED_WORK_SHARE * objective_s
 
 
-def _can_start_soon(view: AgentView, route: Route) -> bool:
+def _start_delay_s(view: AgentView, route: Route) -> float:
     status = view.status
     work_s = estimated_work_s(status.work_s, route.objective_s)
-    delay_s = queue_delay_s(
+    return queue_delay_s(
         status.running + view.flows_since_status, status.slots, work_s
     )
-    return delay_s <= MAX_QUEUE_SHARE * route.objective_s
 
 
 def _long_flows(view: AgentView) -> int:
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -47,6 +47,9 @@
 #: Maximum number of balancers and of agents that a status lists, so that it
 #: fits into a datagram.
 MAX_LISTED_PROCESSES = 128
+#: Delay of the placement of waiting openings after a status of an agent, so
+#: that the statuses of several agents cost one placement.
+PLACEMENT_DELAY_S = 0.003
 #: Time until a host that is not ready is out of rotation: the platform checks
 #: readiness twice a second and removes a host after two failed checks. A
 #: stopping balancer waits for this.
@@ -67,6 +70,7 @@
         self._last_packet_at = 0.0
         self._answer_count = 0
         self._round_count = 0
+        self._placement: asyncio.TimerHandle | None = None
         self._random = node.transport.rng()
         #: Whether the process is about to exit. Before that other processes
         #: still send messages to it.
@@ -168,6 +172,7 @@
         node = self._node
         now = node.clock()
         if isinstance(status, AgentStatus):
+            self._schedule_placement()
             self._checkpoints.record_process(ip, status.started_ms)
             former = node.fleet.record_agent_status(ip, status, now)
             is_new = former is None or former.started_ms != status.started_ms
@@ -199,6 +204,17 @@
             lists_fleet = is_new or is_turn or node.fleet.is_changing(now)
             self._send_status([ip], lists_fleet=lists_fleet)
 
+    def _schedule_placement(self) -> None:
+        """Place waiting openings soon, because an agent's state arrived."""
+        if self._core.waiting_count and self._placement is None:
+            self._placement = asyncio.get_running_loop().call_later(
+                PLACEMENT_DELAY_S, self._place_waiting
+            )
+
+    def _place_waiting(self) -> None:
+        self._placement = None
+        self._core.place_waiting(self._node.clock())
+
     def _on_routes(self, is_from_store: bool) -> None:
         self._core.set_routes(self._node.routes.index)
         if is_from_store:
--- a/ibispitch/waiting/core.py
+++ b/ibispitch/waiting/core.py
@@ -56,6 +56,17 @@
     sent_at: float
     work_s: float = 0.0
 
+    def time_left_s(self, now: float) -> float:
+        """Return the time in which an upstream can still get the opening.
+
+        The caller gives up the opening, or the request if it cannot be
+        answered before the timeout of the route.
+        """
+        limit_s = ATTEMPT_TIMEOUT_S
+        if self.route is not None:
+            limit_s = min(limit_s, self.route.timeout_s - self.work_s)
+        return limit_s - (now - self.sent_at)
+
     def is_late(self, now: float) -> bool:
         """Return whether the latency objective can no longer be met."""
         if self.route is None:
@@ -79,6 +90,19 @@
     return now - COPY_AFTER_S[copies]
 
 
+class Capacity(NamedTuple):
+    """What the upstreams of a service can take.
+
+    :param warm_in_s: time until the first upstream is warm and can take more;
+        infinite if one is warm already or none becomes warm.
+    :param openings_per_s: this balancer's share of the openings that warm
+        upstreams can take, 0 if it is not known.
+    """
+
+    warm_in_s: float
+    openings_per_s: float
+
+
 class _ServiceRates:
     """Counts the waiting openings of a service and measures its rates."""
 
@@ -100,18 +124,26 @@
             self.counting_since = now
             self.placed.clear()
 
-    def rate(self, now: float) -> float | None:
-        """Return the placements per second, ``None`` if not yet known."""
+    def rate(self, capacity: Capacity, now: float) -> float | None:
+        """Return the expected placements per second.
+
+        It is the measured rate, or the balancer's share of what upstreams can
+        take: after an outage, balancers compete for the same upstreams, and
+        one may get nothing for a moment.
+
+        :returns: ``None`` if the rate is not yet known.
+        """
         if now - self.counting_since < RATE_WINDOW_S:
             return None
-        return _per_second(self.placed, now) or None
+        measured = _per_second(self.placed, now)
+        return max(measured, capacity.openings_per_s) or None
 
-    def spare_rate(self, now: float) -> float | None:
+    def spare_rate(self, capacity: Capacity, now: float) -> float | None:
         """Return by how much placements per second exceed arrivals.
 
         :returns: ``None`` if the rate of placements is not yet known.
         """
-        rate = self.rate(now)
+        rate = self.rate(capacity, now)
         if rate is None:
             return None
         return rate - self.arrivals_per_s(now)
@@ -140,12 +172,11 @@
     def __contains__(self, flow: FlowKey) -> bool:
         return flow in self._opening_by_flow
 
-    def add(self, opening: Opening, warm_in_s: float, now: float) -> bool:
+    def add(self, opening: Opening, capacity: Capacity, now: float) -> bool:
         """Add an opening.
 
         :param opening: the opening, or a later copy of it.
-        :param warm_in_s: time until the first cold upstream of the service is
-            warm and can take more, infinite if none is cold.
+        :param capacity: what the upstreams of its service can take.
         :param now: time in seconds.
         :returns: whether the opening waits now; ``False`` if the queue is
             full or the opening cannot be served within the caller's attempt.
@@ -160,12 +191,12 @@
             rates = self._rates_by_service[opening.service] = _ServiceRates(
                 now
             )
-        rates.record_warming(warm_in_s, now)
+        rates.record_warming(capacity.warm_in_s, now)
         if earlier_copy is None:
             rates.arrived.append(now)
         if earlier_copy is None and (
             len(self) >= MAX_WAITING
-            or not self._is_servable(opening, rates, warm_in_s, now)
+            or not self._is_servable(opening, rates, capacity, now)
         ):
             self._drop_idle_service(opening.service)
             return False
@@ -177,12 +208,12 @@
         self,
         opening: Opening,
         rates: _ServiceRates,
-        warm_in_s: float,
+        capacity: Capacity,
         now: float,
     ) -> bool:
-        rate = rates.rate(now)
-        left_s = ATTEMPT_TIMEOUT_S - (now - opening.sent_at)
-        if rate is None or warm_in_s < left_s:
+        rate = rates.rate(capacity, now)
+        left_s = opening.time_left_s(now)
+        if rate is None or capacity.warm_in_s < left_s:
             return True
         openings_ahead = sum(
             other.service == opening.service
@@ -229,20 +260,19 @@
         warm_in_s: float,
         now: float,
     ) -> bool:
-        """Return whether a late opening should wait until upstreams are warm.
+        """Return whether a late opening should leave cold upstreams to others.
 
         It should if openings that can still be in time are expected to need
-        all new flows that the cold upstreams may take until then.
+        all new flows that the cold upstreams may take until they are warm.
 
         :param opening: an opening.
         :param cold_openings: this balancer's share of the new flows that cold
             upstreams may take now.
-        :param warm_in_s: see :meth:`add`.
+        :param warm_in_s: see :class:`Capacity`.
         :param now: time in seconds.
         """
-        left_s = ATTEMPT_TIMEOUT_S - (now - opening.sent_at)
         rates = self._rates_by_service.get(opening.service)
-        if rates is None or warm_in_s >= left_s or not opening.is_late(now):
+        if rates is None or not opening.is_late(now):
             return False
         expected = rates.arrivals_per_s(now) * min(warm_in_s, COLD_WINDOW_S)
         return expected >= cold_openings
@@ -255,21 +285,21 @@
         removed = [
             opening
             for opening in self._opening_by_flow.values()
-            if now - opening.sent_at > ATTEMPT_TIMEOUT_S
+            if opening.time_left_s(now) < 0.0
         ]
         for opening in removed:
             self.remove(opening.packet.flow)
         return removed
 
     def remove_unservable(
-        self, warm_in_s: Callable[[ServiceName | None], float], now: float
+        self, capacity_of: Callable[[ServiceName | None], Capacity], now: float
     ) -> list[Opening]:
         """Remove late openings that can no longer be served.
 
         Openings that are in time go first, so late ones are served only
         while more openings are placed than arrive.
 
-        :param warm_in_s: returns the time of :meth:`add` for a service.
+        :param capacity_of: returns what the upstreams of a service can take.
         :param now: time in seconds.
         :returns: the removed openings, to be refused.
         """
@@ -280,14 +310,14 @@
             key=lambda o: o.service,
         ):
             rates = self._rates_by_service[service]
-            time_to_warm_s = warm_in_s(service)
-            rates.record_warming(time_to_warm_s, now)
-            spare = rates.spare_rate(now)
+            capacity = capacity_of(service)
+            rates.record_warming(capacity.warm_in_s, now)
+            spare = rates.spare_rate(capacity, now)
             if spare is None:
                 continue
             for position, opening in enumerate(openings, 1):
-                left_s = ATTEMPT_TIMEOUT_S - (now - opening.sent_at)
-                if time_to_warm_s >= left_s and position > spare * left_s:
+                left_s = opening.time_left_s(now)
+                if capacity.warm_in_s >= left_s and position > spare * left_s:
                     removed.append(opening)
         for opening in removed:
             self.remove(opening.packet.flow)
