Keep flows in a data centre with room; start large fleets without storms

Load pattern: hundreds of processes start at the same moment, at first or after a loss of power; a third of the slots of each data centre is in use. Long flows went to any data centre with less loaded upstreams. Change: only unknown agents are asked, with short statuses, again after 0.1 s at the earliest; full statuses are limited to 24 a round; at the first start all but the seeds wait for the routes of others; routes from a peer are confirmed by its status. Flows stay near while the sound upstreams there have at most 0.6 requests per slot.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -33,6 +33,9 @@
 #: Status intervals of an agent without a status after which it is asked for
 #: one, so that it is asked several times before it counts as lost.
 ASK_INTERVALS = 1.5
+#: Time after which an unknown agent is asked again: its answer takes some
+#: milliseconds, and a lost one costs this time.
+ASK_AGAIN_S = 0.1
 #: Time for which a mention of a process in a status of another one is valid,
 #: and for which a new balancer may be unknown to some processes.
 MENTION_VALID_S = SUSPECT_INTERVALS * STATUS_INTERVAL_S * FAR_ROUNDS
@@ -125,6 +128,8 @@
         #: Agents that balancers list but that have sent no status, with the
         #: time of the last mention.
         self._unheard_agents: dict[str, float] = {}
+        #: Time at which unknown agents were asked for their status.
+        self._asked_at_by_agent: dict[str, float] = {}
         self._added_balancers: list[str] = []
         #: Whether flows of a destination carry several requests, as the last
         #: agent with flows of this destination reported.
@@ -145,6 +150,7 @@
             status itself if it is older than the last one and was ignored.
         """
         self._unheard_agents.pop(ip, None)
+        self._asked_at_by_agent.pop(ip, None)
         self._record_reuse(status)
         view = self.agents_by_ip.get(ip)
         if view is None:
@@ -227,6 +233,22 @@
         added, self._added_balancers = self._added_balancers, []
         return added[:MAX_ADDRESSED_AT_ONCE]
 
+    def unknown_agents(self, listed: Iterable[str], now: float) -> list[str]:
+        """Return agents to be asked for their status.
+
+        :param listed: agents that another balancer knows.
+        :returns: those that have sent no status here and were not asked
+            within :data:`ASK_AGAIN_S`.
+        """
+        unknown = [
+            ip
+            for ip in listed
+            if ip not in self.agents_by_ip
+            and now - self._asked_at_by_agent.get(ip, -math.inf) >= ASK_AGAIN_S
+        ]
+        self._asked_at_by_agent.update(dict.fromkeys(unknown, now))
+        return unknown
+
     def has_unheard_agents(self, now: float) -> bool:
         """Return whether others list agents that have sent no status here.
 
@@ -403,6 +425,11 @@
             for view in self.balancers_by_ip.values()
             if now - view.known_at > self._forget_after_s(view)
         ]
+        self._asked_at_by_agent = {
+            ip: at
+            for ip, at in self._asked_at_by_agent.items()
+            if now - at < MENTION_VALID_S
+        }
         for view in silent:
             if isinstance(view, AgentView):
                 del self.agents_by_ip[view.ip]
--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -244,7 +244,7 @@
         if view is not None and self._should_defer(view, opening, now):
             view = None
         if view is None:
-            self._enqueue(packet, now)
+            self._enqueue(packet, now, is_returned=bool(tried))
             return
         status = view.status
         waited = self._queue.remove_placed(flow, now)
@@ -368,11 +368,13 @@
             self._summaries.get(service, now).work_s,
         )
 
-    def _enqueue(self, packet: Packet, now: float) -> None:
+    def _enqueue(
+        self, packet: Packet, now: float, is_returned: bool = False
+    ) -> None:
         """Queue an opening, or refuse it if it cannot be served in time."""
         opening = self._make_opening(packet, now)
         capacity = self._capacity_of(opening.service, now)
-        if not self._queue.add(opening, capacity, now):
+        if not self._queue.add(opening, capacity, now, is_returned):
             self._refuse(opening, now)
 
     def _refuse(self, opening: Opening, now: float) -> None:
--- a/ibispitch/placement/core.py
+++ b/ibispitch/placement/core.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Iterable
+import math
 import random
 from typing import NamedTuple
 
@@ -32,6 +33,11 @@
 #: Load that is added to an upstream in the state ``PRESUMED``. An upstream
 #: that is known to be ready goes first unless all its slots are busy.
 PRESUMED_LOAD = 1.0
+#: Largest load of the sound upstreams of a data centre, in requests per slot,
+#: at which its callers stay there. Above it, queues grow.
+MAX_NEAR_LOAD = 0.6
+#: Largest share of failed requests at which an upstream counts as sound.
+MAX_SOUND_FAILING = 0.05
 #: Largest ratio of an upstream's mean request time to the usual one at which
 #: it does not count as slow: means of about ten requests vary by that much.
 MAX_USUAL_SLOWNESS = 1.5
@@ -95,6 +101,7 @@
         if _can_take_opening(view)
         and _start_delay_s(view, route) <= max_delay_s
     ]
+    views = _near_views(views, datacentre) or views
     if not views:
         return None
     slots = sum(max(1, view.status.slots) for view in views)
@@ -171,6 +178,37 @@
     return work_s or ESTIMATED_WORK_SHARE * objective_s
 
 
+def _near_views(
+    views: list[AgentView], datacentre: DatacentreName
+) -> list[AgentView]:
+    """Return the upstreams of a data centre if their load is moderate.
+
+    A long flow stays where it was opened. If it went to another data centre
+    whenever an upstream there had a little less load, most flows of a large
+    fleet would cross.
+    """
+    usual_s = _usual_work_s(views)
+    near = [
+        view
+        for view in views
+        if view.status.datacentre == datacentre and _is_sound(view, usual_s)
+    ]
+    running = sum(v.status.running + v.flows_since_status for v in near)
+    slots = sum(max(1, view.status.slots) for view in near)
+    return near if running <= MAX_NEAR_LOAD * slots else []
+
+
+def _is_sound(view: AgentView, usual_s: float) -> bool:
+    """Return whether an upstream is ready, warm, fast and fails little."""
+    status = view.status
+    return (
+        status.state is AgentState.READY
+        and status.cold_openings is None
+        and status.failing <= MAX_SOUND_FAILING
+        and status.work_s <= MAX_USUAL_SLOWNESS * (usual_s or math.inf)
+    )
+
+
 def _start_delay_s(view: AgentView, route: Route) -> float:
     status = view.status
     work_s = estimated_work_s(status.work_s, route.objective_s)
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -44,6 +44,10 @@
 #: While nothing changes, one in sixteen answers to known processes is a full
 #: status.
 FULL_STATUS_ANSWERS = 16
+#: Maximum number of full statuses that a balancer sends between two rounds to
+#: new processes and in answers. Each is up to 1 kB, and at the start of a
+#: large fleet all processes are new to each other.
+MAX_FULL_STATUSES = 24
 #: Maximum number of balancers and of agents that a status lists, so that it
 #: fits into a datagram.
 MAX_LISTED_PROCESSES = 128
@@ -70,6 +74,7 @@
         self._last_packet_at = 0.0
         self._answer_count = 0
         self._round_count = 0
+        self._full_statuses_left = MAX_FULL_STATUSES
         self._placement: asyncio.TimerHandle | None = None
         self._random = node.transport.rng()
         #: Whether the process is about to exit. Before that other processes
@@ -185,14 +190,17 @@
             is_new = node.fleet.record_balancer_status(ip, status, now)
             if is_new:
                 node.log.change('fleet.balancer', now, balancer=ip)
-                # Its answer lists the processes that it knows.
-                self._send_status([ip], wants_answer=True)
-            new_agents = [
-                agent
-                for agent in unpack_ips(status.agents)
-                if is_new or agent not in node.fleet.agents_by_ip
-            ]
-            self._send_status(new_agents, wants_answer=True)
+                # Its answer lists the processes that it knows. A few lists
+                # are enough, and hundreds of balancers may start together.
+                lists_fleet = self._full_statuses_left > 0
+                self._full_statuses_left -= lists_fleet
+                self._send_status(
+                    [ip], wants_answer=True, lists_fleet=lists_fleet
+                )
+            self._send_status(
+                node.fleet.unknown_agents(unpack_ips(status.agents), now),
+                wants_answer=True, lists_fleet=False,
+            )  # fmt: skip
             self._send_status(
                 node.fleet.take_added_balancers(), wants_answer=True,
                 lists_fleet=False,
@@ -201,7 +209,9 @@
         if status.wants_answer:
             self._answer_count += 1
             is_turn = self._answer_count % FULL_STATUS_ANSWERS == 0
-            lists_fleet = is_new or is_turn or node.fleet.is_changing(now)
+            is_due = is_new or node.fleet.is_changing(now)
+            lists_fleet = is_turn or (is_due and self._full_statuses_left > 0)
+            self._full_statuses_left -= lists_fleet
             self._send_status([ip], lists_fleet=lists_fleet)
 
     def _schedule_placement(self) -> None:
@@ -275,6 +285,7 @@
         self._checkpoints.expire(node.clock())
         known = [*receivers.near, *receivers.far]
         self._round_count += 1
+        self._full_statuses_left = MAX_FULL_STATUSES
         if node.fleet.is_changing(node.clock()):
             full_receivers = node.choose_to_ask(known, FULL_STATUSES_PER_ROUND)
         elif self._round_count % FULL_STATUS_ROUNDS == 0:
@@ -323,6 +334,8 @@
         return node.clock() - self._started_at > READY_WITHOUT_AGENTS_S
 
     def _is_reader(self) -> bool:
+        if not self._node.may_read_first():
+            return False
         settings = self._node.settings
         heard = self._node.fleet.heard_balancers(self._node.clock())
         return is_reader(
--- a/ibispitch/platform/node.py
+++ b/ibispitch/platform/node.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from itertools import islice
+import math
 import signal
 import sys
 
@@ -58,6 +59,10 @@
 #: balancer has a recent status. The platform corrects stale seeds within 3 s.
 RELOAD_INTERVAL_S = 5.0
 ALONE_RELOAD_INTERVAL_S = 1.0
+#: Time for which a process of a fleet that starts for the first time waits for
+#: the routes of other processes before it reads the store. Traffic starts 12 s
+#: after the hosts, and hundreds of processes would read at the same time.
+FIRST_START_WAIT_S = 3.0
 #: Maximum number of route tables that are fetched at the same time.
 MAX_FETCHES = 2
 #: Status messages begin with a byte of at least this value, frames with a
@@ -90,6 +95,7 @@
         self._store_era = 0
         self.histograms = LatencyHistograms()
         self.started_ms = transport.unix_ms()
+        self.started_at = transport.clock()
         self.is_stopping = asyncio.Event()
         self._loop = asyncio.get_running_loop()
         self._load_settings = load
@@ -314,8 +320,8 @@
 
         :param status: status of the balancer.
         """
-        self.fetch_if_newer(ip, status.position, status.version)
         confirmed_at = self.clock() - status.age_s
+        self.fetch_if_newer(ip, status.position, status.version, confirmed_at)
         if self.routes.record_confirmation(status.position, confirmed_at):
             self._on_routes_changed(is_from_store=False)
 
@@ -383,9 +389,26 @@
         return RouteReader(
             self.routes, PlatformRoutes(store, self._log_unreadable),
             self.clock, self.log, self._on_routes_changed, bound_s,
-            self._poll_timing,
+            self._poll_timing, self.started_at + self._first_wait_s,
         )  # fmt: skip
 
+    @property
+    def _first_wait_s(self) -> float:
+        """Time for which a process without routes waits for other processes.
+
+        After a restart there is traffic, so it asks the store at once.
+        """
+        return FIRST_START_WAIT_S if self.settings.is_first_start else 0.0
+
+    def may_read_first(self) -> bool:
+        """Return whether this process may read the store for others.
+
+        When a whole fleet starts for the first time, all balancers are alone
+        for a moment; only the seeds read the store then.
+        """
+        is_starting = self.clock() - self.started_at < self._first_wait_s
+        return not is_starting or self.settings.ip in self.settings.seed_ips
+
     def _log_unreadable(self, name: str, problem: str, count: int) -> None:
         self.log.change(
             'routes.unreadable', self.clock(), name=name, problem=problem,
@@ -397,20 +420,27 @@
         return poll_timing(len(self.fleet.balancers_by_ip) + is_balancer)
 
     def fetch_if_newer(
-        self, ip: str, position: TablePosition, version: int = 0
+        self,
+        ip: str,
+        position: TablePosition,
+        version: int = 0,
+        confirmed_at: float = -math.inf,
     ) -> None:
         """Fetch the routes of a process if they are newer.
 
         :param position: position of the routes of that process.
         :param version: version of its configuration, 0 if not known.
+        :param confirmed_at: time at which the store confirmed its routes.
         """
         if ip in self._fetching_ips or len(self._fetching_ips) >= MAX_FETCHES:
             return
         if self.routes.is_newer(position, version):
             self._fetching_ips.add(ip)
-            self.start(self._fetch(ip))
+            self.start(self._fetch(ip, position, confirmed_at))
 
-    async def _fetch(self, ip: str) -> None:
+    async def _fetch(
+        self, ip: str, position: TablePosition, confirmed_at: float
+    ) -> None:
         try:
             table = await self.transport.fetch_table(
                 Address(ip, self._peer_port)
@@ -423,7 +453,10 @@
             return
         finally:
             self._fetching_ips.discard(ip)
-        if self.routes.merge(table, self.clock()):
+        is_changed = self.routes.merge(table, self.clock())
+        if self.routes.record_confirmation(position, confirmed_at) or (
+            is_changed
+        ):
             self._on_routes_changed(is_from_store=False)
 
     def _on_routes_changed(self, is_from_store: bool = True) -> None:
--- a/ibispitch/routes/reader.py
+++ b/ibispitch/routes/reader.py
@@ -35,6 +35,8 @@
     :param on_change: called after a change of the routes.
     :param bound_s: time within which changes must be in force.
     :param poll_timing: returns the timing of calls to the store.
+    :param peers_until: time until which a process that is not a reader and
+        has no routes waits for those of others.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         on_change: Callable[[], None],
         bound_s: float,
         poll_timing: Callable[[], PollTiming],
+        peers_until: float,
     ):
         self._core = core
         self._source = source
@@ -54,6 +57,7 @@
         self._on_change = on_change
         self._bound_s = bound_s
         self._poll_timing = poll_timing
+        self._peers_until = peers_until
         self._position: TablePosition | None = None
         self._failures = 0
 
@@ -66,7 +70,10 @@
         """
         while True:
             limit_s = self._bound_s * self._poll_timing().limit
-            missing_s = limit_s - self._core.age_s(self._clock())
+            now = self._clock()
+            missing_s = limit_s - self._core.age_s(now)
+            if self._core.index is None:
+                missing_s = self._peers_until - now
             if is_reader() or missing_s <= 0:
                 await self._step_with_retry()
             else:
--- a/ibispitch/waiting/core.py
+++ b/ibispitch/waiting/core.py
@@ -172,11 +172,19 @@
     def __contains__(self, flow: FlowKey) -> bool:
         return flow in self._opening_by_flow
 
-    def add(self, opening: Opening, capacity: Capacity, now: float) -> bool:
+    def add(
+        self,
+        opening: Opening,
+        capacity: Capacity,
+        now: float,
+        is_returned: bool = False,
+    ) -> bool:
         """Add an opening.
 
         :param opening: the opening, or a later copy of it.
         :param capacity: what the upstreams of its service can take.
+        :param is_returned: whether an agent has handed it back. It counts
+            neither as placed nor as another arrival.
         :param now: time in seconds.
         :returns: whether the opening waits now; ``False`` if the queue is
             full or the opening cannot be served within the caller's attempt.
@@ -192,7 +200,10 @@
                 now
             )
         rates.record_warming(capacity.warm_in_s, now)
-        if earlier_copy is None:
+        if is_returned:
+            if rates.placed:
+                rates.placed.pop()
+        elif earlier_copy is None:
             rates.arrived.append(now)
         if earlier_copy is None and (
             len(self) >= MAX_WAITING
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -131,3 +131,33 @@
     presumed = views(0, state=AgentState.PRESUMED)
     known = views(0, datacentre='tema')
     assert place(presumed + known).ip == 'tema-0'
+
+
+def test_long_flows_stay_in_a_data_centre_with_room():
+    """Feeds must not cross data centres for slightly less loaded upstreams.
+
+    A third of all payload of the large deployment crossed although a third of
+    the slots was in use everywhere.
+    """
+    near = views(0, 1, 0, long_flows=9)
+    far = views(0, 0, datacentre='tema', long_flows=1)
+    assert place(near + far, 'safe', is_long=True).ip.startswith('accra')
+
+
+def test_long_flows_leave_a_busy_data_centre():
+    """Feeds must not queue where callers are many and upstreams few."""
+    near = views(1, 0, 1, long_flows=9)
+    far = views(0, 0, datacentre='tema', long_flows=1)
+    assert place(near + far, 'safe', is_long=True).ip.startswith('tema')
+
+
+@pytest.mark.parametrize(
+    'changes', [{'failing': 0.3}, {'work_s': 0.08}, {'cold_openings': 3}]
+)
+def test_unsound_upstreams_keep_nobody_near(changes):
+    """A failing, slow or cold upstream must not get all of its neighbours."""
+    near = views(0)
+    near[0].status = agent(**({'work_s': 0.015} | changes))
+    far = views(0, 0, datacentre='tema')
+    crossing = [place(near + far, seed=seed).ip for seed in range(20)]
+    assert crossing.count('accra-0') < 20 or 'cold_openings' in changes
