--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -176,7 +176,9 @@
         if node.fleet.record_balancer_status(ip, status, now):
             node.log.change('fleet.balancer', now, balancer=ip)
             self._send_status([ip])
-            if now - self._started_at < RESTORE_WINDOW_S:
+            # A first start has no predecessor that saved flows.
+            is_restart = not node.settings.is_first_start
+            if is_restart and now - self._started_at < RESTORE_WINDOW_S:
                 node.send(CheckpointRequest(node.started_ms), [ip])
         elif status.wants_answer:
             self._send_status([ip])
--- a/testbed/flow_network.py
+++ b/testbed/flow_network.py
@@ -190,6 +190,8 @@
         self.link_mbps = 0.0
         #: Bytes of datagrams sent, with headers, by host name.
         self.sent_bytes: Counter[str] = Counter()
+        #: Bytes of datagrams between processes of different data centres.
+        self.crossing_bytes = 0
         #: Datagrams dropped because the queue of a link was full.
         self.link_queue_drops = 0
         #: Seed addresses in the settings; empty for the first balancers.
@@ -360,6 +362,8 @@
             )
             return
         other = self.host_by_ip.get(address.ip)
+        if other is not None and other.datacentre != host.datacentre:
+            self.crossing_bytes += len(data) + HEADER_BYTES
         if other is not None and self.reaches(host, other):
             delay_s = queue_s + self.delay_s(host, other)
             self.loop.call_later(
