Reset lost flows although an upstream has left for good

Load pattern: all power is lost after some upstreams were scaled in; callers with open flows wait for their answers. Cause: the agent of an upstream that has left restarts too and knows nothing, so that it answered UNKNOWN to every search: no search for a lost flow came to an end while it ran. Ruled out: agents that are not back yet (all were within 1.4 s), lost answers. Change: the check after a start that finds nothing listening at the upstream's address says that there is no upstream: the agent reports ENDED and denies flows. Such agents do not keep balancers from concluding that all upstreams have just started.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -262,11 +262,16 @@
         return bool(self._unheard_agents)
 
     def has_only_cold_upstreams(self) -> bool:
-        """Return whether all known upstreams are cold."""
-        return bool(self.agents_by_ip) and all(
-            view.status.cold_left_s > 0.0
+        """Return whether all known upstreams are cold.
+
+        Agents without an upstream, or whose upstream has ended, don't count.
+        """
+        left_s = [
+            view.status.cold_left_s
             for view in self.agents_by_ip.values()
-        )
+            if view.status.state is not AgentState.ENDED
+        ]
+        return bool(left_s) and min(left_s) > 0.0
 
     def is_changing(self, now: float) -> bool:
         """Return whether others may know less of the fleet than this process.
--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -167,6 +167,17 @@
         self.flows.is_changed = True
         return True
 
+    def record_no_upstream(self, now: float) -> None:
+        """Record that no upstream runs on the host of this agent.
+
+        An upstream that starts later holds no flow that this process has not
+        seen, so that searches need not wait for it.
+        """
+        if self.gate.heartbeat is None:
+            self.gate.record_no_upstream()
+            self._restored_incarnation = 0
+            self._forget_all_flows(now)
+
     def _forget_flows_of_former_upstream(self, now: float) -> None:
         """Forget the flows of the previous upstream.
 
--- a/ibispitch/gate/core.py
+++ b/ibispitch/gate/core.py
@@ -150,6 +150,10 @@
         self._has_ended = True
         return True
 
+    def record_no_upstream(self) -> None:
+        """Record that no upstream runs; the next heartbeat shows a new one."""
+        self._has_ended = True
+
     def record_health_answer(self, now: float) -> None:
         """Record that an upstream answered a health check after a restart.
 
@@ -199,6 +203,8 @@
     def state(self, now: float) -> AgentState:
         """Return the state that is reported to the balancers."""
         if self.heartbeat is None:
+            if self._has_ended:
+                return AgentState.ENDED
             # UNKNOWN also when closed: the agent knows no flows, so balancers
             # need not wait longer for its successor than after a crash.
             is_presumed = now < self._presumed_until and not self._is_stopping
--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -208,6 +208,11 @@
             response = await client.call(
                 'GET', limits.health_path, b'', HEALTH_TIMEOUT_S
             )
+        except ConnectionRefusedError as error:
+            # Nothing listens at the upstream's address.
+            result = repr(error)
+            self._core.record_no_upstream(node.clock())
+            self._send_status_to_all()
         except (OSError, TimeoutError) as error:
             result = repr(error)
         else:
--- a/tests/forwarding/test_agent_core.py
+++ b/tests/forwarding/test_agent_core.py
@@ -51,6 +51,9 @@
 CALLER = Address('100.64.0.7', 40000)
 DESTINATION = Address('198.18.0.1', 443)
 BALANCER = '10.1.0.1'
+FLOW_OF_CALLER = CODEC.from_caller(
+    flow_packets.build(CALLER, DESTINATION, SYN, 1, 0)
+).flow
 
 
 class Outbox:
@@ -499,3 +502,27 @@
     successor.restore(1000, list(parts[0].flows), 1.0)
     successor.receive_heartbeat(heartbeat(started_ms=2000), 1.5)
     assert successor.flow_count == 0
+
+
+def test_agent_without_an_upstream_denies_flows(outbox):
+    """Guards against searches that wait for an agent that cannot know.
+
+    Nothing listens at the address of its upstream, which has left.
+    """
+    core = make_core(outbox, knows_all_flows=False)
+    question = frames.Question(FLOW_OF_CALLER, 7)
+    core.answer_questions(BALANCER, frames.OwnershipQuestions((question,)), 0)
+    core.record_no_upstream(0.1)
+    core.answer_questions(BALANCER, frames.OwnershipQuestions((question,)), 1)
+    verdicts = [frame.answers[0].verdict for _, frame in outbox.frames]
+    assert verdicts == [Verdict.RESTARTED, Verdict.NOT_OWNED]
+
+
+def test_upstream_that_speaks_is_there(outbox):
+    """Guards against open flows denied after a check of a former upstream."""
+    core = make_core(outbox, knows_all_flows=False)
+    core.receive_heartbeat(heartbeat(), 0.0)
+    core.record_no_upstream(0.1)
+    question = frames.Question(FLOW_OF_CALLER, 7)
+    core.answer_questions(BALANCER, frames.OwnershipQuestions((question,)), 1)
+    assert outbox.frames[-1][1].answers[0].verdict is not Verdict.NOT_OWNED
--- a/tests/platform/test_deployment.py
+++ b/tests/platform/test_deployment.py
@@ -192,6 +192,51 @@
     assert counts[Outcome.FAILED] <= 0.1 * sum(counts.values())
 
 
+@pytest.mark.parametrize('seed', range(2))
+def test_power_lost_after_an_upstream_has_left(seed):
+    """Guards against open flows that are given up without a reset.
+
+    The agent of an upstream that has left knew nothing after its restart, so
+    that no search for a lost flow came to an end. Callers with open flows
+    waited until their deadline (large, trouble-1: 670 requests).
+    """
+
+    async def fault(network):
+        left = network.agents[0]
+        await network.leave(left, drain_s=1.0)
+        network.lost_at = network.loop.now
+        hosts = (*network.balancers, *network.agents)
+        for host in hosts:
+            network.kill(host, 1.0)
+        for host in network.agents[1:]:
+            host.upstream.crash()
+            network.loop.call_later(1.0, network.start_upstream, host, 2.0)
+
+    patient = FEED._replace(objective_s=0.65, deadline_s=4.35)
+
+    async def scenario(loop):
+        network = build(loop, seed=seed)
+        network.cold_openings_per_s = 10.0
+        network.configure(2, (patient,))
+        await network.start()
+        callers = [
+            network.add_caller(name, patient, is_long=True)
+            for name in DATACENTRES
+            for _ in range(10)
+        ]
+        load = loop.create_task(network.send_requests(callers, 60, 12))
+        await asyncio.sleep(2)
+        await fault(network)
+        await load
+        await asyncio.sleep(5)
+        return network
+
+    network = simulate(scenario)
+    check_errors(network)
+    counts = network.outcomes(network.lost_at)
+    assert counts[Outcome.FAILED] <= 0.01 * sum(counts.values())
+
+
 def test_draining_upstream_gets_no_new_flows():
     """Guards against new flows after an acknowledged ``draining`` state."""
 
