--- a/ibispitch/forwarding/flows.py
+++ b/ibispitch/forwarding/flows.py
@@ -219,7 +219,7 @@
             self._record_request_delay(now - state.opened_at)
         elif state.requests == 2:
             self.reuse.record_flow(destination_of(flow), is_reused=True)
-            if not state.is_long:
+            if not state.is_long and state.closed_at is None:
                 state.is_long = True
                 self.long_flows += 1
 
--- a/tests/forwarding/test_agent_core.py
+++ b/tests/forwarding/test_agent_core.py
@@ -526,3 +526,20 @@
     question = frames.Question(FLOW_OF_CALLER, 7)
     core.answer_questions(BALANCER, frames.OwnershipQuestions((question,)), 1)
     assert outbox.frames[-1][1].answers[0].verdict is not Verdict.NOT_OWNED
+
+
+def test_late_request_on_a_closed_flow_is_no_load(core):
+    """Guards against long flows that count for ever.
+
+    A packet that was overtaken by the end of its flow made the flow long
+    after it had been closed.
+    """
+    open_flow(core, 0.0)
+    core.flows.state_by_flow[FLOW_OF_CALLER].is_long = False
+    core.flows.long_flows = 0
+    core.receive(BALANCER, forward(data(), Purpose.OWNED), 0.1)
+    core.receive_upstream(answer(body=b'answer'), 0.2)
+    core.receive_upstream(answer(FIN | ACK, sequence=507), 0.3)
+    late = data(sequence=108, acknowledged=507)
+    core.receive(BALANCER, forward(late, Purpose.OWNED), 0.4)
+    assert core.flows.long_flows == 0
