Don't wait for agents without an upstream; keep unanswered openings as load

Change: such agents are asked, as they may have a new upstream, but a search needs no answer of theirs; lists leave them out.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -294,11 +294,15 @@
         return list(islice(silent, MAX_ADDRESSED_AT_ONCE))
 
     def recent_agents(self, now: float) -> list[str]:
-        """Return the agents that are alive or may return."""
+        """Return the agents that are alive or may return.
+
+        Agents without an upstream are left out: they hold no flows.
+        """
         return [
             view.ip
             for view in self.agents_by_ip.values()
             if self._is_recent(view, now)
+            and view.status.state is not AgentState.ENDED
         ]
 
     def split_balancers(
--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -454,6 +454,7 @@
         state.last_packet_at = now
         if state.answered_at is None:
             state.answered_at = now
+            self.flows.record_opening_answer(flow, now)
         self._track_upstream(state, packet, now)
         self._outbox.to_caller(flow, packet.raw)
 
--- a/ibispitch/forwarding/flows.py
+++ b/ibispitch/forwarding/flows.py
@@ -8,16 +8,18 @@
 from ibispitch.routes.kinds import kind_named
 from ibispitch.routes.model import RouteIndex
 
-#: Time for which an opening counts as load without a request, at least and at
-#: most. The longest is the round trip to the caller and one lost packet
-#: (200 ms). A caller that has given up sends no request: after a mass kill one
-#: opening in ten comes from such a caller, and each would hold a slot.
-MIN_REQUEST_WAIT_S = 0.025
+#: Time for which an opening counts as load while its upstream has not answered
+#: it: the round trip to the caller and one lost packet (200 ms).
 MAX_REQUEST_WAIT_S = 0.25
+#: Shortest time for which an opening that the upstream has answered counts as
+#: load without a request. A caller that has given up sends none: after a mass
+#: kill one opening in ten comes from such a caller, and each would hold a
+#: slot.
+MIN_REQUEST_WAIT_S = 0.025
 #: The same before any request was received.
 INITIAL_REQUEST_WAIT_S = 0.06
-#: Multiple of the usual time from an opening to its request for which the
-#: opening counts as load.
+#: Multiple of the usual time from an opening to its request for which an
+#: answered opening counts as load.
 REQUEST_WAIT_FACTOR = 4.0
 #: Weight of a new measurement in the usual time.
 REQUEST_WAIT_WEIGHT = 0.1
@@ -188,7 +190,17 @@
         """Count an opening as load until its request should have arrived."""
         if not state.is_running:
             self._set_running(state, True)
-            self._expected[flow] = now + self._request_wait_s
+            self._expected[flow] = now + MAX_REQUEST_WAIT_S
+
+    def record_opening_answer(self, flow: FlowKey, now: float) -> None:
+        """Record that the upstream has answered an opening.
+
+        Its request should arrive soon. An upstream that does not answer may
+        have ended, so that its openings count longer.
+        """
+        until = self._expected.get(flow)
+        if until is not None:
+            self._expected[flow] = min(until, now + self._request_wait_s)
 
     def start_request(self, flow: FlowKey, state: FlowState) -> None:
         """Record that data of a request has arrived."""
--- a/ibispitch/locating/core.py
+++ b/ibispitch/locating/core.py
@@ -14,6 +14,7 @@
 
 from ibispitch.fleet.core import AgentView
 from ibispitch.fleet.core import Fleet
+from ibispitch.fleet.messages import AgentState
 from ibispitch.forwarding.frames import Answer
 from ibispitch.forwarding.frames import OwnershipAnswers
 from ibispitch.forwarding.frames import Verdict
@@ -362,12 +363,27 @@
         packet = search.packets[-1]
         del self._search_by_flow[packet.flow]
         self._remember_denials(packet.flow, search, now)
+        missing = self._missing(search)
         if search.unknown or search.restarted:
             return self._try_agents(search, packet, now)
-        if search.unanswered or not search.asked:
-            return self._schedule_retry(search, tuple(search.unanswered), now)
+        if missing or not search.asked:
+            return self._schedule_retry(search, missing, now)
         return [NotFound(packet)]
 
+    def _missing(self, search: _Search) -> tuple[str, ...]:
+        """Return the agents whose answer a search needs and does not have.
+
+        An agent without an upstream is asked as well, since it may have a new
+        one. It often leaves with its host, and then holds nothing.
+        """
+        by_ip = self._fleet.agents_by_ip
+        return tuple(
+            ip
+            for ip in search.unanswered
+            if ip not in by_ip
+            or by_ip[ip].status.state is not AgentState.ENDED
+        )
+
     def _schedule_retry(
         self, search: _Search, missing: tuple[str, ...], now: float
     ) -> list[Step]:
@@ -400,9 +416,9 @@
         trials = self._trials_by_flow.setdefault(packet.flow, [])
         recent = sum(now - at < TRIAL_WINDOW_S for at, _ in trials)
         tried = {ip for _, ip in trials}
-        is_complete = (
-            not search.unanswered and not self._fleet.has_unheard_agents(now)
-        )
+        is_complete = not self._missing(
+            search
+        ) and not self._fleet.has_unheard_agents(now)
         unknown = [ip for ip in search.unknown if ip not in tried]
         # If all agents have answered and none has claimed the flow, the owner
         # is among those that do not know.
--- a/tests/forwarding/test_agent_core.py
+++ b/tests/forwarding/test_agent_core.py
@@ -543,3 +543,28 @@
     late = data(sequence=108, acknowledged=507)
     core.receive(BALANCER, forward(late, Purpose.OWNED), 0.4)
     assert core.flows.long_flows == 0
+
+
+def test_unanswered_openings_count_longer(core):
+    """Guards against a flood of openings for an upstream that has ended.
+
+    Another one may start in its place, is cold, and gets all that was admitted
+    for the former one before its first heartbeat (make days, seed 5).
+    """
+    for number in range(1, 20):
+        open_flow(core, 0.01 * number, Address('100.64.0.9', 1024 + number))
+        core.receive(
+            BALANCER,
+            forward(
+                data(caller=Address('100.64.0.9', 1024 + number)),
+                Purpose.OWNED,
+            ),
+            0.01 * number + 0.002,
+        )
+    running = core.flows.running
+    core.receive(BALANCER, forward(opening()), 0.3)
+    core.check_cold_openings(0.3 + MAX_REQUEST_WAIT_S - 0.01)
+    assert core.flows.running == running + 1
+    core.receive_upstream(answer(SYN | ACK, 500), 0.55)
+    core.check_cold_openings(0.55 + MAX_REQUEST_WAIT_S)
+    assert core.flows.running == running
--- a/tests/locating/test_locator.py
+++ b/tests/locating/test_locator.py
@@ -346,3 +346,20 @@
     for number in range(1000):
         table.put(FlowKey(number.to_bytes(12, 'big')), Owner('a', 1, 0.0))
     assert len(table) <= 101
+
+
+def test_agent_without_an_upstream_that_is_gone(locator, fleet):
+    """Guards against lost flows that are not reset for many seconds.
+
+    Hosts of upstreams that had left came back after a loss of power and were
+    taken away again; every search waited for their agents (large, trouble-1).
+    """
+    ended = agent(state=AgentState.ENDED, incarnation=0, number=9)
+    fleet.record_agent_status('10.0.1.9', ended, 0.0)
+    (asked,) = locator.search(PACKET, 'counter', 0.0)
+    assert set(asked.ips) == {*SERVICE_AGENTS, '10.0.1.9'}
+    send_answers(locator, SERVICE_AGENTS, Verdict.NOT_OWNED)
+    now = ANSWER_TIMEOUT_S + 0.01
+    assert locator.expire(now) == [AskAgents(FLOW, 2, tuple(OTHER_AGENTS))]
+    assert send_answers(locator, OTHER_AGENTS, Verdict.NOT_OWNED, now) == []
+    assert locator.expire(now + ANSWER_TIMEOUT_S) == [NotFound(PACKET)]
