--- /dev/null
+++ b/ibispitch/settings/overload.py
@@ -0,0 +1,89 @@
+"""Settings of the decisions under overload and uneven demand.
+
+Each part can be switched off. In the mode ``AUTO`` it takes effect only for
+services whose routes call for it, as the docstring of its section says.
+"""
+
+import enum
+from typing import NamedTuple
+
+
+class Mode(enum.Enum):
+    """When a part takes effect."""
+
+    OFF = 'off'
+    AUTO = 'auto'
+    ON = 'on'
+
+
+class SchedulingSettings(NamedTuple):
+    """Order of the requests at an agent, see :mod:`ibispitch.scheduling`.
+
+    ``AUTO``: for services whose routes name more than one priority.
+
+    :param work_margin: multiple of the mean request time that a request needs
+        to be on time.
+    :param min_share: smallest share of the places for requests of a lower
+        priority while such requests wait.
+    :param held_bytes: maximum size of the held packets.
+    :param held_requests: maximum number of the held requests.
+    """
+
+    mode: Mode = Mode.OFF
+    work_margin: float = 1.5
+    min_share: float = 0.1
+    held_bytes: int = 4 * 1024 * 1024
+    held_requests: int = 2048
+
+
+class ColdStartSettings(NamedTuple):
+    """Choice of the flows for cold upstreams, see :mod:`ibispitch.waiting`.
+
+    ``AUTO``: for services with routes for both long and short flows.
+
+    :param late_share: value of a late answer as a part of one on time.
+    :param flow_requests_per_s: requests per second of a long flow.
+    """
+
+    mode: Mode = Mode.OFF
+    late_share: float = 0.3
+    flow_requests_per_s: float = 1.0
+
+
+class BalancingSettings(NamedTuple):
+    """Placement by work and spillover, see :mod:`ibispitch.placement`.
+
+    ``AUTO``: while upstreams are in more than one data centre.
+
+    :param spill_hold_s: time for which a data centre that got flows from
+        another one sends none there.
+    """
+
+    mode: Mode = Mode.OFF
+    spill_hold_s: float = 2.0
+
+
+class SharingSettings(NamedTuple):
+    """Shares of the callers while openings wait, see :mod:`ibispitch.sharing`.
+
+    ``AUTO``: while openings wait.
+
+    :param weight_by_network: weights of callers by their network in CIDR
+        notation; others have the weight 1.
+    :param half_life_s: time after which an opening counts half.
+    :param callers: maximum number of callers that are remembered.
+    """
+
+    mode: Mode = Mode.OFF
+    weight_by_network: tuple[tuple[str, float], ...] = ()
+    half_life_s: float = 2.0
+    callers: int = 4096
+
+
+class OverloadSettings(NamedTuple):
+    """All sections; every part is off by default."""
+
+    scheduling: SchedulingSettings = SchedulingSettings()
+    cold_start: ColdStartSettings = ColdStartSettings()
+    balancing: BalancingSettings = BalancingSettings()
+    sharing: SharingSettings = SharingSettings()
