Order requests before an upstream; recognise callers' further attempts

Change: ibispitch/scheduling holds requests beyond the slots of an upstream; ibispitch/retry/attempts.py passes the age of a request to its next attempt, and a frame tells it to the agent. Both are off by default.

--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -22,6 +22,7 @@
 from ibispitch.forwarding.packets import RST
 from ibispitch.forwarding.packets import sequence_distance
 from ibispitch.forwarding.packets import SYN
+from ibispitch.forwarding.requests import ScheduledRequests
 from ibispitch.gate.core import Gate
 from ibispitch.gate.core import Heartbeat
 from ibispitch.histograms import LatencyHistograms
@@ -32,6 +33,11 @@
 from ibispitch.placement.core import queue_delay_s
 from ibispitch.routes.model import RouteIndex
 from ibispitch.routes.position import NO_POSITION
+from ibispitch.scheduling.core import Capacity
+from ibispitch.scheduling.core import Request
+from ibispitch.settings.overload import ALL_OFF
+from ibispitch.settings.overload import OverloadSettings
+from ibispitch.waiting.core import first_copy_sent_at
 
 #: Tolerance on the start time of an upstream, since its first heartbeat may
 #: be delayed on a busy host. If a flow is kept by mistake, the upstream hands
@@ -40,6 +46,8 @@
 #: Time within which the upstream should answer an opening. It runs on the
 #: same host, and the caller repeats an opening after 200 ms.
 OPENING_ANSWER_S = 0.1
+#: Maximum number of openings whose age is kept until they arrive.
+MAX_EXPECTED_AGES = 1024
 #: Maximum number of flows remembered as not held by the upstream.
 MAX_DENIED_FLOWS = 4096
 #: A balancer that sent an opening within this time is sent every change of
@@ -75,6 +83,7 @@
     :param recent_start_s: seconds after its start for which the process
         reports unknown flows as ``RESTARTED``.
     :param now: start time of the process, in seconds.
+    :param overload: settings of the decisions under overload.
     """
 
     def __init__(
@@ -87,6 +96,7 @@
         knows_all_flows: bool,
         recent_start_s: float,
         now: float,
+        overload: OverloadSettings = ALL_OFF,
     ):
         self.gate = gate
         self._codec = codec
@@ -104,13 +114,20 @@
         self._reported_cold_openings: int | None = None
         self.flows = UpstreamFlows()
         self._denied_flows: dict[FlowKey, None] = {}
+        self._asked_at_by_flow: dict[FlowKey, float] = {}
         self._last_opening_at_by_balancer: dict[str, float] = {}
         self.routes: RouteIndex | None = None
         self.outcomes = Outcomes()
+        self.requests = ScheduledRequests(
+            overload.scheduling, gate.service, self.flows, outbox.to_upstream,
+            log, histograms,
+        )  # fmt: skip
+        self.flows.on_end = self.requests.remove
 
     def set_routes(self, routes: RouteIndex, now: float) -> None:
         """Use these routes for new flows."""
         self.routes = routes
+        self.requests.set_routes(routes, self._capacity(now), now)
         self.gate.set_routes(routes, now)
         self._check_upstream_age(now)
         self.flows.is_changed = True
@@ -206,15 +223,18 @@
     def _forget_all_flows(self, now: float) -> None:
         self._log.change('upstream.flows_ended', now, flows=self.flow_count)
         self.flows.clear()
+        self.requests.clear()
         self._denied_flows.clear()
         self._knows_all_flows = True
 
-    def stop(self, started_ms: int) -> list[CheckpointPart]:
+    def stop(self, started_ms: int, now: float) -> list[CheckpointPart]:
         """Accept no more new flows.
 
         :param started_ms: start of this process, Unix time.
+        :param now: time in seconds.
         :returns: the open flows, for the next process of this agent.
         """
+        self.requests.pass_all(self._capacity(now), now)
         self.gate.close()
         flows = [
             flow
@@ -316,6 +336,9 @@
             return
         if state is None:
             state = self.flows.add(flow, ip, self.routes, now)
+            state.asked_at = self._asked_at_by_flow.pop(
+                flow, first_copy_sent_at(packet, now)
+            )
         self.flows.expect_request(flow, state, now)
         state.balancer = ip
         state.tried = forward.tried
@@ -323,6 +346,12 @@
         state.caller_next_sequence = state.first_sequence
         self._outbox.to_upstream(packet.raw)
 
+    def receive_age(self, age: frames.OpeningAge, now: float) -> None:
+        """Record the age of an opening that is about to arrive."""
+        self._asked_at_by_flow[age.flow] = now - age.age_s
+        if len(self._asked_at_by_flow) > MAX_EXPECTED_AGES:
+            del self._asked_at_by_flow[next(iter(self._asked_at_by_flow))]
+
     def _queue_refusal(self, flow: FlowKey, now: float) -> Reason | None:
         """Return why an opening should not be sent to the upstream now.
 
@@ -365,12 +394,41 @@
             return
         state.balancer = ip
         state.last_packet_at = now
-        self._track_caller(state, packet, now)
-        self._outbox.to_upstream(packet.raw)
+        if self._may_pass(state, packet, now):
+            self._outbox.to_upstream(packet.raw)
+        self.requests.pass_next(self._capacity(now), now)
+
+    def _may_pass(self, state: FlowState, packet: Packet, now: float) -> bool:
+        """Return whether a packet may pass; if not, it is held or dropped."""
+        begins_request = self._track_caller(state, packet, now)
+        route = self.routes.route_of(packet.flow) if self.routes else None
+        if not begins_request or route is None:
+            may_pass = self.requests.offer_packet(packet)
+        else:
+            request = Request(
+                packet.flow, route.kind, route.priority, route.objective_s,
+                route.timeout_s, self._request_sent_at(state, now),
+            )  # fmt: skip
+            may_pass = self.requests.offer_request(
+                request, packet, self._capacity(now), now
+            )
+        if packet.flags & (FIN | RST):
+            self.flows.close(packet.flow, state, now)
+        return may_pass
+
+    @staticmethod
+    def _request_sent_at(state: FlowState, now: float) -> float:
+        """Return when the caller asked for the request that begins now."""
+        return state.asked_at if state.requests == 1 else now
 
     def _track_caller(
         self, state: FlowState, packet: Packet, now: float
-    ) -> None:
+    ) -> bool:
+        """Record the data of a caller's packet.
+
+        :returns: whether a request begins.
+        """
+        begins_request = False
         if packet.size:
             end = (packet.sequence + packet.size) & 0xFFFFFFFF
             if (
@@ -378,15 +436,16 @@
                 or sequence_distance(end, state.caller_next_sequence) > 0
             ):
                 state.caller_next_sequence = end
-                if state.request_received_at is None:
+                begins_request = state.request_received_at is None
+                if begins_request:
+                    state.held_s = 0.0
                     self.flows.count_request(packet.flow, state, now)
                     self._record_request(state, packet, now)
                 state.request_received_at = now
                 self.flows.start_request(packet.flow, state)
                 state.queue_position = self.flows.started_requests
                 state.is_overdue = False
-        if packet.flags & (FIN | RST):
-            self.flows.close(packet.flow, state, now)
+        return begins_request
 
     def _record_request(
         self, state: FlowState, packet: Packet, now: float
@@ -484,18 +543,21 @@
                 )  # fmt: skip
                 state.request_received_at = None
             self.flows.end_request(state)
+            self.requests.record_answer(packet.flow)
         if packet.flags & (FIN | RST):
             if state.is_awaiting_answer and not is_reordered:
                 self._record_failure(packet.flow, state, 'broken off', now)
                 state.request_received_at = None
             self.flows.close(packet.flow, state, now)
+        self.requests.pass_next(self._capacity(now), now)
 
     def _record_answer(
         self, state: FlowState, took_s: float, now: float
     ) -> None:
         """Record the time from a request's last packet to its answer."""
         self._histograms.record(
-            Series('request_latency', self.gate.service, state.kind), took_s
+            Series('request_latency', self.gate.service, state.kind),
+            state.held_s + took_s,
         )
         self.outcomes.record_answer(
             took_s, state.queue_position, self._slots, now
@@ -511,6 +573,9 @@
             failing=round(self.outcomes.failure_share(now), 2),
         )  # fmt: skip
 
+    def _capacity(self, now: float) -> Capacity:
+        return Capacity(self._slots, self.outcomes.work_s(now))
+
     @property
     def _slots(self) -> int:
         return self.gate.heartbeat.slots if self.gate.heartbeat else 1
@@ -555,6 +620,8 @@
             self._reported_cold_openings = left
             self.flows.is_changed = True
         self.flows.drop_overdue_openings(now)
+        self.requests.drop_expired(now)
+        self.requests.pass_next(self._capacity(now), now)
 
     def sweep(self, now: float) -> None:
         """Record overdue requests; forget flows that are closed or idle."""
--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -30,11 +30,16 @@
 from ibispitch.locating.table import FlowTable
 from ibispitch.locating.table import Owner
 from ibispitch.placement.core import choose_agent
+from ibispitch.retry.attempts import Attempt
+from ibispitch.retry.attempts import EndedAttempts
 from ibispitch.routes.kinds import kind_named
 from ibispitch.routes.model import Route
 from ibispitch.routes.model import RouteIndex
 from ibispitch.routes.position import NO_POSITION
 from ibispitch.routes.position import TablePosition
+from ibispitch.settings.overload import ALL_OFF
+from ibispitch.settings.overload import Mode
+from ibispitch.settings.overload import OverloadSettings
 from ibispitch.waiting.core import ATTEMPT_TIMEOUT_S
 from ibispitch.waiting.core import Capacity
 from ibispitch.waiting.core import first_copy_sent_at
@@ -56,6 +61,9 @@
 #: to it, a copy of the opening goes to another agent.
 AGENT_RESPONSE_S = 0.15
 
+#: Age of a request from which the agent is told it before the opening.
+MIN_TOLD_AGE_S = 0.05
+
 #: Log text for each reason that means that a flow has ended.
 LOG_TEXT_BY_END_REASON = {
     Reason.ENDED: 'flow ended',
@@ -99,6 +107,7 @@
     :param histograms: records the time that openings wait.
     :param rng: breaks ties between agents.
     :param now: start time of the process, in seconds.
+    :param overload: settings of the decisions under overload.
     """
 
     def __init__(
@@ -111,6 +120,7 @@
         histograms: LatencyHistograms,
         rng: random.Random,
         now: float,
+        overload: OverloadSettings = ALL_OFF,
     ):
         self._datacentre = datacentre
         self._fleet = fleet
@@ -122,7 +132,12 @@
         self._started_at = now
         self._table = FlowTable()
         self._locator = Locator(fleet, datacentre)
-        self._queue = OpeningQueue()
+        self._recognises_attempts = overload.retries.mode is not Mode.OFF
+        self._queue = OpeningQueue(self._recognises_attempts)
+        self._ended_attempts = EndedAttempts()
+        #: Time of the first packet of flows whose owner is not yet searched,
+        #: because few agents are known.
+        self._unknown_since_by_flow: dict[FlowKey, float] = {}
         self._summaries = ServiceSummaries(fleet)
         self.routes: RouteIndex | None = None
 
@@ -200,11 +215,22 @@
     def tick(self, now: float) -> None:
         """Continue overdue searches, place waiting openings, expire flows."""
         self._execute_steps(self._locator.expire(now), now)
+        self._ended_attempts.expire(now)
+        if self._unknown_since_by_flow and self._knows_all_agents(now):
+            self._expire_unknown_flows(now)
         if self._queue:
             self._place_waiting(now)
         if self.routes is not None:
             self._table.expire(self.routes.table.idle_timeout_s, now)
 
+    def _expire_unknown_flows(self, now: float) -> None:
+        """Forget flows whose search has had time to end."""
+        self._unknown_since_by_flow = {
+            flow: since
+            for flow, since in self._unknown_since_by_flow.items()
+            if now - since <= locating.RETRY_PERIOD_S
+        }
+
     def place_waiting(self, now: float) -> None:
         """Place waiting openings, because the state of agents has changed."""
         if self._queue:
@@ -227,7 +253,7 @@
     ) -> None:
         flow = packet.flow
         if self.routes is None:
-            self._enqueue(packet, now)
+            self._enqueue(self._make_opening(packet, now), now)
             return
         route = self._route_of(flow)
         if route is None:
@@ -244,7 +270,7 @@
         if view is not None and self._should_defer(view, opening, now):
             view = None
         if view is None:
-            self._enqueue(packet, now, is_returned=bool(tried))
+            self._enqueue(opening, now, is_returned=bool(tried))
             return
         status = view.status
         waited = self._queue.remove_placed(flow, now)
@@ -257,8 +283,15 @@
             owner, view.ip, packet, tried, now
         )
         self._table.put(
-            flow, Owner(view.ip, status.incarnation, now, is_only_recipient)
-        )
+            flow,
+            Owner(
+                view.ip, status.incarnation, now, is_only_recipient,
+                earlier=opening.earlier,
+            ),
+        )  # fmt: skip
+        age_s = now - opening.asked_at
+        if self._recognises_attempts and age_s > MIN_TOLD_AGE_S:
+            self._outbox.to_agent(view.ip, frames.encode_age(flow, age_s))
         self._outbox.to_agent(
             view.ip,
             frames.encode_forward(
@@ -360,30 +393,46 @@
 
     def _make_opening(self, packet: Packet, now: float) -> Opening:
         service = self._service_of(packet.flow)
+        owner = self._table.get(packet.flow)
+        earlier = owner.earlier if owner else None
+        is_first_copy = owner is None and not packet.acknowledged
+        if self._recognises_attempts and is_first_copy:
+            earlier = self._ended_attempts.take(packet.flow, now)
         return Opening(
             packet,
             service,
             self._route_of(packet.flow),
             first_copy_sent_at(packet, now),
             self._summaries.get(service, now).work_s,
+            earlier,
         )
 
     def _enqueue(
-        self, packet: Packet, now: float, is_returned: bool = False
+        self, opening: Opening, now: float, is_returned: bool = False
     ) -> None:
         """Queue an opening, or refuse it if it cannot be served in time."""
-        opening = self._make_opening(packet, now)
         capacity = self._capacity_of(opening.service, now)
         if not self._queue.add(opening, capacity, now, is_returned):
             self._refuse(opening, now)
 
     def _refuse(self, opening: Opening, now: float) -> None:
+        self._record_end(opening, now)
         self._reset(
             opening.packet, 'cannot be served in time', now,
             waited_ms=round(1000 * (now - opening.sent_at)),
             waiting=len(self._queue),
         )  # fmt: skip
 
+    def _record_end(self, opening: Opening, ended_at: float) -> None:
+        """Record that an attempt has ended and the caller may make another.
+
+        :param ended_at: time at which the caller ends the attempt.
+        """
+        if self._recognises_attempts:
+            self._ended_attempts.record(
+                opening.packet.flow, opening.ended(ended_at)
+            )
+
     def _capacity_of(
         self, service: ServiceName | None, now: float
     ) -> Capacity:
@@ -398,6 +447,7 @@
         ):
             self._refuse(opening, now)
         for opening in self._queue.remove_expired(now):
+            self._record_end(opening, opening.sent_at + ATTEMPT_TIMEOUT_S)
             self._log.failure(
                 'flow.not_placed', opening.packet.flow, now,
                 waited_ms=round(1000 * (now - opening.sent_at)),
@@ -457,6 +507,8 @@
             # datagrams.
             until = now + locating.RETRY_PERIOD_S
             self._locator.search_later([packet], service, now, until)
+            if self._recognises_attempts:
+                self._unknown_since_by_flow.setdefault(packet.flow, now)
 
     def _service_of(self, flow: FlowKey) -> ServiceName | None:
         route = self._route_of(flow)
@@ -510,6 +562,7 @@
         if self._knows_all_agents(now) and not self._fleet.has_unheard_agents(
             now
         ):
+            self._record_lost_request(packet, now)
             self._reset(packet, 'no agent has the flow', now)
             return
         self._locator.search_later(
@@ -519,6 +572,16 @@
             now + locating.RETRY_PERIOD_S,
         )
 
+    def _record_lost_request(self, packet: Packet, now: float) -> None:
+        """Record the end of a request whose flow is lost.
+
+        The caller repeats it on a new flow. The request may be older than the
+        first packet that this process has seen.
+        """
+        since = self._unknown_since_by_flow.pop(packet.flow, now)
+        if self._recognises_attempts and packet.size:
+            self._ended_attempts.record(packet.flow, Attempt(since, 1, now))
+
     def knows_fleet(self, now: float) -> bool:
         """Return whether this process has run long enough to know all agents.
 
--- a/ibispitch/forwarding/flows.py
+++ b/ibispitch/forwarding/flows.py
@@ -1,5 +1,7 @@
 """The flows of an upstream and the load that they cause."""
 
+from collections.abc import Callable
+
 from ibispitch.forwarding.packets import Destination
 from ibispitch.forwarding.packets import destination_of
 from ibispitch.forwarding.packets import FlowKey
@@ -37,10 +39,13 @@
 
     __slots__ = (
         'answered_at',
+        'asked_at',
         'balancer',
         'caller_next_sequence',
         'closed_at',
         'first_sequence',
+        'held_s',
+        'is_held',
         'is_long',
         'is_overdue',
         'is_running',
@@ -61,6 +66,8 @@
         #: The balancer that forwarded the last packet of the flow.
         self.balancer = balancer
         self.opened_at = now
+        #: Time at which the caller asked for the request of the opening.
+        self.asked_at = now
         self.last_packet_at = now
         self.closed_at: float | None = None
         #: Next sequence number of the caller, ``None`` if not known.
@@ -84,8 +91,13 @@
         #: Whether the flow counts as load: a request is expected or waits for
         #: its answer.
         self.is_running = False
-        #: Time of the last packet of the unanswered request, if any.
+        #: Time of the last packet of the unanswered request, if any; of its
+        #: release if it was held.
         self.request_received_at: float | None = None
+        #: Time for which the last request was held at the agent.
+        self.held_s = 0.0
+        #: Whether the request is held at the agent.
+        self.is_held = False
         self.request_id: str | None = None
         #: Number of requests that have arrived on the flow.
         self.requests = 0
@@ -105,7 +117,11 @@
     @property
     def is_awaiting_answer(self) -> bool:
         """Whether a request waits for its answer and is not yet overdue."""
-        return self.request_received_at is not None and not self.is_overdue
+        return (
+            self.request_received_at is not None
+            and not self.is_held
+            and not self.is_overdue
+        )
 
     def has_become_overdue(self, now: float) -> bool:
         """Return whether the request is overdue and not yet marked so."""
@@ -135,6 +151,8 @@
         self.long_flows = 0
         #: Whether the load has changed since this flag was last cleared.
         self.is_changed = False
+        #: Called with each flow that is forgotten or closed.
+        self.on_end: Callable[[FlowKey], None] = lambda flow: None
 
     def add(
         self,
@@ -167,6 +185,7 @@
         """Forget a flow."""
         state = self.state_by_flow.pop(flow, None)
         if state is not None:
+            self.on_end(flow)
             self._expected.pop(flow, None)
             self._set_running(state, False)
             if state.closed_at is None:
@@ -243,6 +262,8 @@
         """Record that one end has closed a flow."""
         if state.closed_at is None:
             state.closed_at = now
+            if not state.is_held:
+                self.on_end(flow)
             if state.requests == 1:
                 self.reuse.record_flow(destination_of(flow), is_reused=False)
             self.long_flows -= state.is_long
--- a/ibispitch/forwarding/frames.py
+++ b/ibispitch/forwarding/frames.py
@@ -19,6 +19,7 @@
 RETURN = 2
 QUESTIONS = 3
 ANSWERS = 4
+AGE = 5
 
 #: Maximum number of agents listed in a returned opening.
 MAX_TRIED = 4
@@ -137,7 +138,19 @@
     answers: tuple[Answer, ...]
 
 
-Frame = Forward | Return | OwnershipQuestions | OwnershipAnswers
+class OpeningAge(NamedTuple):
+    """Age of the request for which a caller opens a flow.
+
+    It precedes the opening if the age cannot be seen from the opening itself.
+
+    :param age_s: time since the caller asked first.
+    """
+
+    flow: FlowKey
+    age_s: float
+
+
+Frame = Forward | Return | OwnershipQuestions | OwnershipAnswers | OpeningAge
 
 #: Header of FORWARD and RETURN frames: kind, purpose or reason, number of
 #: tried agents, packed position, incarnation.
@@ -145,6 +158,9 @@
 _QUESTION_LAYOUT = struct.Struct(f'<{FLOW_KEY_BYTES}sI')
 _ANSWERS_HEADER = struct.Struct('<BQ')
 _ANSWER_LAYOUT = struct.Struct(f'<{FLOW_KEY_BYTES}sB')
+#: Kind, flow, age in milliseconds.
+_AGE_LAYOUT = struct.Struct(f'<B{FLOW_KEY_BYTES}sH')
+_MAX_AGE_MS = 0xFFFF
 _TRIED_LAYOUTS = [
     struct.Struct(f'<{count}I') for count in range(MAX_TRIED + 1)
 ]
@@ -197,6 +213,15 @@
     return head + b''.join(_ANSWER_LAYOUT.pack(*answer) for answer in answers)
 
 
+def encode_age(flow: FlowKey, age_s: float) -> bytes:
+    """Return the datagram of an :class:`OpeningAge` frame.
+
+    >>> decode_frame(encode_age(FlowKey(bytes(12)), 1.5)).age_s
+    1.5
+    """
+    return _AGE_LAYOUT.pack(AGE, flow, min(_MAX_AGE_MS, round(1000 * age_s)))
+
+
 def decode_frame(data: bytes) -> Frame | None:
     """Decode a frame.
 
@@ -243,4 +268,7 @@
             incarnation,
             tuple(Answer(FlowKey(f), _VERDICTS[v]) for f, v in answers),
         )
+    if kind == AGE:
+        _kind, flow, age_ms = _AGE_LAYOUT.unpack(data)
+        return OpeningAge(FlowKey(flow), age_ms / 1000)
     return None
--- a/ibispitch/locating/table.py
+++ b/ibispitch/locating/table.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from ibispitch.forwarding.packets import FlowKey
+from ibispitch.retry.attempts import Attempt
 
 #: Maximum number of remembered flows. At 100 bytes each, the table stays under
 #: a tenth of the memory of the smallest process (119 MB). The owner of a
@@ -21,6 +22,7 @@
         opening.
     :param is_returned: whether the agent handed the opening back, so that a
         copy of it need not go there.
+    :param earlier: the caller's attempt before the opening, if it is known.
     """
 
     ip: str
@@ -28,6 +30,7 @@
     placed_at: float
     is_only_recipient: bool = True
     is_returned: bool = False
+    earlier: Attempt | None = None
 
 
 class FlowTable:
--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -13,6 +13,7 @@
 from ibispitch.forwarding.agent import AgentCore
 from ibispitch.forwarding.frames import Forward
 from ibispitch.forwarding.frames import Frame
+from ibispitch.forwarding.frames import OpeningAge
 from ibispitch.forwarding.frames import OwnershipQuestions
 from ibispitch.forwarding.packets import FlowKey
 from ibispitch.gate.core import Gate
@@ -74,6 +75,7 @@
             settings.is_first_start,
             RECENT_START_SHARE * settings.bounds.stability_s,
             node.clock(),
+            node.overload,
         )
         node.on_message = self._on_message
         node.on_frame = self._on_frame
@@ -104,8 +106,8 @@
     def _save_flows(self) -> None:
         """Close the gate and send the flows to some balancers."""
         node = self._node
-        parts = self._core.stop(node.started_ms)
         now = node.clock()
+        parts = self._core.stop(node.started_ms, now)
         self._send_status_to_all()
         datacentre = node.settings.datacentre
         balancers = sorted(
@@ -160,6 +162,8 @@
             self._schedule_notification()
         elif isinstance(frame, OwnershipQuestions):
             self._core.answer_questions(ip, frame, now)
+        elif isinstance(frame, OpeningAge):
+            self._core.receive_age(frame, now)
 
     def _on_message(self, ip: str, message: Message) -> None:
         if isinstance(message, BalancerStatus):
@@ -230,6 +234,8 @@
             'flows': core.flow_count,
             'long_flows': core.flows.long_flows,
             'requests_running': core.flows.running,
+            'requests_held': core.requests.held_count,
+            'requests_held_bytes': core.requests.held_bytes,
             'work_seconds': core.outcomes.work_s(self._node.clock()),
             'requests_failing': core.outcomes.failure_share(
                 self._node.clock()
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -84,6 +84,7 @@
         self._core = BalancerCore(
             node.settings.datacentre, node.fleet, self._codec, self,
             node.log, node.histograms, self._random, node.clock(),
+            node.overload,
         )  # fmt: skip
         node.on_message = self._on_message
         node.on_frame = self._on_frame
--- a/ibispitch/platform/node.py
+++ b/ibispitch/platform/node.py
@@ -49,6 +49,8 @@
 from ibispitch.routes.reader import RouteReader
 from ibispitch.routes.reader_choice import poll_timing
 from ibispitch.routes.reader_choice import PollTiming
+from ibispitch.settings.overload import ALL_OFF
+from ibispitch.settings.overload import OverloadSettings
 
 #: Interval of the cores' timers. Searches for flows and waiting openings are
 #: checked again after this time.
@@ -77,6 +79,7 @@
     :param transport: the host's sockets and clocks.
     :param log: log of decisions and changes.
     :param load: reads the settings again.
+    :param overload: settings of the decisions under overload.
     """
 
     def __init__(
@@ -85,8 +88,10 @@
         transport: Transport,
         log: DecisionLog,
         load: Callable[[], NodeSettings] = load_settings,
+        overload: OverloadSettings = ALL_OFF,
     ):
         self.settings = settings
+        self.overload = overload
         self.log = log
         self.transport = transport
         self.clock = transport.clock
--- /dev/null
+++ b/ibispitch/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Order of the requests that wait for an upstream."""
--- a/ibispitch/settings/overload.py
+++ b/ibispitch/settings/overload.py
@@ -50,6 +50,15 @@
     flow_requests_per_s: float = 1.0
 
 
+class RetrySettings(NamedTuple):
+    """Recognition of callers' attempts, see :mod:`ibispitch.retry.attempts`.
+
+    ``AUTO``: the same as ``ON``; only openings that wait are affected.
+    """
+
+    mode: Mode = Mode.OFF
+
+
 class BalancingSettings(NamedTuple):
     """Placement by work and spillover, see :mod:`ibispitch.placement`.
 
@@ -85,5 +94,10 @@
 
     scheduling: SchedulingSettings = SchedulingSettings()
     cold_start: ColdStartSettings = ColdStartSettings()
+    retries: RetrySettings = RetrySettings()
     balancing: BalancingSettings = BalancingSettings()
     sharing: SharingSettings = SharingSettings()
+
+
+#: Settings of a deployment that asks for none of the parts.
+ALL_OFF = OverloadSettings()
--- a/ibispitch/waiting/core.py
+++ b/ibispitch/waiting/core.py
@@ -20,6 +20,7 @@
 from ibispitch.gate.core import COLD_WINDOW_S
 from ibispitch.ids import ServiceName
 from ibispitch.placement.core import MAX_QUEUE_SHARE
+from ibispitch.retry.attempts import Attempt
 from ibispitch.routes.model import Route
 
 #: Time after which a caller gives up an opening that was not answered and
@@ -30,6 +31,8 @@
 COPY_AFTER_S = (0.0, 0.2, 0.6)
 #: Maximum number of waiting openings; further ones are refused at once.
 MAX_WAITING = 2048
+#: Number of attempts of a caller for a request.
+MAX_ATTEMPTS = 3
 #: Window in which arrivals and placements are counted to get their rates.
 RATE_WINDOW_S = 0.5
 #: Largest part of the latency objective that an opening may wait before it
@@ -48,6 +51,8 @@
     :param route: its route, ``None`` while there are no routes.
     :param sent_at: time at which the caller sent the first copy.
     :param work_s: mean request time of its service, 0 if not known.
+    :param earlier: the caller's attempt for the same request before this one,
+        ``None`` if there is none or it is not known.
     """
 
     packet: Packet
@@ -55,6 +60,32 @@
     route: Route | None
     sent_at: float
     work_s: float = 0.0
+    earlier: Attempt | None = None
+
+    @property
+    def asked_at(self) -> float:
+        """Time of the request's first attempt."""
+        return self.earlier.asked_at if self.earlier else self.sent_at
+
+    @property
+    def number(self) -> int:
+        """Number of this attempt, from 1."""
+        return self.earlier.number + 1 if self.earlier else 1
+
+    def ended(self, now: float) -> Attempt:
+        """Return this attempt as one that has ended."""
+        return Attempt(self.asked_at, self.number, now)
+
+    def request_time_left_s(self, now: float) -> float:
+        """Return the time in which an upstream can still get the request.
+
+        A caller whose attempt is not answered makes another one, so that the
+        request can be served until its timeout. The last attempt ends the
+        request.
+        """
+        if self.route is None or self.number >= MAX_ATTEMPTS:
+            return self.time_left_s(now)
+        return self.route.timeout_s - self.work_s - (now - self.asked_at)
 
     def time_left_s(self, now: float) -> float:
         """Return the time in which an upstream can still get the opening.
@@ -62,10 +93,11 @@
         The caller gives up the opening, or the request if it cannot be
         answered before the timeout of the route.
         """
-        limit_s = ATTEMPT_TIMEOUT_S
-        if self.route is not None:
-            limit_s = min(limit_s, self.route.timeout_s - self.work_s)
-        return limit_s - (now - self.sent_at)
+        left_s = ATTEMPT_TIMEOUT_S - (now - self.sent_at)
+        if self.route is None:
+            return left_s
+        timeout_s = self.route.timeout_s - self.work_s
+        return min(left_s, timeout_s - (now - self.asked_at))
 
     def is_late(self, now: float) -> bool:
         """Return whether the latency objective can no longer be met."""
@@ -77,7 +109,7 @@
         left_s = (
             1 - MAX_QUEUE_SHARE
         ) * objective_s - WORK_MARGIN * self.work_s
-        return now - self.sent_at > min(MAX_WAIT_SHARE * objective_s, left_s)
+        return now - self.asked_at > min(MAX_WAIT_SHARE * objective_s, left_s)
 
 
 def first_copy_sent_at(packet: Packet, now: float) -> float:
@@ -160,9 +192,15 @@
 
 
 class OpeningQueue:
-    """Queue of waiting openings, at most one for each flow."""
+    """Queue of waiting openings, at most one for each flow.
+
+    :param recognises_attempts: whether openings know the caller's earlier
+        attempts. Then a refusal is needed only if no further attempt of the
+        caller can be served either.
+    """
 
-    def __init__(self):
+    def __init__(self, recognises_attempts: bool = False):
+        self._recognises_attempts = recognises_attempts
         self._opening_by_flow: dict[FlowKey, Opening] = {}
         self._rates_by_service: dict[ServiceName | None, _ServiceRates] = {}
 
@@ -193,7 +231,9 @@
         earlier_copy = self.remove(flow)
         if earlier_copy is not None:
             since = min(earlier_copy.sent_at, opening.sent_at)
-            opening = opening._replace(sent_at=since)
+            opening = opening._replace(
+                sent_at=since, earlier=earlier_copy.earlier
+            )
         rates = self._rates_by_service.get(opening.service)
         if rates is None:
             rates = self._rates_by_service[opening.service] = _ServiceRates(
@@ -203,7 +243,7 @@
         if is_returned:
             if rates.placed:
                 rates.placed.pop()
-        elif earlier_copy is None:
+        elif earlier_copy is None and opening.earlier is None:
             rates.arrived.append(now)
         if earlier_copy is None and (
             len(self) >= MAX_WAITING
@@ -223,7 +263,7 @@
         now: float,
     ) -> bool:
         rate = rates.rate(capacity, now)
-        left_s = opening.time_left_s(now)
+        left_s = self._time_left_s(opening, now)
         if rate is None or capacity.warm_in_s < left_s:
             return True
         openings_ahead = sum(
@@ -233,6 +273,11 @@
         )
         return openings_ahead / rate < left_s
 
+    def _time_left_s(self, opening: Opening, now: float) -> float:
+        if self._recognises_attempts:
+            return opening.request_time_left_s(now)
+        return opening.time_left_s(now)
+
     def remove_placed(self, flow: FlowKey, now: float) -> Opening | None:
         """Remove an opening that was placed, and count the placement.
 
@@ -327,7 +372,7 @@
             if spare is None:
                 continue
             for position, opening in enumerate(openings, 1):
-                left_s = opening.time_left_s(now)
+                left_s = self._time_left_s(opening, now)
                 if capacity.warm_in_s >= left_s and position > spare * left_s:
                     removed.append(opening)
         for opening in removed:
@@ -344,4 +389,4 @@
     @staticmethod
     def _precedence(opening: Opening, now: float) -> tuple[bool, int, float]:
         priority = opening.route.priority if opening.route else 0
-        return opening.is_late(now), priority, opening.sent_at
+        return opening.is_late(now), priority, opening.asked_at
--- a/testbed/flow_network.py
+++ b/testbed/flow_network.py
@@ -22,6 +22,7 @@
 from ibispitch.platform.http import Response
 from ibispitch.platform.node import Node
 from ibispitch.platform.settings import parse_settings
+from ibispitch.settings.overload import OverloadSettings
 from testbed.flow_callers import FlowCaller
 from testbed.flow_callers import Outcome
 from testbed.flow_platform import HEARTBEAT_INTERVAL_S
@@ -186,6 +187,7 @@
         self.upstreams: list[tuple[Host, FlowUpstream]] = []
         self.cut_pairs: set[frozenset[str]] = set()
         self.loss = 0.0
+        self.overload = OverloadSettings()
         #: Capacity of the link of each host, 0 for no limit.
         self.link_mbps = 0.0
         #: Bytes of datagrams sent, with headers, by host name.
@@ -241,7 +243,7 @@
             lambda: host.unix_ms() / 1000,
             lambda data: self._log(host, data),
         )
-        host.node = Node(load(), host, log, load)
+        host.node = Node(load(), host, log, load, self.overload)
         program = Balancer if host in self.balancers else Agent
         node = host.node
         host.node.every(0.1, lambda: log.flush())
--- a/tests/forwarding/test_agent_core.py
+++ b/tests/forwarding/test_agent_core.py
@@ -480,7 +480,7 @@
     callers = [CALLER._replace(port=port) for port in range(2000, 2200)]
     for caller in callers:
         open_flow(core, caller=caller)
-    parts = core.stop(1)
+    parts = core.stop(1, 1.0)
     assert len(parts) == 3
     successor = make_core(Outbox(), knows_all_flows=False)
     flows = list(itertools.chain.from_iterable(p.flows for p in parts))
@@ -497,7 +497,7 @@
 def test_checkpoint_of_another_upstream(core):
     """Flows of an upstream that ended during the restart are dropped."""
     open_flow(core)
-    parts = core.stop(1)
+    parts = core.stop(1, 1.0)
     successor = make_core(Outbox(), knows_all_flows=False)
     successor.restore(1000, list(parts[0].flows), 1.0)
     successor.receive_heartbeat(heartbeat(started_ms=2000), 1.5)
