Read the overload settings from a file

Invalid files end the process with status 2.

The import of ibispitch.settings.overload also imported the expression library, which the platform doesn't install, so that its programs would have failed at the start.

--- a/ibispitch/platform/node.py
+++ b/ibispitch/platform/node.py
@@ -217,7 +217,10 @@
         )  # fmt: skip
 
     def reload(self) -> None:
-        """Read the settings file and apply what may change."""
+        """Read the settings file and apply what may change.
+
+        The overload settings are read only at the start.
+        """
         now = self.clock()
         try:
             settings = self._load_settings()
@@ -492,12 +495,16 @@
     return f'{trace.tb_frame.f_code.co_filename}:{trace.tb_lineno}'
 
 
-def run_node(work: Callable[[Node], Awaitable[None]]) -> None:
+def run_node(
+    work: Callable[[Node], Awaitable[None]],
+    overload: OverloadSettings = ALL_OFF,
+) -> None:
     """Run a process until it is stopped.
 
     Exits with 2 if the settings are missing or malformed.
 
     :param work: runs the program of a node.
+    :param overload: settings of the decisions under overload.
     """
     try:
         settings = load_settings()
@@ -512,12 +519,17 @@
             lambda: transport.unix_ms() / 1000,
             standard_output(),
         )
-        node = Node(settings, transport, log)
+        node = Node(settings, transport, log, overload=overload)
         node.log.change(
             'process.started', node.clock(), ip=settings.ip,
             datacentre=settings.datacentre, service=settings.service,
             first_start=settings.is_first_start,
         )  # fmt: skip
+        modes = {
+            name: section.mode.value
+            for name, section in overload._asdict().items()
+        }
+        node.log.change('overload.settings', node.clock(), **modes)
         node.every(LOG_FLUSH_INTERVAL_S, node.log.flush)
         node.handle_signals(node.reload)
         await work(node)
--- a/ibispitch/program.py
+++ b/ibispitch/program.py
@@ -15,7 +15,7 @@
 import click
 
 import ibispitch
-from ibispitch.settings import load_settings
+from ibispitch.settings.loader import load_settings
 
 EXIT_FAILED = 1
 EXIT_SETTINGS = 2
--- a/ibispitch/settings/__init__.py
+++ b/ibispitch/settings/__init__.py
@@ -1,10 +1,7 @@
 """Settings files in JSON with comments, checked before a program starts.
 
 The types of the settings of each program are in
-:mod:`ibispitch.settings.programs`.
+:mod:`ibispitch.settings.programs`. This package imports nothing, because the
+programs on the prepared platform import one of its modules and lack the
+libraries of the others.
 """
-
-from ibispitch.settings.loader import load_settings
-from ibispitch.settings.loader import SettingsError
-
-__all__ = ['SettingsError', 'load_settings']
--- a/ibispitch/settings/overload.py
+++ b/ibispitch/settings/overload.py
@@ -5,8 +5,16 @@
 """
 
 import enum
+from typing import Annotated
 from typing import NamedTuple
 
+from msgspec import Meta
+
+#: A part of a whole, from 0 to 1.
+Share = Annotated[float, Meta(ge=0, le=1)]
+#: Weight of a caller relative to the others.
+Weight = Annotated[float, Meta(ge=0.01, le=100)]
+
 
 class Mode(enum.Enum):
     """When a part takes effect."""
@@ -30,10 +38,10 @@
     """
 
     mode: Mode = Mode.OFF
-    work_margin: float = 1.5
-    min_share: float = 0.1
-    held_bytes: int = 4 * 1024 * 1024
-    held_requests: int = 2048
+    work_margin: Annotated[float, Meta(ge=1, le=10)] = 1.5
+    min_share: Share = 0.1
+    held_bytes: Annotated[int, Meta(ge=0, le=1 << 28)] = 4 * 1024 * 1024
+    held_requests: Annotated[int, Meta(ge=0, le=100_000)] = 2048
 
 
 class ColdStartSettings(NamedTuple):
@@ -46,8 +54,8 @@
     """
 
     mode: Mode = Mode.OFF
-    late_share: float = 0.3
-    flow_requests_per_s: float = 1.0
+    late_share: Share = 0.3
+    flow_requests_per_s: Annotated[float, Meta(ge=0, le=1000)] = 1.0
 
 
 class RetrySettings(NamedTuple):
@@ -69,7 +77,7 @@
     """
 
     mode: Mode = Mode.OFF
-    spill_hold_s: float = 2.0
+    spill_hold_s: Annotated[float, Meta(ge=0, le=60)] = 2.0
 
 
 class SharingSettings(NamedTuple):
@@ -84,9 +92,9 @@
     """
 
     mode: Mode = Mode.OFF
-    weight_by_network: tuple[tuple[str, float], ...] = ()
-    half_life_s: float = 2.0
-    callers: int = 4096
+    weight_by_network: tuple[tuple[str, Weight], ...] = ()
+    half_life_s: Annotated[float, Meta(ge=0.1, le=60)] = 2.0
+    callers: Annotated[int, Meta(ge=1, le=100_000)] = 4096
 
 
 class OverloadSettings(NamedTuple):
