Keep held packets when a request begins on a held flow

Cause: RequestScheduler.offer replaced the held packets of a flow if another request began on it. The first request was lost and its bytes counted for ever (unit test: packets [b'second'] instead of both). Change: such a packet is treated as the next one of its flow; a copy of a held packet is dropped and not passed on. Result: tests/scheduling/test_scheduler.py::test_further_request_of_a_held_flow passes (failed before).

--- a/ibispitch/forwarding/requests.py
+++ b/ibispitch/forwarding/requests.py
@@ -110,12 +110,13 @@
         """
         if not self._is_active:
             return True
+        was_held = self._scheduler.is_held(packet.flow)
         offer = self._scheduler.offer(
             request, _packet_key(packet), packet.raw, capacity, now
         )
         state = self._flows.state_by_flow[packet.flow]
-        state.is_held = offer is Offer.HOLD
-        if state.is_held:
+        state.is_held = self._scheduler.is_held(packet.flow)
+        if state.is_held and not was_held:
             self.count_by_outcome['held'] += 1
             self._log.decision(
                 'request.held', packet.flow, now, request=state.request_id,
@@ -123,7 +124,7 @@
                 passed=self._scheduler.passed_count,
                 work_ms=round(1000 * capacity.work_s),
             )  # fmt: skip
-        return not state.is_held
+        return offer is Offer.PASS
 
     def offer_packet(self, packet: Packet) -> bool:
         """Return whether a packet that begins no request may pass now."""
--- a/ibispitch/scheduling/core.py
+++ b/ibispitch/scheduling/core.py
@@ -180,6 +180,8 @@
         :param capacity: what the upstream can run.
         :param now: time in seconds.
         """
+        if request.flow in self._held_by_flow:
+            return self.offer_next(request.flow, packet_key, raw)
         is_idle = not self._held_by_flow
         if is_idle and self._busy(now) < capacity.places:
             self._pass(request, capacity, now)
