Free the place of a request when it ends, and only then

Cause: a FIN of the caller behind its request freed the place while the request was running; an upstream that then broke off the request without an answer kept the place until its objective had passed, and so did a request that the upstream handed back, until the next packet or tick. Data of an earlier answer counted as the answer to a held request. After a suspension, the first packet passed on expired requests, since they were dropped only in the next tick. Change: the agent frees places at an answer, an end from the upstream, a reset or a handed-back packet; a caller's FIN frees none. Expired requests are dropped before places are given.

--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -414,8 +414,15 @@
             )
         if packet.flags & (FIN | RST):
             self.flows.close(packet.flow, state, now)
+        if packet.flags & RST:
+            # After a FIN, the upstream still runs the request before it.
+            self._forget_request(packet.flow, state)
         return may_pass
 
+    def _forget_request(self, flow: FlowKey, state: FlowState) -> None:
+        self.requests.remove(flow)
+        state.is_held = False
+
     @staticmethod
     def _request_sent_at(state: FlowState, now: float) -> float:
         """Return when the caller asked for the request that begins now."""
@@ -532,7 +539,8 @@
             or sequence_distance(end, state.upstream_next_sequence) > 0
         ):
             state.upstream_next_sequence = end
-        if packet.size:
+        # If the request is held, the data belongs to an earlier answer.
+        if packet.size and not state.is_held:
             if state.request_received_at is not None:
                 took_s = now - state.request_received_at
                 self._record_answer(state, took_s, now)
@@ -549,6 +557,9 @@
                 self._record_failure(packet.flow, state, 'broken off', now)
                 state.request_received_at = None
             self.flows.close(packet.flow, state, now)
+            self.requests.record_answer(packet.flow)
+            if packet.flags & RST:
+                self._forget_request(packet.flow, state)
         self.requests.pass_next(self._capacity(now), now)
 
     def _record_answer(
@@ -603,6 +614,7 @@
             'upstream.handed_back', flow, now, reason=reason.name
         )
         self._return_packet(state.balancer, reason, packet.raw, state.tried)
+        self.requests.pass_next(self._capacity(now), now)
 
     def _record_denial(self, flow: FlowKey) -> None:
         self._denied_flows[flow] = None
@@ -620,7 +632,6 @@
             self._reported_cold_openings = left
             self.flows.is_changed = True
         self.flows.drop_overdue_openings(now)
-        self.requests.drop_expired(now)
         self.requests.pass_next(self._capacity(now), now)
 
     def sweep(self, now: float) -> None:
--- a/ibispitch/forwarding/flows.py
+++ b/ibispitch/forwarding/flows.py
@@ -151,7 +151,7 @@
         self.long_flows = 0
         #: Whether the load has changed since this flag was last cleared.
         self.is_changed = False
-        #: Called with each flow that is forgotten or closed.
+        #: Called with each flow that is forgotten.
         self.on_end: Callable[[FlowKey], None] = lambda flow: None
 
     def add(
@@ -262,8 +262,6 @@
         """Record that one end has closed a flow."""
         if state.closed_at is None:
             state.closed_at = now
-            if not state.is_held:
-                self.on_end(flow)
             if state.requests == 1:
                 self.reuse.record_flow(destination_of(flow), is_reused=False)
             self.long_flows -= state.is_long
--- a/ibispitch/forwarding/requests.py
+++ b/ibispitch/forwarding/requests.py
@@ -153,8 +153,13 @@
         self._scheduler.clear()
 
     def pass_next(self, capacity: Capacity, now: float) -> None:
-        """Pass on the requests for which there is room."""
+        """Pass on the requests for which there is room.
+
+        Those that their callers have given up are dropped first. After a
+        suspension of the process, they would otherwise take all places.
+        """
         if self._scheduler.held_count:
+            self._drop_expired(now)
             self._pass(self._scheduler.take(capacity, now), now)
 
     def pass_all(self, capacity: Capacity, now: float) -> None:
@@ -184,8 +189,7 @@
                 is_late=is_late, held=self._scheduler.held_count,
             )  # fmt: skip
 
-    def drop_expired(self, now: float) -> None:
-        """Drop requests that their callers have given up."""
+    def _drop_expired(self, now: float) -> None:
         for request in self._scheduler.take_expired(now):
             self.count_by_outcome['expired'] += 1
             state = self._flows.state_by_flow.get(request.flow)
