Forget attempts after which the caller makes no other

Cause: the end of a third attempt, or of one at the request's timeout, was recorded as if another attempt followed. The caller's next request within 0.1 s (in the second case within up to 0.5 s, as the end was dated 1.4 s after the opening) inherited the age, and could be refused as past its timeout. Change: the balancer records an end only if another attempt follows.

--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -424,11 +424,13 @@
         )  # fmt: skip
 
     def _record_end(self, opening: Opening, ended_at: float) -> None:
-        """Record that an attempt has ended and the caller may make another.
+        """Record that an attempt has ended if the caller makes another.
+
+        Otherwise the caller's next request would inherit the age.
 
         :param ended_at: time at which the caller ends the attempt.
         """
-        if self._recognises_attempts:
+        if self._recognises_attempts and opening.has_next_attempt(ended_at):
             self._ended_attempts.record(
                 opening.packet.flow, opening.ended(ended_at)
             )
--- a/ibispitch/waiting/core.py
+++ b/ibispitch/waiting/core.py
@@ -76,6 +76,18 @@
         """Return this attempt as one that has ended."""
         return Attempt(self.asked_at, self.number, now)
 
+    def has_next_attempt(self, ended_at: float) -> bool:
+        """Return whether the caller makes another attempt after this one.
+
+        :param ended_at: time at which the caller ends this attempt.
+        """
+        if self.number >= MAX_ATTEMPTS:
+            return False
+        return (
+            self.route is None
+            or ended_at < self.asked_at + self.route.timeout_s
+        )
+
     def request_time_left_s(self, now: float) -> float:
         """Return the time in which an upstream can still get the request.
 
