--- a/ibispitch/forwarding/requests.py
+++ b/ibispitch/forwarding/requests.py
@@ -110,12 +110,13 @@
         """
         if not self._is_active:
             return True
+        was_held = self._scheduler.is_held(packet.flow)
         offer = self._scheduler.offer(
             request, _packet_key(packet), packet.raw, capacity, now
         )
         state = self._flows.state_by_flow[packet.flow]
-        state.is_held = offer is Offer.HOLD
-        if state.is_held:
+        state.is_held = self._scheduler.is_held(packet.flow)
+        if state.is_held and not was_held:
             self.count_by_outcome['held'] += 1
             self._log.decision(
                 'request.held', packet.flow, now, request=state.request_id,
@@ -123,7 +124,7 @@
                 passed=self._scheduler.passed_count,
                 work_ms=round(1000 * capacity.work_s),
             )  # fmt: skip
-        return not state.is_held
+        return offer is Offer.PASS
 
     def offer_packet(self, packet: Packet) -> bool:
         """Return whether a packet that begins no request may pass now."""
@@ -152,8 +153,13 @@
         self._scheduler.clear()
 
     def pass_next(self, capacity: Capacity, now: float) -> None:
-        """Pass on the requests for which there is room."""
+        """Pass on the requests for which there is room.
+
+        Those that their callers have given up are dropped first. After a
+        suspension of the process, they would otherwise take all places.
+        """
         if self._scheduler.held_count:
+            self._drop_expired(now)
             self._pass(self._scheduler.take(capacity, now), now)
 
     def pass_all(self, capacity: Capacity, now: float) -> None:
@@ -183,8 +189,7 @@
                 is_late=is_late, held=self._scheduler.held_count,
             )  # fmt: skip
 
-    def drop_expired(self, now: float) -> None:
-        """Drop requests that their callers have given up."""
+    def _drop_expired(self, now: float) -> None:
         for request in self._scheduler.take_expired(now):
             self.count_by_outcome['expired'] += 1
             state = self._flows.state_by_flow.get(request.flow)
