--- a/ibispitch/settings/overload.py
+++ b/ibispitch/settings/overload.py
@@ -38,7 +38,7 @@
     """
 
     mode: Mode = Mode.OFF
-    work_margin: Annotated[float, Meta(ge=1, le=10)] = 1.5
+    work_margin: Annotated[float, Meta(ge=1, le=10)] = 2.0
     min_share: Share = 0.1
     held_bytes: Annotated[int, Meta(ge=0, le=1 << 28)] = 4 * 1024 * 1024
     held_requests: Annotated[int, Meta(ge=0, le=100_000)] = 2048
