--- a/ibispitch/sharing/core.py
+++ b/ibispitch/sharing/core.py
@@ -32,9 +32,11 @@
 #: A caller without activity for this number of half-lives is forgotten. One
 #: opening counts 1/32 by then.
 MAX_IDLE_HALF_LIVES = 5.0
-#: Age in seconds from which the shares are computed again. Computing them for
-#: 4,096 callers takes some milliseconds.
-SHARES_MAX_AGE_S = 0.1
+#: Age in seconds from which the shares are computed again, for each remembered
+#: caller: 0.1 s for 4,096 callers, for which computing takes 4.6 ms.
+SHARES_MAX_AGE_PER_CALLER_S = 25e-6
+#: Smallest such age, half a tick.
+MIN_SHARES_MAX_AGE_S = 0.01
 #: Smallest share in openings. With more callers than places, the computed
 #: share is a fraction of an opening, and each caller that got one would
 #: otherwise be above it.
@@ -236,7 +238,11 @@
 
     def _refresh(self, now: float) -> None:
         """Compute the shares again if they are out of date."""
-        if 0.0 <= now - self._computed_at < SHARES_MAX_AGE_S:
+        max_age_s = max(
+            MIN_SHARES_MAX_AGE_S,
+            SHARES_MAX_AGE_PER_CALLER_S * len(self._account_by_caller),
+        )
+        if 0.0 <= now - self._computed_at < max_age_s:
             return
         self._computed_at = now
         self._forget_idle(now)
