Count held requests, further attempts and refused openings

The metrics page has them by service, kind and outcome or reason. The log lines on them name service and kind, and flow.placed the data centre.

--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -1,5 +1,6 @@
 """Decides what a balancer does with the packets of callers."""
 
+from collections import Counter
 from collections import defaultdict
 import random
 import socket
@@ -135,6 +136,10 @@
         self._recognises_attempts = overload.retries.mode is not Mode.OFF
         self._queue = OpeningQueue(self._recognises_attempts)
         self._ended_attempts = EndedAttempts()
+        #: Openings recognised as a further attempt, by service.
+        self.further_attempts: Counter[ServiceName] = Counter()
+        #: Refused openings by service, kind and reason.
+        self.refused: Counter[tuple[str, str, str]] = Counter()
         #: Time of the first packet of flows whose owner is not yet searched,
         #: because few agents are known.
         self._unknown_since_by_flow: dict[FlowKey, float] = {}
@@ -305,6 +310,8 @@
             age_ms=round(1000 * (now - view.heard_at)),
             waited_ms=round(1000 * waited_s),
             copy=packet.acknowledged, revision=self.routes.position.revision,
+            service=status.service, kind=route.kind,
+            datacentre=status.datacentre,
         )  # fmt: skip
 
     def _view_for_copy(
@@ -398,6 +405,8 @@
         is_first_copy = owner is None and not packet.acknowledged
         if self._recognises_attempts and is_first_copy:
             earlier = self._ended_attempts.take(packet.flow, now)
+            if earlier is not None:
+                self.further_attempts[service or ''] += 1
         return Opening(
             packet,
             service,
@@ -451,6 +460,7 @@
             self._log.failure(
                 'flow.not_placed', opening.packet.flow, now,
                 waited_ms=round(1000 * (now - opening.sent_at)),
+                **self._count_refusal(opening.packet.flow, 'not placed'),
             )  # fmt: skip
         # If no upstream can take one opening of a route, the following ones
         # of this route wait as well.
@@ -600,10 +610,23 @@
         )
         return self.knows_fleet(now) and not are_agents_starting
 
+    def _count_refusal(self, flow: FlowKey, reason: str) -> dict[str, str]:
+        """Count a refused opening.
+
+        :returns: service and kind of its route for the log line.
+        """
+        route = self._route_of(flow)
+        service = (route.service_for(flow) if route else None) or ''
+        kind = route.kind if route else ''
+        self.refused[service, kind, reason] += 1
+        return {'service': service, 'kind': kind}
+
     def _reset(
         self, packet: Packet, why: str, now: float, **inputs: Any
     ) -> None:
         flow = packet.flow
+        if packet.is_opening:
+            inputs |= self._count_refusal(flow, why)
         self._table.pop(flow)
         self._queue.remove(flow)
         self._outbox.to_caller(
--- a/ibispitch/forwarding/requests.py
+++ b/ibispitch/forwarding/requests.py
@@ -61,8 +61,17 @@
         self._histograms = histograms
         self._scheduler = RequestScheduler(settings)
         self._is_active = settings.mode is Mode.ON
-        #: Requests by outcome: held, passed on time, passed late, expired.
-        self.count_by_outcome: Counter[str] = Counter()
+        #: Requests by kind and outcome: held, passed on time, passed late,
+        #: expired.
+        self.count_by_kind_and_outcome: Counter[tuple[str, str]] = Counter()
+
+    @property
+    def count_by_outcome(self) -> Counter[str]:
+        """Requests of all kinds by outcome."""
+        counts: Counter[str] = Counter()
+        for (_, outcome), count in self.count_by_kind_and_outcome.items():
+            counts[outcome] += count
+        return counts
 
     @property
     def held_count(self) -> int:
@@ -116,9 +125,10 @@
         state = self._flows.state_by_flow[packet.flow]
         state.is_held = offer is Offer.HOLD
         if state.is_held:
-            self.count_by_outcome['held'] += 1
+            self.count_by_kind_and_outcome[request.kind, 'held'] += 1
             self._log.decision(
                 'request.held', packet.flow, now, request=state.request_id,
+                service=self._service, kind=request.kind,
                 held=self._scheduler.held_count, slots=capacity.slots,
                 passed=self._scheduler.passed_count,
                 work_ms=round(1000 * capacity.work_s),
@@ -173,26 +183,28 @@
             for raw in packets:
                 self._send(raw)
             outcome = 'passed_late' if is_late else 'passed_on_time'
-            self.count_by_outcome[outcome] += 1
+            self.count_by_kind_and_outcome[state.kind, outcome] += 1
             self._histograms.record(
                 Series('request_held', self._service, state.kind), held_s
             )
             self._log.decision(
                 'request.released', request.flow, now,
-                request=state.request_id, held_ms=round(1000 * held_s),
+                request=state.request_id, service=self._service,
+                kind=state.kind, held_ms=round(1000 * held_s),
                 is_late=is_late, held=self._scheduler.held_count,
             )  # fmt: skip
 
     def drop_expired(self, now: float) -> None:
         """Drop requests that their callers have given up."""
         for request in self._scheduler.take_expired(now):
-            self.count_by_outcome['expired'] += 1
+            self.count_by_kind_and_outcome[request.kind, 'expired'] += 1
             state = self._flows.state_by_flow.get(request.flow)
             if state is not None:
                 self._end_expired(state, now)
             self._log.failure(
                 'request.expired', request.flow, now,
                 request=state.request_id if state else None,
+                service=self._service, kind=request.kind,
                 waited_ms=round(1000 * (now - request.sent_at)),
                 held=self._scheduler.held_count,
             )  # fmt: skip
--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -19,6 +19,7 @@
 from ibispitch.gate.core import Gate
 from ibispitch.platform.http import Request
 from ibispitch.platform.http import Response
+from ibispitch.platform.metrics import Counts
 from ibispitch.platform.node import Node
 from ibispitch.platform.packets import PlatformPacketCodec
 from ibispitch.platform.upstreams import decode_heartbeat
@@ -91,7 +92,7 @@
         )
         await node.serve(settings.heartbeat_address, self._answer_heartbeat)
         await node.serve(settings.readiness_address, self._answer_readiness)
-        await node.serve_metrics(self._gauges)
+        await node.serve_metrics(self._gauges, self._counters)
         node.add_seeds()
         following = node.make_route_reader().follow(lambda: False)
         node.start(following, is_essential=True)
@@ -242,6 +243,16 @@
             ),
         }
 
+    def _counters(self) -> Iterable[Counts]:
+        service = self._node.settings.service
+        counts = self._core.requests.count_by_kind_and_outcome
+        yield Counts(
+            'scheduled_requests',
+            'Requests at the scheduler; each held one also has an end',
+            ('service', 'kind', 'outcome'),
+            {(service, *key): count for key, count in counts.items()},
+        )
+
     # Status.
 
     def _make_status(self, wants_answer: bool, rounds: int) -> AgentStatus:
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -22,6 +22,7 @@
 from ibispitch.forwarding.packets import Packet
 from ibispitch.platform.http import Request
 from ibispitch.platform.http import Response
+from ibispitch.platform.metrics import Counts
 from ibispitch.platform.node import Node
 from ibispitch.platform.node import TICK_INTERVAL_S
 from ibispitch.platform.packets import PlatformPacketCodec
@@ -101,7 +102,7 @@
                 settings.heartbeat_address, self._refuse_heartbeat
             )
         await node.serve_routes()
-        await node.serve_metrics(self._gauges)
+        await node.serve_metrics(self._gauges, self._counters)
         node.add_seeds()
         following = node.make_route_reader().follow(self._is_reader)
         node.start(following, is_essential=True)
@@ -240,6 +241,20 @@
             'agents_heard': len(self._node.fleet.recent_agents(now)),
         }
 
+    def _counters(self) -> Iterable[Counts]:
+        yield Counts(
+            'further_attempts',
+            'Openings recognised as a further attempt of a caller',
+            ('service',),
+            {(key,): n for key, n in self._core.further_attempts.items()},
+        )
+        yield Counts(
+            'refused_openings',
+            'Openings that were refused or not placed, by reason',
+            ('service', 'kind', 'reason'),
+            self._core.refused,
+        )
+
     # Status.
 
     def _make_status(
--- a/ibispitch/platform/metrics.py
+++ b/ibispitch/platform/metrics.py
@@ -5,8 +5,11 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
 from itertools import accumulate
+from typing import NamedTuple
 
 from ibispitch.decisionlog import DecisionLog
 from ibispitch.histograms import LATENCY_BOUNDS_S
@@ -22,20 +25,47 @@
 Gauges = Callable[[], dict[str, float]]
 
 
+class Counts(NamedTuple):
+    """Counts of one kind of event by the values of labels.
+
+    :param name: name of the metric without prefix and ``_total``.
+    :param labels: names of the labels.
+    """
+
+    name: str
+    help: str
+    labels: tuple[str, ...]
+    count_by_values: Mapping[tuple[str, ...], int]
+
+
+Counters = Callable[[], Iterable[Counts]]
+
+
+def no_counters() -> Iterable[Counts]:
+    """Return the counters of a program that has none."""
+    return ()
+
+
 class MetricsPage:
     """Answers scrapes.
 
     :param log: its event counts are served as counters.
     :param histograms: latency histograms of the process.
     :param gauges: returns the current values by name.
+    :param counters: returns the counts with labels.
     """
 
     def __init__(
-        self, log: DecisionLog, histograms: LatencyHistograms, gauges: Gauges
+        self,
+        log: DecisionLog,
+        histograms: LatencyHistograms,
+        gauges: Gauges,
+        counters: Counters = no_counters,
     ):
         self._log = log
         self._histograms = histograms
         self._gauges = gauges
+        self._counters = counters
         self._registry = None
 
     async def answer(self, request: Request) -> Response:
@@ -63,6 +93,13 @@
         for event, count in self._log.count_by_event.items():
             events.add_metric([event], count)
         yield events
+        for counts in self._counters():
+            counter = CounterMetricFamily(
+                f'ibispitch_{counts.name}', counts.help, labels=counts.labels
+            )
+            for values, count in counts.count_by_values.items():
+                counter.add_metric(values, count)
+            yield counter
         for name, value in self._gauges().items():
             yield GaugeMetricFamily(f'ibispitch_{name}', name, value)
         family_by_name: dict[str, HistogramMetricFamily] = {}
--- a/ibispitch/platform/node.py
+++ b/ibispitch/platform/node.py
@@ -32,9 +32,11 @@
 from ibispitch.ids import Address
 from ibispitch.platform.http import Handler
 from ibispitch.platform.link import Link
+from ibispitch.platform.metrics import Counters
 from ibispitch.platform.metrics import Gauges
 from ibispitch.platform.metrics import METRICS_PORT
 from ibispitch.platform.metrics import MetricsPage
+from ibispitch.platform.metrics import no_counters
 from ibispitch.platform.routes import PlatformRoutes
 from ibispitch.platform.settings import EXIT_SETTINGS
 from ibispitch.platform.settings import load_settings
@@ -265,10 +267,13 @@
             server.close()
         self.log.flush()
 
-    async def serve_metrics(self, gauges: Gauges) -> None:
+    async def serve_metrics(
+        self, gauges: Gauges, counters: Counters = no_counters
+    ) -> None:
         """Serve counters, histograms and gauges.
 
         :param gauges: returns the current values of the program by name.
+        :param counters: returns its counts with labels.
         """
 
         def read_gauges() -> dict[str, float]:
@@ -281,7 +286,7 @@
                 'series_left_out': self.histograms.left_out,
             }
 
-        page = MetricsPage(self.log, self.histograms, read_gauges)
+        page = MetricsPage(self.log, self.histograms, read_gauges, counters)
         address = Address(self.settings.ip, METRICS_PORT)
         await self.serve(address, page.answer)
 
--- a/tests/platform/test_metrics.py
+++ b/tests/platform/test_metrics.py
@@ -12,6 +12,10 @@
 from ibispitch.platform.http import Request
 from ibispitch.platform.metrics import METRICS_PATH
 from ibispitch.platform.metrics import METRICS_PORT
+from ibispitch.settings.overload import Mode
+from ibispitch.settings.overload import OverloadSettings
+from ibispitch.settings.overload import RetrySettings
+from ibispitch.settings.overload import SchedulingSettings
 from testbed.flow_network import FlowNetwork
 from testbed.flow_platform import FEED
 from testbed.flow_platform import QUOTE
@@ -73,3 +77,56 @@
     deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
     wanted = f'{METRICS_PORT}{METRICS_PATH}'
     assert {r['metrics'] for r in deploy['roles'].values()} == {wanted}
+
+
+def _value_by_labels(samples, *labels):
+    return {
+        tuple(sample.labels[label] for label in labels): sample.value
+        for sample in samples
+        if sample.name.endswith('_total')
+    }
+
+
+def test_held_and_refused_requests_are_counted():
+    """Guards against an overload that the metrics don't show.
+
+    One upstream gets many times the requests that it can run.
+    """
+
+    async def scenario(loop):
+        network = FlowNetwork(loop, {'accra': 1}, [('accra', 'counter')])
+        network.overload = OverloadSettings(
+            scheduling=SchedulingSettings(Mode.ON),
+            retries=RetrySettings(Mode.ON),
+        )
+        network.configure(1, (FEED, QUOTE))
+        await network.start()
+        callers = [network.add_caller('accra', QUOTE) for _ in range(100)]
+        await network.send_requests(callers, 600, 3)
+        await asyncio.sleep(5)
+        hosts = (network.balancers[0], network.agents[0])
+        return [await scrape(host) for host in hosts]
+
+    balancer, agent = simulate(scenario)
+    count_by_event = _value_by_labels(agent['ibispitch_events'], 'event')
+    outcomes = _value_by_labels(
+        agent['ibispitch_scheduled_requests'], 'service', 'kind', 'outcome'
+    )
+    key = ('counter', 'unsafe')
+    held = outcomes[*key, 'held']
+    assert held == count_by_event['request.held',] > 0
+    released = sum(
+        outcomes.get((*key, outcome), 0)
+        for outcome in ('passed_on_time', 'passed_late')
+    )
+    assert released == count_by_event['request.released',]
+    assert agent['ibispitch_requests_held'][0].value == 0
+    assert agent['ibispitch_requests_held_bytes'][0].value == 0
+    refused = _value_by_labels(
+        balancer['ibispitch_refused_openings'], 'service', 'kind', 'reason'
+    )
+    assert refused[*key, 'cannot be served in time'] > 0
+    attempts = _value_by_labels(
+        balancer['ibispitch_further_attempts'], 'service'
+    )
+    assert attempts['counter',] > 0
