Add ibispitchctl load, a summary of the load in log lines

It prints who waits, who was refused and why, where openings go and what is scarce in each second, and says how many lines the rate limit left out. docs/stories/overload.jsonl has recorded lines for it and for explain. The lines upstream.state and request.failed name the service; upstream.state names the data centre too, flow.handed_back the service.

--- a/ibispitch/ctl/program.py
+++ b/ibispitch/ctl/program.py
@@ -12,6 +12,7 @@
 from ibispitch.ctl.fleet import top
 from ibispitch.ctl.fleet import upstreams
 from ibispitch.ctl.fleet import versions
+from ibispitch.ctl.load import load
 from ibispitch.ctl.options import examples
 from ibispitch.ctl.session import CONFIG_VARIABLE
 from ibispitch.ctl.session import Session
@@ -88,5 +89,6 @@
     versions,
     top,
     explain,
+    load,
 ):
     main.add_command(command)
--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -157,6 +157,7 @@
         if is_changed:
             self._log.change(
                 'upstream.state', now, state=self.gate.state(now).name,
+                service=self.gate.service, datacentre=self.gate.datacentre,
                 incarnation=heartbeat.started_ms, sequence=heartbeat.sequence,
                 cold_left_s=heartbeat.cold_left_s,
                 cold_openings=self.gate.cold_openings(self.routes, now),
@@ -569,6 +570,7 @@
         self.outcomes.record_failure(now)
         self._log.failure(
             'request.failed', flow, now, why=why, request=state.request_id,
+            service=self.gate.service, kind=state.kind,
             running=self.flows.running,
             failing=round(self.outcomes.failure_share(now), 2),
         )  # fmt: skip
--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -183,6 +183,7 @@
             self._log.decision(
                 'flow.handed_back', packet.flow, now,
                 agent=ip, reason=reason.name,
+                service=self._service_of(packet.flow),
             )  # fmt: skip
             self._handle_opening(packet, tried[-MAX_TRIED:], now)
         elif reason in LOG_TEXT_BY_END_REASON:
@@ -613,13 +614,17 @@
     def _count_refusal(self, flow: FlowKey, reason: str) -> dict[str, str]:
         """Count a refused opening.
 
-        :returns: service and kind of its route for the log line.
+        :returns: service, kind and data centre for the log line.
         """
         route = self._route_of(flow)
         service = (route.service_for(flow) if route else None) or ''
         kind = route.kind if route else ''
         self.refused[service, kind, reason] += 1
-        return {'service': service, 'kind': kind}
+        return {
+            'service': service,
+            'kind': kind,
+            'datacentre': self._datacentre,
+        }
 
     def _reset(
         self, packet: Packet, why: str, now: float, **inputs: Any
--- a/ibispitch/gate/core.py
+++ b/ibispitch/gate/core.py
@@ -99,7 +99,7 @@
         cold: ColdLimits,
     ):
         self.service = service
-        self._datacentre = datacentre
+        self.datacentre = datacentre
         self._silent_after_s = SILENT_AFTER_INTERVALS * heartbeat_s
         self._cold_limits = cold
         self.heartbeat: Heartbeat | None = None
@@ -191,7 +191,7 @@
         counts as cold until the next heartbeat, because it may have become
         cold meanwhile.
         """
-        is_datacentre_out = self._datacentre in routes.all_out
+        is_datacentre_out = self.datacentre in routes.all_out
         if self._is_datacentre_out and not is_datacentre_out:
             limits = routes.limits_by_service.get(self.service)
             if limits is not None:
--- a/testbed/stories.py
+++ b/testbed/stories.py
@@ -12,12 +12,21 @@
 import sys
 from typing import NamedTuple
 
+from ibispitch.settings.overload import Mode
+from ibispitch.settings.overload import OverloadSettings
+from ibispitch.settings.overload import RetrySettings
+from ibispitch.settings.overload import SchedulingSettings
 from testbed.flow_callers import Outcome
 from testbed.flow_network import FlowNetwork
 from testbed.flow_platform import FEED
 from testbed.flow_platform import QUOTE
 from testbed.simulated_loop import simulate
 
+#: Settings of the script on overload; the others run without them.
+OVERLOAD = OverloadSettings(
+    scheduling=SchedulingSettings(Mode.ON), retries=RetrySettings(Mode.ON)
+)
+
 
 class Story(NamedTuple):
     """A failed request, its flow and the log lines of the deployment."""
@@ -95,6 +104,36 @@
     return next(story for story in failed if _was_reset(story))
 
 
+@script
+async def overload(network: FlowNetwork) -> Story:
+    """A request that its agent held, and the restart of all upstreams."""
+    feeds = [
+        network.add_caller('accra', FEED, is_long=True) for _ in range(20)
+    ]
+    quotes = [network.add_caller('accra', QUOTE) for _ in range(20)]
+    await network.send_requests(feeds, 20, 4)
+    for _, upstream in network.upstreams:
+        upstream.work_s = 0.2
+    await network.send_requests([*feeds, *quotes], 60, 3)
+    for host in network.agents:
+        host.upstream.crash()
+        network.start_upstream(host, cold_s=2.0)
+    await network.send_requests([*feeds, *quotes], 30, 2)
+    await asyncio.sleep(3)
+    requests = (
+        request for caller in (*quotes, *feeds) for request in caller.requests
+    )
+    stories = (_collect_story(network, request) for request in requests)
+    return next(story for story in stories if _has(story, 'request.held'))
+
+
+def _has(story: Story, event: str) -> bool:
+    return any(
+        line['event'] == event and line['flow'].startswith(f'{story.flow}>')
+        for line in story.lines
+    )
+
+
 def _was_reset(story: Story) -> bool:
     return any(
         line['event'] == 'flow.reset'
@@ -106,13 +145,15 @@
 def run_story(name: str) -> Story:
     """Run the script of a failure and return its story.
 
-    :param name: ``frozen``, ``ended`` or ``refused``.
+    :param name: ``frozen``, ``ended``, ``refused`` or ``overload``.
     """
 
     async def work(loop):
         network = FlowNetwork(
             loop, {'accra': 2}, [('accra', 'counter')] * 2, seed=5
         )
+        if name == 'overload':
+            network.overload = OVERLOAD
         network.configure(1, (FEED, QUOTE))
         await network.start()
         return await SCRIPT_BY_NAME[name](network)
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -17,6 +17,13 @@
     'frozen': ('fleet.agent', 'state', 'SILENT'),
     'ended': ('flow.reset', 'why', 'upstream ended'),
     'refused': ('flow.reset', 'why', 'cannot be served in time'),
+    'overload': ('request.held', 'slots', 1),
+}
+FLOW_BY_STORY = {
+    'frozen': '100.64.0.1:1024',
+    'ended': '100.64.0.1:1024',
+    'refused': '100.64.0.5:1025',
+    'overload': '100.64.0.21:1031',
 }
 
 
@@ -24,8 +31,7 @@
 def test_committed_lines_explain(name):
     """The committed log lines of the page must show the cause."""
     texts = (STORIES / f'{name}.jsonl').read_text().splitlines()
-    flow = '100.64.0.5:1025' if name == 'refused' else '100.64.0.1:1024'
-    lines = related_lines(read_lines(texts), flow)
+    lines = related_lines(read_lines(texts), FLOW_BY_STORY[name])
     event, key, value = CAUSE_BY_STORY[name]
     assert any(
         line.event == event and line.inputs.get(key) == value for line in lines
