--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -5,11 +5,15 @@
 from pathlib import Path
 import pkgutil
 import re
+from typing import get_type_hints
 
+from click.testing import CliRunner
 import msgspec
 import pytest
 
 import ibispitch
+from ibispitch.ctl import main as ctl_main
+from ibispitch.settings import overload
 from ibispitch.settings import programs
 from ibispitch.wire import messages
 
@@ -190,3 +194,39 @@
     targets = re.findall(r'^([a-z]+):', (ROOT / 'Makefile').read_text(), re.M)
     code = ' '.join(re.findall(r'`[^`]*`|^ {4}.*$', text, re.MULTILINE))
     assert set(TARGET.findall(code)) <= set(targets)
+
+
+def test_overload_settings_are_documented():
+    """The page must have each key of the overload settings, its default and
+    its range, as operators set them from it.
+    """
+    rows = {
+        cells[0]: cells[1:]
+        for line in section('Overload settings').splitlines()
+        if line.startswith('| `')
+        for cells in [[cell.strip() for cell in line.split('|')[1:-1]]]
+    }
+    keys = set()
+    for name, part in get_type_hints(overload.OverloadSettings).items():
+        hints = get_type_hints(part, include_extras=True)
+        for key, default in part._field_defaults.items():
+            keys.add(f'`{name}.{key}`')
+            _, limits, shown, _ = rows[f'`{name}.{key}`']
+            if key == 'mode':
+                assert shown == f'`{default.value}`'
+            elif key == 'weight_by_network':
+                assert shown == '`{}`'
+            else:
+                assert json.loads(shown.strip('`')) == default, key
+                (meta,) = hints[key].__metadata__
+                assert limits == f'{meta.ge} to {meta.le}', key
+    assert rows.keys() == keys
+
+
+def test_commands_on_recorded_load_print_what_the_page_shows():
+    """The page must show the output of the present command."""
+    path = ROOT / 'docs/stories/overload.jsonl'
+    output = CliRunner().invoke(ctl_main, ['load', str(path)]).stdout
+    shown = section('From an overload to its cause')
+    missing = [ln for ln in output.splitlines() if ln.rstrip() not in shown]
+    assert not missing
