Reserve the flows of cold upstreams for urgent openings in time

Ruled out: places for long flows first; 1,790 long flows with 0.37 requests a second each serve less than the short requests that would wait. Change: ibispitch/waiting/cold.py counts arrivals by priority and keeps places for the more urgent ones of the next second.

--- a/ibispitch/forwarding/requests.py
+++ b/ibispitch/forwarding/requests.py
@@ -25,15 +25,6 @@
 from ibispitch.sharing.core import CallerShares
 
 
-def priorities_of(routes: RouteIndex, service: ServiceName) -> set[int]:
-    """Return the priorities of the routes to a service."""
-    return {
-        route.priority
-        for route in routes.table.routes
-        if any(share.service == service for share in route.shares)
-    }
-
-
 class ScheduledRequests:
     """Holds requests of the flows and passes them on in order.
 
@@ -106,7 +97,7 @@
         """
         is_active = self._settings.mode is Mode.ON or (
             self._settings.mode is Mode.AUTO
-            and len(priorities_of(routes, self._service)) > 1
+            and len(routes.priorities_of(self._service)) > 1
         )
         if is_active != self._is_active:
             self._log.change('requests.scheduled', now, is_active=is_active)
--- a/ibispitch/settings/overload.py
+++ b/ibispitch/settings/overload.py
@@ -45,17 +45,16 @@
 
 
 class ColdStartSettings(NamedTuple):
-    """Choice of the flows for cold upstreams, see :mod:`ibispitch.waiting`.
+    """Choice of flows for cold upstreams, see :mod:`ibispitch.waiting.cold`.
 
-    ``AUTO``: for services with routes for both long and short flows.
+    ``AUTO``: for services whose routes name more than one priority.
 
-    :param late_share: value of a late answer as a part of one on time.
-    :param flow_requests_per_s: requests per second of a long flow.
+    :param learn_s: seconds after its first opening in which a balancer does
+        not know yet how many openings to expect.
     """
 
     mode: Mode = Mode.OFF
-    late_share: Share = 0.3
-    flow_requests_per_s: Annotated[float, Meta(ge=0, le=1000)] = 1.0
+    learn_s: Annotated[float, Meta(ge=0, le=10)] = 0.2
 
 
 class RetrySettings(NamedTuple):
