Place long flows by their work

Cause: long flows stay on their upstream, and placement evened their number. Change: agents measure the request rates of their long flows and report flow_load; with balancing switched on, it takes the place of the number of flows. Flows since the last status count with the mean load of a flow. Where no load is reported, the number of flows counts.

--- a/ibispitch/fleet/messages.py
+++ b/ibispitch/fleet/messages.py
@@ -59,6 +59,8 @@
     :param wants_answer: whether the receiver is asked for its own status.
     :param reuse: destinations of its recent flows, and whether these carry
         several requests.
+    :param flow_load: expected number of slots that its long flows keep busy,
+        ``None`` if not known.
     """
 
     datacentre: DatacentreName
@@ -78,6 +80,7 @@
     interval_s: float
     wants_answer: bool
     reuse: tuple[tuple[bytes, bool], ...] = ()
+    flow_load: float | None = None
 
 
 class BalancerStatus(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -36,6 +36,7 @@
 from ibispitch.scheduling.core import Capacity
 from ibispitch.scheduling.core import Request
 from ibispitch.settings.overload import ALL_OFF
+from ibispitch.settings.overload import Mode
 from ibispitch.settings.overload import OverloadSettings
 from ibispitch.waiting.core import first_copy_sent_at
 
@@ -118,6 +119,7 @@
         self._last_opening_at_by_balancer: dict[str, float] = {}
         self.routes: RouteIndex | None = None
         self.outcomes = Outcomes()
+        self._balances = overload.balancing.mode is not Mode.OFF
         self.requests = ScheduledRequests(
             overload.scheduling, gate.service, self.flows, outbox.to_upstream,
             log, histograms,
@@ -573,6 +575,16 @@
             failing=round(self.outcomes.failure_share(now), 2),
         )  # fmt: skip
 
+    def flow_load(self, now: float) -> float | None:
+        """Return the expected number of slots that long flows keep busy.
+
+        :returns: ``None`` if it is not known or placement doesn't use it.
+        """
+        if not self._balances:
+            return None
+        load = self.flows.rates.flow_load(self.outcomes.work_s(now), now)
+        return None if load is None else round(load, 3)
+
     def _capacity(self, now: float) -> Capacity:
         return Capacity(self._slots, self.outcomes.work_s(now))
 
--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -30,6 +30,7 @@
 from ibispitch.locating.table import FlowTable
 from ibispitch.locating.table import Owner
 from ibispitch.placement.core import choose_agent
+from ibispitch.placement.work import choose_agent_by_work
 from ibispitch.retry.attempts import Attempt
 from ibispitch.retry.attempts import EndedAttempts
 from ibispitch.routes.kinds import kind_named
@@ -133,6 +134,7 @@
         self._table = FlowTable()
         self._locator = Locator(fleet, datacentre)
         self._recognises_attempts = overload.retries.mode is not Mode.OFF
+        self._balancing = overload.balancing
         self._queue = OpeningQueue(self._recognises_attempts)
         self._ended_attempts = EndedAttempts()
         #: Time of the first packet of flows whose owner is not yet searched,
@@ -352,20 +354,36 @@
         opening: Opening,
         now: float,
     ) -> AgentView | None:
+        service = route.service_for(flow)
         views = (
             view
-            for view in self._fleet.agents_of(route.service_for(flow))
+            for view in self._fleet.agents_of(service)
             if self._can_take_openings(view, now)
             and not (tried and ip_number(view.ip) in tried)
         )
         is_long = self._fleet.has_long_flows(Destination(route.destination))
         if is_long is None:
             is_long = kind_named(route.kind).expects_long_flows
-        return choose_agent(
+        choose = (
+            choose_agent_by_work
+            if self._balances_work(service)
+            else choose_agent
+        )
+        return choose(
             views, route, self._datacentre, is_long, opening.is_late(now),
             self._rng,
         )  # fmt: skip
 
+    def _balances_work(self, service: ServiceName) -> bool:
+        """Return whether flows of a service are placed by their work."""
+        mode = self._balancing.mode
+        if mode is not Mode.AUTO:
+            return mode is Mode.ON
+        datacentres = {
+            view.status.datacentre for view in self._fleet.agents_of(service)
+        }
+        return len(datacentres) > 1
+
     def _can_take_openings(self, view: AgentView, now: float) -> bool:
         status = view.status
         return (
--- a/ibispitch/forwarding/flows.py
+++ b/ibispitch/forwarding/flows.py
@@ -6,6 +6,7 @@
 from ibispitch.forwarding.packets import destination_of
 from ibispitch.forwarding.packets import FlowKey
 from ibispitch.outcomes.core import OVERDUE_AFTER_OBJECTIVES
+from ibispitch.outcomes.flow_rates import FlowRates
 from ibispitch.reuse.core import FlowReuse
 from ibispitch.routes.kinds import kind_named
 from ibispitch.routes.model import RouteIndex
@@ -140,6 +141,8 @@
     def __init__(self):
         self.state_by_flow: dict[FlowKey, FlowState] = {}
         self.reuse = FlowReuse()
+        #: Request rates of the open long flows.
+        self.rates = FlowRates()
         #: Flows that count as load because a request is expected, with the
         #: time at which they stop counting.
         self._expected: dict[FlowKey, float] = {}
@@ -177,7 +180,9 @@
             if is_long is None:
                 is_long = kind_named(route.kind).expects_long_flows
             state.is_long = is_long
-        self.long_flows += state.is_long
+        if state.is_long:
+            self.long_flows += 1
+            self.rates.add(flow, now)
         self.state_by_flow[flow] = state
         return state
 
@@ -186,6 +191,7 @@
         state = self.state_by_flow.pop(flow, None)
         if state is not None:
             self.on_end(flow)
+            self.rates.remove(flow)
             self._expected.pop(flow, None)
             self._set_running(state, False)
             if state.closed_at is None:
@@ -195,6 +201,7 @@
         """Forget all flows."""
         self.state_by_flow.clear()
         self._expected.clear()
+        self.rates.clear()
         self.running = 0
         self.long_flows = 0
 
@@ -253,6 +260,11 @@
             if not state.is_long and state.closed_at is None:
                 state.is_long = True
                 self.long_flows += 1
+                self.rates.add(flow, now)
+                return
+        if state.requests > 1:
+            # The first request comes with the opening, whatever the rate.
+            self.rates.record_request(flow, now)
 
     def end_request(self, state: FlowState) -> None:
         """Record that the upstream has answered."""
@@ -267,6 +279,7 @@
             if state.requests == 1:
                 self.reuse.record_flow(destination_of(flow), is_reused=False)
             self.long_flows -= state.is_long
+            self.rates.remove(flow)
             self._set_running(state, False)
 
     def _set_running(self, state: FlowState, is_running: bool) -> None:
--- a/ibispitch/placement/core.py
+++ b/ibispitch/placement/core.py
@@ -93,25 +93,18 @@
     :returns: ``None`` if no upstream can start a request soon. The opening
         should then wait at the balancer, where more urgent ones go first.
     """
-    queue_share = MAX_LATE_QUEUE_SHARE if is_late else MAX_QUEUE_SHARE
-    max_delay_s = queue_share * route.objective_s
-    views = [
-        view
-        for view in views
-        if _can_take_opening(view)
-        and _start_delay_s(view, route) <= max_delay_s
-    ]
-    views = _near_views(views, datacentre) or views
+    views = placeable_views(views, route, is_late)
+    views = near_views(views, datacentre) or views
     if not views:
         return None
     slots = sum(max(1, view.status.slots) for view in views)
     long_flows = sum(_long_flows(view) for view in views)
     mean = max(1.0, long_flows / slots)
-    usual_s = _usual_work_s(views)
+    usual_s = usual_work_s(views)
     remote_load = REMOTE_LOAD_BY_LARGE_BODY[kind_named(route.kind).large_body]
     candidates = (
         Candidate(
-            _load(view, usual_s)
+            load_of(view, usual_s)
             + LONG_FLOW_LOAD
             * _long_flows(view)
             / (max(1, view.status.slots) * mean)
@@ -126,13 +119,31 @@
     return min(candidates).view
 
 
-def _usual_work_s(views: list[AgentView]) -> float:
+def placeable_views(
+    views: Iterable[AgentView], route: Route, is_late: bool
+) -> list[AgentView]:
+    """Return the upstreams that can start a request soon.
+
+    :param route: route of the request.
+    :param is_late: whether the request is late already.
+    """
+    queue_share = MAX_LATE_QUEUE_SHARE if is_late else MAX_QUEUE_SHARE
+    max_delay_s = queue_share * route.objective_s
+    return [
+        view
+        for view in views
+        if _can_take_opening(view)
+        and _start_delay_s(view, route) <= max_delay_s
+    ]
+
+
+def usual_work_s(views: list[AgentView]) -> float:
     """Return the median of the mean request times, 0 if none is known."""
     known = sorted(v.status.work_s for v in views if v.status.work_s > 0.0)
     return known[len(known) // 2] if known else 0.0
 
 
-def _load(view: AgentView, usual_s: float) -> float:
+def load_of(view: AgentView, usual_s: float) -> float:
     """Return the load of an upstream, higher if it is slow or failing.
 
     For a slow upstream it is the number of usual requests that would delay a
@@ -178,7 +189,7 @@
     return work_s or ESTIMATED_WORK_SHARE * objective_s
 
 
-def _near_views(
+def near_views(
     views: list[AgentView], datacentre: DatacentreName
 ) -> list[AgentView]:
     """Return the upstreams of a data centre if their load is moderate.
@@ -187,7 +198,7 @@
     whenever an upstream there had a little less load, most flows of a large
     fleet would cross.
     """
-    usual_s = _usual_work_s(views)
+    usual_s = usual_work_s(views)
     near = [
         view
         for view in views
--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -233,6 +233,7 @@
         return {
             'flows': core.flow_count,
             'long_flows': core.flows.long_flows,
+            'long_flow_load': core.flow_load(self._node.clock()) or 0.0,
             'requests_running': core.flows.running,
             'requests_held': core.requests.held_count,
             'requests_held_bytes': core.requests.held_bytes,
@@ -268,6 +269,7 @@
             interval_s=rounds * STATUS_INTERVAL_S,
             wants_answer=wants_answer,
             reuse=core.flows.reuse.report(),
+            flow_load=core.flow_load(now),
         )
 
     def _send_round(self) -> None:
--- a/tests/forwarding/test_agent_core.py
+++ b/tests/forwarding/test_agent_core.py
@@ -26,6 +26,9 @@
 from ibispitch.routes.model import ServiceLimits
 from ibispitch.routes.model import Share
 from ibispitch.routes.position import NO_POSITION
+from ibispitch.settings.overload import ALL_OFF
+from ibispitch.settings.overload import BalancingSettings
+from ibispitch.settings.overload import Mode
 from testbed import flow_packets
 from testbed.flow_packets import ACK
 from testbed.flow_packets import FIN
@@ -51,6 +54,7 @@
 CALLER = Address('100.64.0.7', 40000)
 DESTINATION = Address('198.18.0.1', 443)
 BALANCER = '10.1.0.1'
+BALANCED = ALL_OFF._replace(balancing=BalancingSettings(Mode.AUTO))
 FLOW_OF_CALLER = CODEC.from_caller(
     flow_packets.build(CALLER, DESTINATION, SYN, 1, 0)
 ).flow
@@ -85,7 +89,7 @@
     return Outbox()
 
 
-def make_core(outbox, knows_all_flows=True) -> AgentCore:
+def make_core(outbox, knows_all_flows=True, overload=ALL_OFF) -> AgentCore:
     gate = Gate('counter', 'accra', 1.2, ColdLimits(1.5, 5.0))
     log = DecisionLog('test', lambda: 0.0, len)
     return AgentCore(
@@ -97,6 +101,7 @@
         knows_all_flows,
         3.0,
         0.0,
+        overload,
     )
 
 
@@ -568,3 +573,22 @@
     core.receive_upstream(answer(SYN | ACK, 500), 0.55)
     core.check_cold_openings(0.55 + MAX_REQUEST_WAIT_S)
     assert core.flows.running == running
+
+
+@pytest.mark.parametrize('overload', [ALL_OFF, BALANCED])
+def test_load_of_long_flows_is_reported_if_it_is_used(outbox, overload):
+    """Placement by work needs the load; without it, nothing may change."""
+    core = make_core(outbox, overload=overload)
+    core.receive_heartbeat(heartbeat(), 0.0)
+    core.set_routes(RouteIndex(TABLE), 0.0)
+    open_flow(core)
+    core.receive(BALANCER, forward(data(), Purpose.OWNED), 0.01)
+    core.receive_upstream(answer(body=b'answer'), 0.03)
+    load = core.flow_load(0.03)
+    if overload is ALL_OFF:
+        assert load is None
+    else:
+        # One flow with a request per second of 20 ms.
+        assert load == pytest.approx(0.02, abs=0.001)
+    core.receive_upstream(answer(FIN | ACK, 507), 0.04)
+    assert core.flow_load(0.04) in (None, 0.0)
--- a/tests/forwarding/test_balancer_core.py
+++ b/tests/forwarding/test_balancer_core.py
@@ -17,6 +17,9 @@
 from ibispitch.platform.packets import PlatformPacketCodec
 from ibispitch.routes.model import RouteIndex
 from ibispitch.routes.position import NO_POSITION
+from ibispitch.settings.overload import ALL_OFF
+from ibispitch.settings.overload import BalancingSettings
+from ibispitch.settings.overload import Mode
 from testbed.flow_packets import RST
 from tests.fleet.test_fleet import agent
 from tests.fleet.test_fleet import balancer
@@ -58,7 +61,7 @@
     return fleet
 
 
-def start(fleet, outbox) -> BalancerCore:
+def start(fleet, outbox, overload=ALL_OFF) -> BalancerCore:
     log = DecisionLog('test', lambda: 0.0, len)
     core = BalancerCore(
         'accra',
@@ -69,6 +72,7 @@
         LatencyHistograms(),
         random.Random(1),
         0.0,
+        overload,
     )
     core.set_routes(RouteIndex(TABLE))
     return core
@@ -213,3 +217,27 @@
         SECOND, returned(Reason.OTHER_UPSTREAM, REQUEST), 0.2
     )
     assert len(outbox.to_callers) == 1
+
+
+@pytest.mark.parametrize(
+    ('mode', 'datacentre', 'chosen'),
+    [
+        (Mode.OFF, 'tema', FIRST),
+        (Mode.AUTO, 'accra', FIRST),
+        (Mode.AUTO, 'tema', SECOND),
+        (Mode.ON, 'accra', SECOND),
+    ],
+)
+def test_mode_of_placement_by_work(fleet, outbox, mode, datacentre, chosen):
+    """Deployments in one data centre must be served as before."""
+    busy = agent(2, work_s=0.02, long_flows=1, flow_load=0.5)
+    idle = agent(work_s=0.02, long_flows=8, flow_load=0.1)
+    elsewhere = agent(
+        datacentre=datacentre, state=AgentState.DRAINING, work_s=0.02
+    )
+    fleet.record_agent_status(FIRST, busy, 0.0)
+    fleet.record_agent_status(SECOND, idle, 0.0)
+    fleet.record_agent_status('10.1.1.3', elsewhere, 0.0)
+    overload = ALL_OFF._replace(balancing=BalancingSettings(mode))
+    start(fleet, outbox, overload).receive(OPENING, 0.0)
+    assert {ip for ip, _ in outbox.frames} == {chosen}
