Report slow upstreams before they answer; don't measure rejections

Change: agents keep the order of the unanswered requests. The time for which the first one has run is a lower bound of the reported request time. An answer that overtakes as many earlier requests as there are slots is not measured. Lost requests stop counting when a later one has evidently run. Both only with balancing switched on. Result: tests of the agent's core, which fail without each part.

--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -7,6 +7,7 @@
 from ibispitch.decisionlog import DecisionLog
 from ibispitch.forwarding import frames
 from ibispitch.forwarding.flows import FlowState
+from ibispitch.forwarding.flows import MAX_REQUEST_S
 from ibispitch.forwarding.flows import UpstreamFlows
 from ibispitch.forwarding.frames import Answer
 from ibispitch.forwarding.frames import Purpose
@@ -47,6 +48,9 @@
 #: Time within which the upstream should answer an opening. It runs on the
 #: same host, and the caller repeats an opening after 200 ms.
 OPENING_ANSWER_S = 0.1
+#: Smallest part of the mean request time after which an answer shows that
+#: the upstream runs requests. Rejections take about a millisecond.
+MIN_RUN_SHARE = 0.5
 #: Maximum number of openings whose age is kept until they arrive.
 MAX_EXPECTED_AGES = 1024
 #: Maximum number of flows remembered as not held by the upstream.
@@ -124,7 +128,14 @@
             overload.scheduling, gate.service, self.flows, outbox.to_upstream,
             log, histograms,
         )  # fmt: skip
-        self.flows.on_end = self.requests.remove
+        self.flows.on_end = self._end_requests
+        #: Number of answers to requests that cannot have run.
+        self.answers_without_run = 0
+
+    def _end_requests(self, flow: FlowKey, now: float) -> None:
+        """Forget the requests of a flow that has ended."""
+        self.requests.remove(flow)
+        self.flows.arrivals.remove(flow, self._slots, now)
 
     def set_routes(self, routes: RouteIndex, now: float) -> None:
         """Use these routes for new flows."""
@@ -218,7 +229,7 @@
             kept=self.flow_count - len(ended),
         )  # fmt: skip
         for flow in ended:
-            self.flows.drop(flow)
+            self.flows.drop(flow, now)
         self._denied_flows.clear()
         self._knows_all_flows = True
 
@@ -310,7 +321,7 @@
         self._last_opening_at_by_balancer[ip] = now
         state = self.flows.state_by_flow.get(flow)
         if state is not None and self._opens_new_flow(state, packet):
-            self.flows.drop(flow)
+            self.flows.drop(flow, now)
             state = None
         if (
             state is not None
@@ -332,7 +343,7 @@
             reason = self.gate.admit(flow, self.routes, forward.position, now)
         if reason is not None:
             if state is not None:
-                self.flows.drop(flow)
+                self.flows.drop(flow, now)
             self._return_packet(ip, reason, forward.raw, forward.tried)
             self.flows.is_changed = True
             return
@@ -397,6 +408,8 @@
         state.balancer = ip
         state.last_packet_at = now
         if self._may_pass(state, packet, now):
+            if packet.size and state.is_awaiting_answer:
+                self.flows.arrivals.record(flow, state.request_received_at)
             self._outbox.to_upstream(packet.raw)
         self.requests.pass_next(self._capacity(now), now)
 
@@ -537,13 +550,14 @@
         if packet.size:
             if state.request_received_at is not None:
                 took_s = now - state.request_received_at
-                self._record_answer(state, took_s, now)
+                self._record_answer(packet.flow, state, took_s, now)
                 self._log.decision(
                     'request.answered', packet.flow, now,
                     request=state.request_id,
                     took_ms=round(1000 * took_s, 1),
                 )  # fmt: skip
                 state.request_received_at = None
+            self.flows.arrivals.remove(packet.flow, self._slots, now)
             self.flows.end_request(state)
             self.requests.record_answer(packet.flow)
         if packet.flags & (FIN | RST):
@@ -554,17 +568,39 @@
         self.requests.pass_next(self._capacity(now), now)
 
     def _record_answer(
-        self, state: FlowState, took_s: float, now: float
+        self, flow: FlowKey, state: FlowState, took_s: float, now: float
     ) -> None:
         """Record the time from a request's last packet to its answer."""
         self._histograms.record(
             Series('request_latency', self.gate.service, state.kind),
             state.held_s + took_s,
         )
+        if self._balances and self._did_not_run(flow, state, took_s, now):
+            self.answers_without_run += 1
+            return
         self.outcomes.record_answer(
             took_s, state.queue_position, self._slots, now
         )
 
+    def _did_not_run(
+        self, flow: FlowKey, state: FlowState, took_s: float, now: float
+    ) -> bool:
+        """Return whether an answer shows that its request did not run.
+
+        An upstream with a full queue rejects requests at once. Measured as
+        request times, the rejections would make it look the quickest one.
+        """
+        arrivals = self.flows.arrivals
+        if not arrivals.has_overtaken(flow, self._slots):
+            return False
+        work_s = estimated_work_s(self.outcomes.work_s(now), state.objective_s)
+        if took_s >= MIN_RUN_SHARE * work_s:
+            # The upstream runs requests, so it has lost the overdue ones.
+            for earlier in arrivals.first(self._slots):
+                if self.flows.state_by_flow[earlier].is_overdue:
+                    arrivals.remove(earlier, self._slots, now)
+        return arrivals.has_overtaken(flow, self._slots)
+
     def _record_failure(
         self, flow: FlowKey, state: FlowState, why: str, now: float
     ) -> None:
@@ -585,6 +621,22 @@
         load = self.flows.rates.flow_load(self.outcomes.work_s(now), now)
         return None if load is None else round(load, 3)
 
+    def work_s(self, now: float) -> float:
+        """Return the mean request time to report, 0 if it is not known.
+
+        While a request runs for longer than that, the time since its start:
+        a slow upstream is avoided before it answers.
+        """
+        work_s = self.outcomes.work_s(now)
+        arrivals = self.flows.arrivals
+        running_s = arrivals.running_s(now)
+        if not self._balances or not running_s:
+            return work_s
+        [flow] = arrivals.first(1)
+        objective_s = self.flows.state_by_flow[flow].objective_s
+        is_longer = running_s > estimated_work_s(work_s, objective_s)
+        return running_s if is_longer else work_s
+
     def _capacity(self, now: float) -> Capacity:
         return Capacity(self._slots, self.outcomes.work_s(now))
 
@@ -609,7 +661,7 @@
         else:
             reason = Reason.NOT_OWNED
             self._record_denial(flow)
-        self.flows.drop(flow)
+        self.flows.drop(flow, now)
         self.flows.is_changed = True
         self._log.decision(
             'upstream.handed_back', flow, now, reason=reason.name
@@ -643,6 +695,7 @@
                 self._record_failure(flow, state, 'no answer', now)
         idle_s = self.routes.table.idle_timeout_s if self.routes else 60.0
         self.flows.sweep(idle_s, now)
+        self.flows.arrivals.expire(now - MAX_REQUEST_S, self._slots, now)
 
     @property
     def flow_count(self) -> int:
--- a/ibispitch/forwarding/flows.py
+++ b/ibispitch/forwarding/flows.py
@@ -5,6 +5,7 @@
 from ibispitch.forwarding.packets import Destination
 from ibispitch.forwarding.packets import destination_of
 from ibispitch.forwarding.packets import FlowKey
+from ibispitch.outcomes.arrivals import Arrivals
 from ibispitch.outcomes.core import OVERDUE_AFTER_OBJECTIVES
 from ibispitch.outcomes.flow_rates import FlowRates
 from ibispitch.reuse.core import FlowReuse
@@ -143,6 +144,8 @@
         self.reuse = FlowReuse()
         #: Request rates of the open long flows.
         self.rates = FlowRates()
+        #: Unanswered requests that have passed to the upstream.
+        self.arrivals = Arrivals()
         #: Flows that count as load because a request is expected, with the
         #: time at which they stop counting.
         self._expected: dict[FlowKey, float] = {}
@@ -154,8 +157,8 @@
         self.long_flows = 0
         #: Whether the load has changed since this flag was last cleared.
         self.is_changed = False
-        #: Called with each flow that is forgotten or closed.
-        self.on_end: Callable[[FlowKey], None] = lambda flow: None
+        #: Called with each flow that is forgotten or closed, and the time.
+        self.on_end: Callable[[FlowKey, float], None] = lambda flow, now: None
 
     def add(
         self,
@@ -186,11 +189,11 @@
         self.state_by_flow[flow] = state
         return state
 
-    def drop(self, flow: FlowKey) -> None:
+    def drop(self, flow: FlowKey, now: float) -> None:
         """Forget a flow."""
         state = self.state_by_flow.pop(flow, None)
         if state is not None:
-            self.on_end(flow)
+            self.on_end(flow, now)
             self.rates.remove(flow)
             self._expected.pop(flow, None)
             self._set_running(state, False)
@@ -202,6 +205,7 @@
         self.state_by_flow.clear()
         self._expected.clear()
         self.rates.clear()
+        self.arrivals.clear()
         self.running = 0
         self.long_flows = 0
 
@@ -275,7 +279,7 @@
         if state.closed_at is None:
             state.closed_at = now
             if not state.is_held:
-                self.on_end(flow)
+                self.on_end(flow, now)
             if state.requests == 1:
                 self.reuse.record_flow(destination_of(flow), is_reused=False)
             self.long_flows -= state.is_long
@@ -321,4 +325,4 @@
                 state.request_received_at = None
                 self._set_running(state, False)
         for flow in expired_flows:
-            self.drop(flow)
+            self.drop(flow, now)
--- a/ibispitch/forwarding/requests.py
+++ b/ibispitch/forwarding/requests.py
@@ -170,6 +170,7 @@
             state.held_s = held_s
             state.request_received_at = now
             state.queue_position = self._scheduler.passed_count
+            self._flows.arrivals.record(request.flow, now)
             for raw in packets:
                 self._send(raw)
             outcome = 'passed_late' if is_late else 'passed_on_time'
--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -238,6 +238,7 @@
             'requests_held': core.requests.held_count,
             'requests_held_bytes': core.requests.held_bytes,
             'work_seconds': core.outcomes.work_s(self._node.clock()),
+            'answers_without_run': core.answers_without_run,
             'requests_failing': core.outcomes.failure_share(
                 self._node.clock()
             ),
@@ -260,7 +261,7 @@
             state=state,
             slots=gate.heartbeat.slots if gate.heartbeat else 1,
             running=core.flows.running,
-            work_s=core.outcomes.work_s(now),
+            work_s=core.work_s(now),
             failing=round(core.outcomes.failure_share(now), 2),
             long_flows=core.flows.long_flows,
             cold_openings=gate.cold_openings(node.routes.index, now),
--- a/tests/forwarding/test_agent_core.py
+++ b/tests/forwarding/test_agent_core.py
@@ -592,3 +592,77 @@
         assert load == pytest.approx(0.02, abs=0.001)
     core.receive_upstream(answer(FIN | ACK, 507), 0.04)
     assert core.flow_load(0.04) in (None, 0.0)
+
+
+def send_request(core, caller, now):
+    open_flow(core, now, caller)
+    core.receive(BALANCER, forward(data(caller=caller), Purpose.OWNED), now)
+
+
+def balanced_core(outbox):
+    core = make_core(outbox, overload=BALANCED)
+    core.receive_heartbeat(heartbeat(), 0.0)
+    core.set_routes(RouteIndex(TABLE), 0.0)
+    return core
+
+
+def test_hanging_upstream_is_slow_before_it_answers(outbox):
+    """An upstream that answers nothing must not keep its former time."""
+    core = balanced_core(outbox)
+    send_request(core, CALLER, 0.0)
+    core.receive_upstream(answer(body=b'answer'), 0.02)
+    assert core.work_s(0.02) == pytest.approx(0.02)
+    send_request(core, CALLER._replace(port=2000), 1.0)
+    assert core.work_s(1.01) == pytest.approx(0.02)
+    assert core.work_s(1.4) == pytest.approx(0.4)
+    # The overdue request still occupies the slot.
+    core.sweep(1.5)
+    assert core.work_s(1.5) == pytest.approx(0.5)
+
+
+def test_time_in_the_queue_is_no_slowness(outbox):
+    """A request must not look slow because of those before it."""
+    core = balanced_core(outbox)
+    callers = [CALLER._replace(port=2000 + number) for number in range(3)]
+    for caller in callers:
+        send_request(core, caller, 0.0)
+    for number, caller in enumerate(callers, 1):
+        now = 0.02 * number
+        assert core.work_s(now) == pytest.approx(0.02 * (number > 1))
+        core.receive_upstream(answer(body=b'answer', caller=caller), now)
+
+
+@pytest.mark.parametrize('overload', [ALL_OFF, BALANCED])
+def test_rejections_are_no_quick_answers(outbox, overload):
+    """An upstream that rejects requests must not look the quickest.
+
+    In a replay one of 35 upstreams got 981 openings in 0.2 s.
+    """
+    core = make_core(outbox, overload=overload)
+    core.receive_heartbeat(heartbeat(), 0.0)
+    send_request(core, CALLER, 0.0)
+    core.receive_upstream(answer(body=b'answer'), 0.02)
+    send_request(core, CALLER._replace(port=2000), 1.0)
+    for number in range(20):
+        caller = CALLER._replace(port=3000 + number)
+        send_request(core, caller, 1.001)
+        core.receive_upstream(answer(body=b'503', caller=caller), 1.002)
+    is_measured = overload is ALL_OFF
+    assert (core.outcomes.work_s(1.002) < 0.01) == is_measured
+    assert core.answers_without_run == 20 * (not is_measured)
+
+
+def test_upstream_that_lost_a_request_is_measured(outbox):
+    """One request without an answer must not end the measurement."""
+    core = balanced_core(outbox)
+    send_request(core, CALLER, 0.0)
+    core.sweep(0.5)
+    for number in range(5):
+        caller = CALLER._replace(port=3000 + number)
+        now = 0.5 + 0.1 * number
+        send_request(core, caller, now)
+        core.receive_upstream(
+            answer(body=b'answer', caller=caller), now + 0.02
+        )
+    assert core.work_s(1.0) == pytest.approx(0.02, abs=0.03)
+    assert core.answers_without_run == 0
--- a/tests/placement/replay.py
+++ b/tests/placement/replay.py
@@ -16,6 +16,7 @@
 from typing import NamedTuple
 
 from ibispitch.fleet.core import AgentView
+from ibispitch.outcomes.arrivals import Arrivals
 from ibispitch.outcomes.core import Outcomes
 from ibispitch.outcomes.flow_rates import FlowRates
 from ibispitch.placement.work import choose_agent_by_work
@@ -105,6 +106,7 @@
         self.long_flows = 0
         self.rates = FlowRates()
         self.outcomes = Outcomes()
+        self.arrivals = Arrivals()
         self.running: list = []
         self.queue: deque = deque()
         self.opened_at: deque[float] = deque()
@@ -117,7 +119,9 @@
             number=next(self.number), incarnation=self.incarnation,
             datacentre=self.datacentre, slots=self.slots,
             running=len(self.running) + len(self.queue),
-            work_s=self.outcomes.work_s(now),
+            work_s=max(
+                self.outcomes.work_s(now), self.arrivals.running_s(now)
+            ),
             long_flows=self.long_flows,
             cold_openings=(
                 max(0, int(COLD_PER_S) - len(self.opened_at)) if cold else None
@@ -260,6 +264,7 @@
         position = len(host.running) + len(host.queue) + 1
         entry = (flow, self.now, position, host.incarnation)
         self.notify(host)
+        host.arrivals.record(flow.key, self.now)
         if len(host.running) < host.slots:
             self.start(host, entry)
         elif len(host.queue) < QUEUE:
@@ -273,7 +278,9 @@
         flow, _, position, _ = entry
         self.rejected[host.ip] += 1
         self.took_s.append((self.now, math.inf))
-        host.outcomes.record_answer(0.001, position, host.slots, self.now)
+        if not host.arrivals.has_overtaken(flow.key, host.slots):
+            host.outcomes.record_answer(0.001, position, host.slots, self.now)
+        host.arrivals.remove(flow.key, host.slots, self.now)
         if not flow.is_long:
             host.flows.discard(flow)
 
@@ -294,6 +301,7 @@
         took_s = self.now - at
         self.took_s.append((self.now, took_s))
         host.outcomes.record_answer(took_s, position, host.slots, self.now)
+        host.arrivals.remove(flow.key, host.slots, self.now)
         if not flow.is_long:
             host.flows.discard(flow)
         if host.queue:
