Send flows to other data centres by the expected wait

Change: with balancing switched on, the best place elsewhere is taken if it costs less than the best one here: expected wait, slowness and failures in objectives, plus a surcharge by body. Agents report the data centres that sent flows within spill_hold_s, and tell the balancers near them at once; a data centre sends none to these. The round trip isn't measured and counts 0.

--- a/ibispitch/fleet/messages.py
+++ b/ibispitch/fleet/messages.py
@@ -61,6 +61,8 @@
         several requests.
     :param flow_load: expected number of slots that its long flows keep busy,
         ``None`` if not known.
+    :param senders: other data centres whose balancers sent it new flows
+        within the hold time of the spillover.
     """
 
     datacentre: DatacentreName
@@ -81,6 +83,7 @@
     wants_answer: bool
     reuse: tuple[tuple[bytes, bool], ...] = ()
     flow_load: float | None = None
+    senders: tuple[DatacentreName, ...] = ()
 
 
 class BalancerStatus(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -282,12 +282,14 @@
             'flows.restored', now, incarnation=incarnation, flows=len(flows)
         )
 
-    def recent_balancers(self, now: float) -> list[str]:
+    def recent_balancers(
+        self, now: float, within_s: float = RECENT_OPENING_S
+    ) -> list[str]:
         """Return the balancers that sent an opening recently."""
         return [
             ip
             for ip, opening_at in self._last_opening_at_by_balancer.items()
-            if now - opening_at < RECENT_OPENING_S
+            if now - opening_at < within_s
         ]
 
     # Packets and questions from balancers.
--- a/ibispitch/placement/core.py
+++ b/ibispitch/placement/core.py
@@ -94,7 +94,7 @@
         should then wait at the balancer, where more urgent ones go first.
     """
     views = placeable_views(views, route, is_late)
-    views = near_views(views, datacentre) or views
+    views = _near_views(views, datacentre) or views
     if not views:
         return None
     slots = sum(max(1, view.status.slots) for view in views)
@@ -189,7 +189,7 @@
     return work_s or ESTIMATED_WORK_SHARE * objective_s
 
 
-def near_views(
+def _near_views(
     views: list[AgentView], datacentre: DatacentreName
 ) -> list[AgentView]:
     """Return the upstreams of a data centre if their load is moderate.
--- a/ibispitch/placement/work.py
+++ b/ibispitch/placement/work.py
@@ -15,12 +15,11 @@
 from ibispitch.placement.core import Candidate
 from ibispitch.placement.core import load_of
 from ibispitch.placement.core import LONG_FLOW_LOAD
-from ibispitch.placement.core import near_views
 from ibispitch.placement.core import placeable_views
 from ibispitch.placement.core import PRESUMED_LOAD
-from ibispitch.placement.core import REMOTE_LOAD_BY_LARGE_BODY
 from ibispitch.placement.core import usual_work_s
-from ibispitch.routes.kinds import kind_named
+from ibispitch.placement.spillover import place_cost
+from ibispitch.placement.spillover import senders_to
 from ibispitch.routes.model import Route
 
 
@@ -73,27 +72,56 @@
     The parameters are those of
     :func:`ibispitch.placement.core.choose_agent`.
     """
-    views = placeable_views(views, route, is_late)
-    views = near_views(views, datacentre) or views
+    views = list(views)
+    senders = senders_to(views, datacentre)
+    views = [
+        view
+        for view in placeable_views(views, route, is_late)
+        if view.status.datacentre not in senders
+    ]
     if not views:
         return None
     usual_s = usual_work_s(views)
-    remote_load = REMOTE_LOAD_BY_LARGE_BODY[kind_named(route.kind).large_body]
     loads = FlowLoads.measure(views)
+    near = [view for view in views if view.status.datacentre == datacentre]
+    far = [view for view in views if view.status.datacentre != datacentre]
+    best = [
+        _least_loaded(group, loads, usual_s, is_long, rng)
+        for group in (near, far)
+        if group
+    ]
+    # The near one goes first if the costs are equal.
+    return min(
+        best,
+        key=lambda view: place_cost(
+            view,
+            route,
+            datacentre,
+            loads.of(view) if is_long and loads.is_reported else None,
+            usual_s,
+        ),
+    )
+
+
+def _least_loaded(
+    views: list[AgentView],
+    loads: FlowLoads,
+    usual_s: float,
+    is_long: bool,
+    rng: random.Random,
+) -> AgentView:
     slots = sum(max(1, view.status.slots) for view in views)
     mean = max(loads.mean, sum(map(loads.of, views)) / slots)
-    candidates = (
+    return min(
         Candidate(
             load_of(view, usual_s)
             + LONG_FLOW_LOAD
             * loads.of(view)
             / (max(1, view.status.slots) * mean)
             * is_long
-            + remote_load * (view.status.datacentre != datacentre)
             + PRESUMED_LOAD * (view.status.state is AgentState.PRESUMED),
             rng.random(),
             view,
         )
         for view in views
-    )
-    return min(candidates).view
+    ).view
--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -17,12 +17,14 @@
 from ibispitch.forwarding.frames import OwnershipQuestions
 from ibispitch.forwarding.packets import FlowKey
 from ibispitch.gate.core import Gate
+from ibispitch.ids import DatacentreName
 from ibispitch.platform.http import Request
 from ibispitch.platform.http import Response
 from ibispitch.platform.node import Node
 from ibispitch.platform.packets import PlatformPacketCodec
 from ibispitch.platform.upstreams import decode_heartbeat
 from ibispitch.platform.upstreams import upstream_id
+from ibispitch.settings.overload import Mode
 
 #: Delay of a status message after a change of load, so that changes in quick
 #: succession cost one message. It is shorter than a request takes.
@@ -62,6 +64,8 @@
         self._started_at = node.clock()
         self._collector = CheckpointCollector()
         self._notification: asyncio.TimerHandle | None = None
+        #: Other data centres that sent flows, at the last notification.
+        self._known_senders: set[DatacentreName] = set()
         gate = Gate(
             settings.service, settings.datacentre, settings.heartbeat_s,
             settings.bounds.cold,
@@ -271,6 +275,25 @@
             wants_answer=wants_answer,
             reuse=core.flows.reuse.report(),
             flow_load=core.flow_load(now),
+            senders=self._senders(now),
+        )
+
+    def _senders(self, now: float) -> tuple[DatacentreName, ...]:
+        """Return other data centres that sent new flows recently."""
+        node = self._node
+        balancing = node.overload.balancing
+        if balancing.mode is Mode.OFF:
+            return ()
+        datacentre = node.settings.datacentre
+        ips = self._core.recent_balancers(now, balancing.spill_hold_s)
+        return tuple(
+            sorted(
+                {
+                    node.fleet.balancers_by_ip[ip].status.datacentre
+                    for ip in ips
+                    if node.fleet.is_far(ip, datacentre)
+                }
+            )
         )
 
     def _send_round(self) -> None:
@@ -301,7 +324,16 @@
     def _send_notification(self) -> None:
         self._notification = None
         self._core.flows.is_changed = False
-        self._send_status(self._core.recent_balancers(self._node.clock()))
+        node = self._node
+        now = node.clock()
+        receivers = dict.fromkeys(self._core.recent_balancers(now))
+        senders = set(self._senders(now))
+        if senders - self._known_senders:
+            # All balancers here must stop sending flows there.
+            near, _ = node.fleet.split_balancers(node.settings.datacentre)
+            receivers.update(dict.fromkeys(near))
+        self._known_senders = senders
+        self._send_status(receivers)
 
     # HTTP.
 
--- a/tests/placement/test_work.py
+++ b/tests/placement/test_work.py
@@ -42,6 +42,9 @@
     before = replay.work_by_ip()
     replay.run(WARM_UP_S + WAVE_S)
     assert replay.spread_of_work(before) <= MAX_SPREAD
+    assert replay.crossings()
+    # Flows that cross in both directions pay for the path in vain.
+    assert replay.mutual_crossings() == []
 
 
 def test_flow_load_goes_before_the_number_of_flows():
@@ -75,3 +78,51 @@
     views.append(view('d', long_flows=10, flow_load=0.06))
     # The mean load of a flow is 0.018, so that 4 flows cause 0.072.
     assert place(views).ip == 'd'
+
+
+def test_data_centre_sends_none_back():
+    """A data centre that gets flows must not send its own there."""
+    near = view('near', running=2, senders=('tema',))
+    far = view('far', datacentre='tema')
+    third = view('third', datacentre='kumasi')
+    assert place([near, far]).ip == 'near'
+    assert place([near, far, third]).ip == 'third'
+    near.status = agent(running=2, work_s=0.019)
+    assert place([near, far]).ip == 'far'
+
+
+def test_expected_wait_must_exceed_the_path():
+    """A moderate wait must not send flows, nor large bodies, elsewhere."""
+    far = view('far', datacentre='tema', flow_load=0.0)
+    for busy, chosen in ((0.3, 'near'), (0.7, 'far')):
+        near = view('near', long_flows=9, flow_load=busy)
+        assert place([near, far]).ip == chosen
+    upload = SAFE.__class__(
+        SAFE.destination, SAFE.shares, 'upload', 0.277, 1.661, 2
+    )
+    rng = random.Random(1)
+    near = view('near', running=3)
+    assert choose_agent_by_work(
+        [near, far], upload, 'accra', False, False, rng
+    ) is near  # fmt: skip
+
+
+@pytest.mark.parametrize('upstreams', [44, 140])
+def test_replaced_upstreams_at_the_crest(upstreams):
+    """New upstreams must not get all flows, nor a cold one too many.
+
+    Half of a data centre's upstreams are replaced at its crest. A second
+    after they are warm, requests must be on time as before.
+    """
+    replay = Replay(upstreams, 3)
+    crest = WAVE_S / 4
+    replay.run(crest)
+    replaced = [h for h in replay.hosts if h.datacentre == 'accra'][::2]
+    for host in replaced:
+        replay.replace(host)
+    replay.run(crest + 6.0)
+    assert replay.on_time_share(crest + 3.0, crest + 6.0) > 0.99
+    # With 5 openings per second and the flows of several balancers.
+    counts = [host.long_flows for host in replaced]
+    mean = sum(h.long_flows for h in replay.hosts) / upstreams
+    assert max(counts) <= 2.0 * mean
