--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -34,6 +34,7 @@
 from ibispitch.locating.table import FlowTable
 from ibispitch.locating.table import Owner
 from ibispitch.placement.core import choose_agent
+from ibispitch.placement.work import choose_agent_by_work
 from ibispitch.retry.attempts import Attempt
 from ibispitch.retry.attempts import EndedAttempts
 from ibispitch.rotation.core import BalancerLink
@@ -155,6 +156,7 @@
         self._cold_limit = 0
         self._rotation_counted_at = -math.inf
         self._rotation_count = 1
+        self._balancing = overload.balancing
         self._ended_attempts = EndedAttempts()
         #: Openings recognised as a further attempt, by service.
         self.further_attempts: Counter[ServiceName] = Counter()
@@ -403,20 +405,36 @@
         opening: Opening,
         now: float,
     ) -> AgentView | None:
+        service = route.service_for(flow)
         views = (
             view
-            for view in self._fleet.agents_of(route.service_for(flow))
+            for view in self._fleet.agents_of(service)
             if self._can_take_openings(view, now)
             and not (tried and ip_number(view.ip) in tried)
         )
         is_long = self._fleet.has_long_flows(Destination(route.destination))
         if is_long is None:
             is_long = kind_named(route.kind).expects_long_flows
-        return choose_agent(
+        choose = (
+            choose_agent_by_work
+            if self._balances_work(service)
+            else choose_agent
+        )
+        return choose(
             views, route, self._datacentre, is_long, opening.is_late(now),
             self._rng,
         )  # fmt: skip
 
+    def _balances_work(self, service: ServiceName) -> bool:
+        """Return whether flows of a service are placed by their work."""
+        mode = self._balancing.mode
+        if mode is not Mode.AUTO:
+            return mode is Mode.ON
+        datacentres = {
+            view.status.datacentre for view in self._fleet.agents_of(service)
+        }
+        return len(datacentres) > 1
+
     def _can_take_openings(self, view: AgentView, now: float) -> bool:
         status = view.status
         return (
