Let flows cross back rather than wait for their own data centre

Cause: a data centre that receives flows from another one sent none there even if only that one had room, so that openings waited beside idle upstreams. Change: the rule applies only while other upstreams have room. Result: the new test fails without the change.

--- a/ibispitch/placement/work.py
+++ b/ibispitch/placement/work.py
@@ -74,11 +74,12 @@
     """
     views = list(views)
     senders = senders_to(views, datacentre)
+    placeable = placeable_views(views, route, is_late)
+    # If only upstreams in these data centres have room, a flow that crosses
+    # is better than one that waits.
     views = [
-        view
-        for view in placeable_views(views, route, is_late)
-        if view.status.datacentre not in senders
-    ]
+        view for view in placeable if view.status.datacentre not in senders
+    ] or placeable
     if not views:
         return None
     usual_s = usual_work_s(views)
--- a/tests/placement/test_work.py
+++ b/tests/placement/test_work.py
@@ -91,6 +91,13 @@
     assert place([near, far]).ip == 'far'
 
 
+def test_crossing_is_better_than_waiting():
+    """Guards against openings that wait while other upstreams are idle."""
+    near = view('near', running=50, senders=('tema',))
+    far = view('far', datacentre='tema')
+    assert place([near, far]) is far
+
+
 def test_expected_wait_must_exceed_the_path():
     """A moderate wait must not send flows, nor large bodies, elsewhere."""
     far = view('far', datacentre='tema', flow_load=0.0)
