--- a/ibispitch/waiting/cold.py
+++ b/ibispitch/waiting/cold.py
@@ -15,6 +15,7 @@
 
 from collections import defaultdict
 from collections import deque
+import math
 from typing import NamedTuple
 
 from ibispitch.gate.core import COLD_MARGIN_S
@@ -63,13 +64,20 @@
         return now - self._since
 
     def per_s(self, priorities: range | None, now: float) -> float:
-        """Return the arrivals per second of some priorities, else of all."""
+        """Return an upper estimate of the arrivals per second.
+
+        One standard deviation is added to the count, since few arrivals are
+        seen in the window.
+
+        :param priorities: the priorities to count, ``None`` for all.
+        """
         count = 0
         for priority, times in self._times_by_priority.items():
             _expire(times, ARRIVAL_WINDOW_S, now)
             if priorities is None or priority in priorities:
                 count += len(times)
-        return count / min(ARRIVAL_WINDOW_S, max(1e-3, self.observed_s(now)))
+        observed_s = min(ARRIVAL_WINDOW_S, max(1e-3, self.observed_s(now)))
+        return (count + math.sqrt(count)) / observed_s
 
 
 class ColdReservation:
