Tell the other balancers of a data centre of attempts that ended

Cause: the fabric hashes the caller's port, so that half of the next attempts reached another balancer and counted as new requests. Change: a frame (ATTEMPT) names caller, destination, number and age of an ended attempt; at most 8 near balancers in the rotation get it.

--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -34,6 +34,7 @@
 from ibispitch.placement.core import choose_agent
 from ibispitch.placement.work import choose_agent_by_work
 from ibispitch.retry.attempts import Attempt
+from ibispitch.retry.attempts import caller_key
 from ibispitch.retry.attempts import EndedAttempts
 from ibispitch.routes.kinds import kind_named
 from ibispitch.routes.model import Route
@@ -91,6 +92,9 @@
     def to_caller(self, flow: FlowKey, data: bytes) -> None:
         """Send a packet to the caller of a flow."""
 
+    def to_balancers(self, data: bytes) -> None:
+        """Send a frame to other balancers that this data centre's callers use."""
+
 
 def ip_number(ip: str) -> int:
     """Return an IPv4 address as a number.
@@ -512,8 +516,28 @@
         :param ended_at: time at which the caller ends the attempt.
         """
         if self._recognises_attempts and opening.has_next_attempt(ended_at):
-            self._ended_attempts.record(
-                opening.packet.flow, opening.ended(ended_at)
+            self._record_attempt(opening.packet.flow, opening.ended(ended_at))
+
+    def _record_attempt(self, flow: FlowKey, attempt: Attempt) -> None:
+        """Record an attempt that has ended, here and at other balancers."""
+        self._ended_attempts.record(flow, attempt)
+        self._outbox.to_balancers(
+            frames.encode_attempt(
+                frames.EndedAttempt(
+                    caller_key(flow),
+                    attempt.number,
+                    attempt.ended_at - attempt.asked_at,
+                )
+            )
+        )
+
+    def receive_ended_attempt(
+        self, ended: frames.EndedAttempt, now: float
+    ) -> None:
+        """Record an attempt that has ended at another balancer."""
+        if self._recognises_attempts:
+            self._ended_attempts.record_of_caller(
+                ended.caller, Attempt(now - ended.age_s, ended.number, now)
             )
 
     def _capacity_of(
@@ -664,7 +688,7 @@
         """
         since = self._unknown_since_by_flow.pop(packet.flow, now)
         if self._recognises_attempts and packet.size:
-            self._ended_attempts.record(packet.flow, Attempt(since, 1, now))
+            self._record_attempt(packet.flow, Attempt(since, 1, now))
 
     def knows_fleet(self, now: float) -> bool:
         """Return whether this process has run long enough to know all agents.
--- a/ibispitch/forwarding/frames.py
+++ b/ibispitch/forwarding/frames.py
@@ -12,6 +12,8 @@
 
 from ibispitch.forwarding.packets import FLOW_KEY_BYTES
 from ibispitch.forwarding.packets import FlowKey
+from ibispitch.retry.attempts import CALLER_KEY_BYTES
+from ibispitch.retry.attempts import CallerKey
 from ibispitch.routes.position import TablePosition
 
 #: Kinds of frames, the first byte.
@@ -20,6 +22,7 @@
 QUESTIONS = 3
 ANSWERS = 4
 AGE = 5
+ATTEMPT = 6
 
 #: Maximum number of agents listed in a returned opening.
 MAX_TRIED = 4
@@ -150,7 +153,29 @@
     age_s: float
 
 
-Frame = Forward | Return | OwnershipQuestions | OwnershipAnswers | OpeningAge
+class EndedAttempt(NamedTuple):
+    """An attempt that ended at another balancer of the data centre.
+
+    The caller's next attempt may reach any balancer.
+
+    :param caller: see :func:`ibispitch.retry.attempts.caller_key`.
+    :param number: number of the attempt, from 1.
+    :param age_s: time since the caller asked first.
+    """
+
+    caller: CallerKey
+    number: int
+    age_s: float
+
+
+Frame = (
+    Forward
+    | Return
+    | OwnershipQuestions
+    | OwnershipAnswers
+    | OpeningAge
+    | EndedAttempt
+)
 
 #: Header of FORWARD and RETURN frames: kind, purpose or reason, number of
 #: tried agents, packed position, incarnation.
@@ -161,6 +186,8 @@
 #: Kind, flow, age in milliseconds.
 _AGE_LAYOUT = struct.Struct(f'<B{FLOW_KEY_BYTES}sH')
 _MAX_AGE_MS = 0xFFFF
+#: Kind, caller and destination, number, age in milliseconds.
+_ATTEMPT_LAYOUT = struct.Struct(f'<B{CALLER_KEY_BYTES}sBH')
 _TRIED_LAYOUTS = [
     struct.Struct(f'<{count}I') for count in range(MAX_TRIED + 1)
 ]
@@ -222,6 +249,19 @@
     return _AGE_LAYOUT.pack(AGE, flow, min(_MAX_AGE_MS, round(1000 * age_s)))
 
 
+def encode_attempt(attempt: EndedAttempt) -> bytes:
+    """Return the datagram of an :class:`EndedAttempt` frame.
+
+    >>> attempt = EndedAttempt(CallerKey(bytes(10)), 2, 1.5)
+    >>> decode_frame(encode_attempt(attempt)) == attempt
+    True
+    """
+    age_ms = min(_MAX_AGE_MS, round(1000 * attempt.age_s))
+    return _ATTEMPT_LAYOUT.pack(
+        ATTEMPT, attempt.caller, attempt.number, age_ms
+    )
+
+
 def decode_frame(data: bytes) -> Frame | None:
     """Decode a frame.
 
@@ -271,4 +311,7 @@
     if kind == AGE:
         _kind, flow, age_ms = _AGE_LAYOUT.unpack(data)
         return OpeningAge(FlowKey(flow), age_ms / 1000)
+    if kind == ATTEMPT:
+        _kind, caller, number, age_ms = _ATTEMPT_LAYOUT.unpack(data)
+        return EndedAttempt(CallerKey(caller), number, age_ms / 1000)
     return None
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterable
 from itertools import islice
+import math
 
 from ibispitch.checkpoint.core import CheckpointCache
 from ibispitch.checkpoint.messages import CheckpointPart
@@ -15,6 +16,7 @@
 from ibispitch.fleet.messages import Status
 from ibispitch.fleet.messages import unpack_ips
 from ibispitch.forwarding.balancer import BalancerCore
+from ibispitch.forwarding.frames import EndedAttempt
 from ibispitch.forwarding.frames import Frame
 from ibispitch.forwarding.frames import OwnershipAnswers
 from ibispitch.forwarding.frames import Return
@@ -55,6 +57,11 @@
 #: Delay of the placement of waiting openings after a status of an agent, so
 #: that the statuses of several agents cost one placement.
 PLACEMENT_DELAY_S = 0.003
+#: Maximum number of balancers that are told of an ended attempt. Further ones
+#: of a large data centre take the caller's next attempt for a new request.
+MAX_ATTEMPT_RECEIVERS = 8
+#: Time for which the list of these balancers is kept.
+NEAR_BALANCERS_KEPT_S = 0.2
 #: Time until a host that is not ready is out of rotation: the platform checks
 #: readiness twice a second and removes a host after two failed checks. A
 #: stopping balancer waits for this.
@@ -82,6 +89,8 @@
         #: still send messages to it.
         self._is_leaving = False
         self._started_at = node.clock()
+        self._near_ips: list[str] = []
+        self._near_counted_at = -math.inf
         self._core = BalancerCore(
             node.settings.datacentre, node.fleet, self._codec, self,
             node.log, node.histograms, self._random, node.clock(),
@@ -149,6 +158,36 @@
         """Send a packet to the caller of a flow."""
         self._node.to_caller(flow, data)
 
+    def to_balancers(self, data: bytes) -> None:
+        """Send a frame to the other balancers that callers here use.
+
+        In a large data centre only some of them get it.
+        """
+        for ip in self._near_in_rotation():
+            self._node.to_peer(ip, data)
+
+    def _near_in_rotation(self) -> list[str]:
+        """Return other balancers of this data centre in the rotation."""
+        now = self._node.clock()
+        if now - self._near_counted_at >= NEAR_BALANCERS_KEPT_S:
+            self._near_counted_at = now
+            links = self._near_links()
+            in_rotation = [
+                link.ip for link in links if not is_standby(link, links)
+            ]
+            count = min(MAX_ATTEMPT_RECEIVERS, len(in_rotation))
+            self._near_ips = self._random.sample(in_rotation, count)
+        return self._near_ips
+
+    def _near_links(self) -> list[BalancerLink]:
+        """Return the other balancers of this data centre that respond."""
+        heard = self._node.fleet.heard_balancers(self._node.clock())
+        return [
+            BalancerLink(view.ip, view.status.link_mbps)
+            for view in heard
+            if view.status.datacentre == self._node.settings.datacentre
+        ]
+
     # Input.
 
     def _on_packet(self, raw: bytes, sender: tuple[str, int]) -> None:
@@ -165,6 +204,8 @@
             self._core.receive_returned_packet(ip, frame, now)
         elif isinstance(frame, OwnershipAnswers):
             self._core.receive_answers(ip, frame, now)
+        elif isinstance(frame, EndedAttempt):
+            self._core.receive_ended_attempt(frame, now)
 
     def _on_message(self, ip: str, message: Message) -> None:
         if isinstance(message, CheckpointPart):
@@ -371,14 +412,8 @@
 
     def _is_standby(self) -> bool:
         settings = self._node.settings
-        heard = self._node.fleet.heard_balancers(self._node.clock())
         return is_standby(
-            BalancerLink(settings.ip, settings.link_mbps),
-            [
-                BalancerLink(view.ip, view.status.link_mbps)
-                for view in heard
-                if view.status.datacentre == settings.datacentre
-            ],
+            BalancerLink(settings.ip, settings.link_mbps), self._near_links()
         )
 
     async def _refuse_heartbeat(self, _request: Request) -> Response:
--- a/ibispitch/retry/attempts.py
+++ b/ibispitch/retry/attempts.py
@@ -7,8 +7,9 @@
 attempts within half a second. An opening that follows the end of an attempt
 of the same caller and destination therefore inherits the age of the request.
 
-The state of a balancer is lost with its process, and an attempt that reaches
-another balancer is not recognised. It then counts as a new request.
+The next attempt may reach another balancer, so that balancers tell each other
+of the attempts that end. Their state is lost with the process. An attempt
+that is not recognised counts as a new request.
 """
 
 from collections import deque
@@ -20,6 +21,7 @@
 
 #: Caller's IP address, then destination address and port: 10 bytes.
 CallerKey = NewType('CallerKey', bytes)
+CALLER_KEY_BYTES = 10
 
 #: Time after the end of an attempt in which the next one arrives: a round
 #: trip to the caller with some delay at both ends.
@@ -64,7 +66,10 @@
 
     def record(self, flow: FlowKey, attempt: Attempt) -> None:
         """Record that an attempt has ended."""
-        key = caller_key(flow)
+        self.record_of_caller(caller_key(flow), attempt)
+
+    def record_of_caller(self, key: CallerKey, attempt: Attempt) -> None:
+        """Record an attempt that ended at another balancer."""
         self._attempts_by_caller.setdefault(key, deque()).append(attempt)
         self._count += 1
         if self._count > MAX_ATTEMPTS:
--- a/tests/forwarding/test_balancer_core.py
+++ b/tests/forwarding/test_balancer_core.py
@@ -41,6 +41,10 @@
     def __init__(self):
         self.frames = []
         self.to_callers = []
+        self.to_other_balancers = []
+
+    def to_balancers(self, data):
+        self.to_other_balancers.append(frames.decode_frame(data))
 
     def to_agent(self, ip, raw, packet=None):
         self.frames.append((ip, frames.decode_frame(raw)))
--- a/tests/forwarding/test_further_attempts.py
+++ b/tests/forwarding/test_further_attempts.py
@@ -51,6 +51,22 @@
     assert (second.asked_at, second.number) == (0.0, 2)
 
 
+def test_attempt_at_another_balancer_is_recognised():
+    """Guards against attempts that look new because of the fabric.
+
+    The fabric hashes the port too, so that the next attempt may reach any
+    balancer of the data centre.
+    """
+    core, other = start(), start()
+    ask(core, 3000, 0.0)
+    core.tick(ATTEMPT_TIMEOUT_S + 0.01)
+    for ended in core._outbox.to_other_balancers:
+        other.receive_ended_attempt(ended, ATTEMPT_TIMEOUT_S + 0.011)
+    second = ask(other, 3001, ATTEMPT_TIMEOUT_S + 0.02)
+    assert second.number == 2
+    assert second.asked_at == pytest.approx(0.0, abs=0.02)
+
+
 def test_request_after_the_last_attempt_is_new():
     """Guards against a new request that inherits an age.
 
