--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -93,7 +93,7 @@
         """Send a packet to the caller of a flow."""
 
     def to_balancers(self, data: bytes) -> None:
-        """Send a frame to other balancers that this data centre's callers use."""
+        """Send a frame to the other balancers of the callers here."""
 
 
 def ip_number(ip: str) -> int:
