--- a/tests/settings/test_overload_file.py
+++ b/tests/settings/test_overload_file.py
@@ -95,6 +95,7 @@
     settings = load_overload_settings(FILE)
     modes = {key: part.mode for key, part in settings._asdict().items()}
     assert modes.pop('sharing') is Mode.OFF
+    assert modes.pop('balancing') is Mode.OFF
     assert set(modes.values()) == {Mode.AUTO}
     roles = tomllib.loads((ROOT / 'deploy/system.toml').read_text())['roles']
     option = f'--overload-settings {FILE.relative_to(ROOT)}'
@@ -166,5 +167,5 @@
     modes = next(ln.inputs for ln in lines if ln.event == 'overload.settings')
     assert modes == {
         'scheduling': 'auto', 'retries': 'auto',
-        'balancing': 'auto', 'sharing': 'off',
+        'balancing': 'off', 'sharing': 'off',
     }  # fmt: skip
