Ask the next request of the process test after the last answer

Cause: the test asked every 0.3 s. The product was as expected. Ruled out: the parts for overload, which are off there. Change: the test waits for each answer; all five requests must still be in time, on one flow, each run once.

--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -30,6 +30,11 @@
         caller = deployment.add_caller('accra', PATIENT_FEED, is_long=True)
         for _ in range(5):
             caller.ask()
+            async with asyncio.timeout(PATIENT_FEED.deadline_s):
+                # A caller asks nothing while its flow waits for an answer, and
+                # the first one waits for a heartbeat of the upstream.
+                while caller.requests[-1].answered_at is None:
+                    await asyncio.sleep(0.01)
             await asyncio.sleep(0.3)
         metrics = await call(
             Address(agent.ip, METRICS_PORT), 'GET', '/metrics'
