Close the connections of the stream tests before their loop

Cause: two writers of tests/wire/test_frames.py were still open when the loop of their test closed.

Ruled out: a leak in the programs; no other test left a writer.

Change: the server of these tests ends with its connection. The assertions stay.

--- a/tests/wire/test_frames.py
+++ b/tests/wire/test_frames.py
@@ -1,6 +1,7 @@
 """Frames, messages and streams, valid and forged."""
 
 import asyncio
+from contextlib import asynccontextmanager
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -32,6 +33,8 @@
     b'\x7f\0\0\2\0\2',
     b'hello',
 )
+#: Time for the end of a connection on a busy host.
+CONNECTION_END_S = 5.0
 
 
 @control_message('test.note')
@@ -71,8 +74,17 @@
         decode_message(data)
 
 
-async def _serve(keyring):
+@asynccontextmanager
+async def _echo_server(keyring):
+    """Serve one connection that gets its messages back.
+
+    On exit the connection is over: a writer that is collected after its
+    loop has closed fails a later test.
+
+    :returns: the port, and a queue of received messages and errors.
+    """
     received: asyncio.Queue = asyncio.Queue()
+    has_ended = asyncio.Event()
 
     async def serve(reader, writer):
         try:
@@ -80,44 +92,45 @@
             while (message := await stream.receive()) is not None:
                 received.put_nowait(message)
                 await stream.send(message)
-            stream.close()
         except WireError as error:
             received.put_nowait(error)
+        finally:
             writer.transport.abort()
+            has_ended.set()
 
-    server = await asyncio.start_server(serve, '127.0.0.1', 0)
-    return server, server.sockets[0].getsockname()[1], received
+    async with await asyncio.start_server(serve, '127.0.0.1', 0) as server:
+        yield server.sockets[0].getsockname()[1], received
+        async with asyncio.timeout(CONNECTION_END_S):
+            await has_ended.wait()
 
 
 async def test_stream_carries_messages_both_ways():
     """Messages must arrive complete and in order over one stream."""
-    server, port, _ = await _serve(KEY)
-    stream = await open_stream('127.0.0.1', port, KEY)
-    for text in ('one', 'two' * 50000):
-        await stream.send(Note(text))
-        assert await stream.receive() == Note(text)
-    stream.close()
-    server.close()
+    async with _echo_server(KEY) as (port, _):
+        stream = await open_stream('127.0.0.1', port, KEY)
+        for text in ('one', 'two' * 50000):
+            await stream.send(Note(text))
+            assert await stream.receive() == Note(text)
+        stream.close()
 
 
 async def test_stream_without_the_key_is_refused():
     """A host without a shared key must not get a stream."""
-    server, port, received = await _serve(KEY)
-    with pytest.raises(WireError):
-        await open_stream('127.0.0.1', port, OTHER_KEY)
-    assert isinstance(await received.get(), WireError)
-    server.close()
+    async with _echo_server(KEY) as (port, received):
+        with pytest.raises(WireError):
+            await open_stream('127.0.0.1', port, OTHER_KEY)
+        assert isinstance(await received.get(), WireError)
 
 
 async def test_replayed_message_is_refused():
     """A message that is sent a second time must end the stream."""
-    server, port, received = await _serve(KEY)
-    stream = await open_stream('127.0.0.1', port, KEY)
-    sent = []
-    write = stream._writer.write
-    stream._writer.write = lambda data: (sent.append(data), write(data))
-    await stream.send(Note('pay'))
-    write(sent[0])
-    assert await received.get() == Note('pay')
-    assert (await received.get()).fault is WireFault.BAD_MAC
-    server.close()
+    async with _echo_server(KEY) as (port, received):
+        stream = await open_stream('127.0.0.1', port, KEY)
+        sent = []
+        write = stream._writer.write
+        stream._writer.write = lambda data: (sent.append(data), write(data))
+        await stream.send(Note('pay'))
+        write(sent[0])
+        assert await received.get() == Note('pay')
+        assert (await received.get()).fault is WireFault.BAD_MAC
+        stream.close()
