Keep a list of balancers in the store for the first contact

Change: the first reader of the routes writes the addresses of balancers to the store once they have settled; a process whose seeds are silent for 50 ms reads them. First rounds of status come after 0.1, 0.2 and 0.4 s. Without list or store the seeds are used as before.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -1,7 +1,8 @@
 """View that a process has of the balancers and agents of the fleet.
 
 It depends only on status messages that the processes send each other; the
-store has nothing but the addresses of balancers. A process without a recent
+store has no more than a list of balancers, see
+:mod:`ibispitch.fleet.directory`. A process without a recent
 status gets no new flows after :data:`SUSPECT_INTERVALS` and is forgotten after
 :data:`FORGET_AFTER_S`.
 """
@@ -23,6 +24,9 @@
 #: Interval of the rounds in which status messages are sent within a data
 #: centre. A process that is gone gets no new flows after a second.
 STATUS_INTERVAL_S = 0.4
+#: Intervals of the first rounds of a process. When all processes start
+#: together, the first messages reach hosts on which nothing listens yet.
+START_ROUND_INTERVALS_S = (0.1, 0.1, 0.2)
 #: Rounds between status messages to other data centres. Traffic between data
 #: centres costs money, and new flows go to another one only if the local
 #: upstreams are busy.
@@ -378,6 +382,19 @@
             if self.has_recent_status(view, now)
         ]
 
+    def count_sharing(self, now: float) -> int:
+        """Return the number of balancers that share the upstreams.
+
+        They are this one, those with a recent status, and those that were
+        named recently and are expected to answer.
+        """
+        return 1 + sum(
+            now - view.known_at < MENTION_VALID_S
+            if view.status is None
+            else self.has_recent_status(view, now)
+            for view in self.balancers_by_ip.values()
+        )
+
     def has_lost_flows(self, ip: str, incarnation: int, now: float) -> bool:
         """Return whether the flows of an upstream are certainly lost.
 
--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -17,6 +17,7 @@
 from ibispitch.forwarding.frames import OwnershipQuestions
 from ibispitch.forwarding.packets import FlowKey
 from ibispitch.gate.core import Gate
+from ibispitch.platform.directory import StoredDirectory
 from ibispitch.platform.http import Request
 from ibispitch.platform.http import Response
 from ibispitch.platform.metrics import Counts
@@ -97,7 +98,8 @@
         node.add_seeds()
         following = node.make_route_reader().follow(lambda: False)
         node.start(following, is_essential=True)
-        node.every(STATUS_INTERVAL_S, self._send_round)
+        node.every_round(self._send_round)
+        node.start(node.add_stored_balancers(self._on_directory))
         node.every(SWEEP_INTERVAL_S, lambda: self._core.sweep(node.clock()))
         node.every(GATE_CHECK_INTERVAL_S, self._check_gate)
         await node.is_stopping.wait()
@@ -191,6 +193,9 @@
         self._send_status(node.fleet.take_added_balancers())
         node.check_position(ip, status)
 
+    def _on_directory(self, _stored: StoredDirectory) -> None:
+        self._send_status(self._node.fleet.take_added_balancers())
+
     def _on_routes(self, _origin: RoutesOrigin) -> None:
         node = self._node
         self._core.set_routes(node.routes.index, node.clock())
--- a/ibispitch/platform/store.py
+++ b/ibispitch/platform/store.py
@@ -1,10 +1,11 @@
 """Client of the platform's metadata store.
 
-The system only reads from the store. State that is needed after a restart
-comes from its own processes and from upstreams.
+The system reads the operator's entries and keeps a list of its balancers
+there. State of flows comes from its own processes and from upstreams.
 """
 
 from base64 import b64decode
+from base64 import b64encode
 import binascii
 from typing import Any
 from typing import NamedTuple
@@ -66,18 +67,22 @@
     def __init__(self, address: Address):
         self._http = HttpClient(address)
 
-    async def list(self, prefix: str) -> Listing:
+    async def list(self, prefix: str, may_be_stale: bool = False) -> Listing:
         """Return all items under a prefix.
 
         Items that cannot be decoded are left out. The pages are not a
         snapshot: the revision is that of the first page, so a watch from
         there returns again what changed between the pages.
 
+        :param may_be_stale: whether the items may be seconds old, which
+            costs a tenth and doesn't count against the store's rate.
         :raises StoreCallError: if a page could not be read.
         """
         items: list[Item] = []
         revision = first_era = None
         query = {'prefix': prefix}
+        if may_be_stale:
+            query['stale_ok'] = '1'
         while True:
             page, era = await self._read(f'/v1/kv-range?{urlencode(query)}')
             raw_items = _list_of(page, 'items')
@@ -118,16 +123,38 @@
         )
         return Listing(_revision_of(answer, 'current_rev'), events, era)
 
+    async def put(self, key: str, value: bytes) -> None:
+        """Write a key without a condition.
+
+        :raises StoreCallError: if the write was not confirmed. It may have
+            been made, or be made later.
+        """
+        text = b64encode(value).decode()
+        body = msgspec.json.encode(
+            {
+                'expected_rev': [],
+                'puts': [{'key': key, 'value': text, 'lease': 0}],
+                'deletes': [],
+            }
+        )
+        await self._call('POST', '/v1/kv-txn', body, CALL_TIMEOUT_S)
+
     def close(self) -> None:
         """Close the connection."""
         self._http.close()
 
     async def _read(
         self, path: str, timeout_s: float = CALL_TIMEOUT_S
+    ) -> tuple[dict[str, Any], int]:
+        """Return the body of the answer to a read, and its era."""
+        return await self._call('GET', path, b'', timeout_s)
+
+    async def _call(
+        self, method: str, path: str, body: bytes, timeout_s: float
     ) -> tuple[dict[str, Any], int]:
         """Return the body of an answer and its era."""
         try:
-            response = await self._http.call('GET', path, b'', timeout_s)
+            response = await self._http.call(method, path, body, timeout_s)
         except (OSError, TimeoutError) as error:
             detail = str(error) or type(error).__name__
             raise StoreCallError(0, detail) from error
--- a/ibispitch/routes/reader_choice.py
+++ b/ibispitch/routes/reader_choice.py
@@ -53,25 +53,26 @@
     return ALL_READ if balancers <= 2 * MAX_READERS else FEW_READ
 
 
-def is_reader(own: ReaderCandidate, others: Iterable[ReaderCandidate]) -> bool:
-    """Return whether a balancer reads the store.
+def choose_readers(
+    balancers: Iterable[ReaderCandidate],
+) -> list[ReaderCandidate]:
+    """Return the balancers that read the store, the first choice first.
 
     In a fleet with at most twice as many balancers as readers each balancer
     reads, so that it does not depend on another one. Otherwise the readers
     are the balancers with the fastest links of some data centres, one of
     each.
 
-    :param own: the balancer that decides.
-    :param others: the other balancers with a recent status.
+    :param balancers: the one that decides, and those with a recent status.
     """
     candidates = sorted(
-        {own, *others}, key=lambda one: (-one.link_mbps, one.ip)
+        set(balancers), key=lambda one: (-one.link_mbps, one.ip)
     )
     if poll_timing(len(candidates)) is ALL_READ:
-        return True
+        return candidates
     best: dict[DatacentreName, ReaderCandidate] = {}
     for candidate in candidates:
         best.setdefault(candidate.datacentre, candidate)
     chosen = list(best.values())[:MAX_READERS]
     rest = [one for one in candidates if one not in chosen]
-    return own in (chosen + rest)[:MAX_READERS]
+    return (chosen + rest)[:MAX_READERS]
--- a/testbed/memory_store.py
+++ b/testbed/memory_store.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import bisect
+from collections import Counter
 import enum
 from typing import NamedTuple
 
@@ -53,6 +54,7 @@
         self.faulty_clients: set[str] | None = None
         self.latency_s = LATENCY_S
         self.calls = 0
+        self.calls_by_client: Counter[str] = Counter()
 
     def write(self, key: str, value: bytes | None) -> int:
         """Write or remove a key, as the operator does."""
@@ -135,7 +137,7 @@
         self._store = store
         self._client = client
 
-    async def list(self, prefix: str) -> Listing:
+    async def list(self, prefix: str, may_be_stale: bool = False) -> Listing:
         """Return all items under a prefix."""
         await self._begin_call()
         store = self._store
@@ -156,6 +158,11 @@
                 return Listing(store.revision, events, store.era)
             await store.wait_for_change(left_s)
 
+    async def put(self, key: str, value: bytes) -> None:
+        """Write a key without a condition."""
+        await self._begin_call()
+        self._store.write(key, value)
+
     def close(self) -> None:
         """Close the client."""
 
@@ -167,6 +174,7 @@
 
     async def _begin_call(self) -> None:
         self._store.calls += 1
+        self._store.calls_by_client[self._client] += 1
         await asyncio.sleep(self._store.latency_s)
         await self._apply_fault()
 
--- a/testbed/store_server.py
+++ b/testbed/store_server.py
@@ -1,6 +1,7 @@
 """The platform's metadata store over HTTP, for tests with real sockets."""
 
 import asyncio
+from base64 import b64decode
 from base64 import b64encode
 from contextlib import suppress
 import json
@@ -75,6 +76,8 @@
             return self._list(query)
         if url.path == '/v1/kv-watch':
             return await self._watch(query)
+        if (request.method, url.path) == ('POST', '/v1/kv-txn'):
+            return self._put(json.loads(request.body))
         return Response(404)
 
     def _list(self, query: dict[str, str]) -> Response:
@@ -92,6 +95,14 @@
             }
         )
 
+    def _put(self, body: dict) -> Response:
+        """Write keys; only calls without conditions are known here."""
+        if body['expected_rev'] or body['deletes']:
+            return Response(400)
+        for put in body['puts']:
+            self.store.write(put['key'], b64decode(put['value']))
+        return _response({'revision': self.store.revision})
+
     async def _watch(self, query: dict[str, str]) -> Response:
         loop = asyncio.get_running_loop()
         until = loop.time() + int(query['wait_ms']) / 1000
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -238,3 +238,18 @@
     )
     fleet.record_agent_status('10.0.1.1', presumed, 1.0)
     assert fleet.agents_by_ip['10.0.1.1'].cold_openings(3.0) == 5
+
+
+def test_balancers_that_were_only_named_share_the_upstreams(fleet):
+    """Guards against a share that is too large right after a start.
+
+    A balancer that had the status of a few others took a multiple of its
+    share of the places of cold upstreams.
+    """
+    fleet.record_balancer_status(
+        '10.0.0.2', balancer(balancers=('10.0.0.3', '10.0.0.4')), 1.0
+    )
+    assert fleet.count_sharing(1.0) == 4
+    # Those that have sent nothing and are named no more don't count.
+    fleet.record_balancer_status('10.0.0.2', balancer(2), 5.0)
+    assert fleet.count_sharing(5.0) == 2
--- /dev/null
+++ b/tests/platform/test_directory.py
@@ -0,0 +1,115 @@
+"""First contact of a fleet whose processes all start together."""
+
+import asyncio
+
+import pytest
+
+from ibispitch.fleet.directory import SETTLE_S
+from ibispitch.platform.directory import KEY
+from testbed.flow_network import FlowNetwork
+from testbed.flow_platform import FEED
+from testbed.memory_store import Fault
+from testbed.simulated_loop import simulate
+
+DATACENTRES = {'khomas-a': 8, 'khomas-b': 8, 'khomas-c': 8}
+AGENTS = [(name, 'counter') for name in DATACENTRES for _ in range(17)]
+#: The processes are down, then most start within this time, and the seeds
+#: this much after the last of them.
+DOWN_S, START_SPREAD_S, SEEDS_LATE_S = 1.0, 0.1, 0.3
+#: Time in which processes must know each other: the time for which they wait
+#: for the seeds, a call to the store, and a round of messages.
+CONTACT_S = 0.2
+
+
+def restart_without_seeds(break_store=None) -> FlowNetwork:
+    """Restart all processes, and stop before the seeds are back."""
+
+    async def scenario(loop):
+        network = FlowNetwork(loop, DATACENTRES, AGENTS)
+        network.configure(1, (FEED,))
+        await network.start()
+        await asyncio.sleep(SETTLE_S + 2.0)
+        if break_store is not None:
+            break_store(network.store)
+        for host in (*network.balancers, *network.agents):
+            delay_s = DOWN_S + network.rng.uniform(0.0, START_SPREAD_S)
+            is_seed = host in network.balancers[:3]
+            network.kill(host, delay_s + SEEDS_LATE_S * is_seed)
+        await asyncio.sleep(DOWN_S + START_SPREAD_S + CONTACT_S)
+        assert not any(network.balancers[n].sockets for n in range(3)), (
+            'the seeds are back already'
+        )
+        return network
+
+    return simulate(scenario)
+
+
+def share_known(network: FlowNetwork) -> float:
+    """Return the share of agents that running balancers know."""
+    running = [host for host in network.balancers if host.sockets]
+    known = sum(len(host.node.fleet.agents_by_ip) for host in running)
+    return known / (len(running) * len(network.agents))
+
+
+def test_processes_meet_before_the_seeds_are_back():
+    """Guards against a fleet that serves nothing until its seeds are back.
+
+    After a loss of power the seeds started 0.3 s after the other processes
+    (osa-returns-now-grown, trouble-1), so that the first new flow was placed
+    0.5 s after the return of the power.
+    """
+    network = restart_without_seeds()
+    assert share_known(network) == 1.0
+
+
+def test_the_seeds_are_used_without_a_list():
+    """Guards against a start that depends on the list in the store."""
+    network = restart_without_seeds(lambda store: store.write(KEY, None))
+    assert share_known(network) == 0.0
+    assert not any(
+        line['event'] == 'process.error'
+        for host in (*network.balancers, *network.agents)
+        for line in host.log_lines
+    )
+
+
+@pytest.mark.parametrize('value', [b'\xff', b'{}', b'{"balancers":[1]}'])
+def test_an_unreadable_list_is_ignored(value):
+    """Guards against a process that ends because of another writer's list."""
+    network = restart_without_seeds(lambda store: store.write(KEY, value))
+    events = {
+        line['event'] for host in network.agents for line in host.log_lines
+    }
+    assert 'directory.unusable' in events
+    assert 'process.error' not in events
+
+
+def test_the_seeds_are_used_while_the_store_is_down():
+    """Guards against a start that waits for the store."""
+
+    def break_store(store):
+        store.fault = Fault.SILENT
+
+    network = restart_without_seeds(break_store)
+    assert share_known(network) == 0.0
+
+
+def test_the_list_costs_few_calls():
+    """Guards against calls to the store that grow with the time."""
+
+    async def scenario(loop):
+        network = FlowNetwork(loop, DATACENTRES, AGENTS)
+        network.configure(1, (FEED,))
+        await network.start()
+        await asyncio.sleep(60.0)
+        return network
+
+    network = simulate(scenario)
+    written = [
+        line
+        for host in network.balancers
+        for line in host.log_lines
+        if line['event'] == 'directory.written'
+    ]
+    assert len(written) == 1
+    assert written[0]['balancers'] == sum(DATACENTRES.values())
--- a/tests/platform/test_store_calls.py
+++ b/tests/platform/test_store_calls.py
@@ -157,3 +157,19 @@
     assert (await client.list('op/')).era == 0
     client.close()
     running.close()
+
+
+async def test_put(server, client):
+    """Guards against values that the store gets in another encoding."""
+    await client.put('fleet/balancers', b'\x00\xff')
+    listing = await client.list('fleet/', may_be_stale=True)
+    assert [item.value for item in listing.items] == [b'\x00\xff']
+
+
+async def test_failed_put(server, client):
+    """Guards against a write that counts as made though it was refused."""
+    server.store.fault = Fault.BUSY
+    with pytest.raises(StoreCallError):
+        await client.put('fleet/balancers', b'')
+    server.store.fault = Fault.NONE
+    assert (await client.list('fleet/')).items == ()
