Limit how many late openings take the room on cold upstreams

Balancers that got their routes late knew no arrivals of the service, and right after a start the share counted only the balancers that had already sent a status.

Change: placements ahead of expected openings count against the room for one window; arrivals before the routes were known count for each service; the share counts balancers that were named but have sent nothing yet.

--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -21,6 +21,7 @@
 from ibispitch.forwarding.packets import FlowKey
 from ibispitch.forwarding.packets import Packet
 from ibispitch.forwarding.packets import PacketCodec
+from ibispitch.gate.core import COLD_WINDOW_S
 from ibispitch.gate.core import STATES_ADMITTING_FLOWS
 from ibispitch.histograms import LatencyHistograms
 from ibispitch.histograms import Series
@@ -190,6 +191,7 @@
         if packet.is_opening:
             tried = (*returned.tried, ip_number(ip))
             self._table.record_return(packet.flow, ip)
+            self._queue.record_return(packet.flow)
             self._log.decision(
                 'flow.handed_back', packet.flow, now,
                 agent=ip, reason=reason.name,
@@ -297,6 +299,8 @@
         self._histograms.record(
             Series('opening_wait', status.service, route.kind), waited_s
         )
+        if view.cold_openings(now) is not None:
+            self._queue.record_cold_placement(opening, now)
         view.flows_since_status += 1
         is_only_recipient = self._is_only_recipient(
             owner, view.ip, packet, tried, now
@@ -408,10 +412,13 @@
         if view.cold_openings(now) is None:
             return False
         summary = self._summaries.get(opening.service, now)
-        balancers = 1 + len(self._fleet.heard_balancers(now))
+        openings = summary.cold_openings_per_s * COLD_WINDOW_S
+        # Agents of the version before don't report their limit.
+        openings = openings or summary.cold_openings
         return self._queue.should_defer(
-            opening, summary.cold_openings / balancers, summary.warm_in_s,
-            now, self.routes.top_priority(opening.service),
+            opening, openings / self._fleet.count_sharing(now),
+            summary.warm_in_s, now,
+            self.routes.top_priority(opening.service),
         )  # fmt: skip
 
     def _opening_of(self, packet: Packet, now: float) -> Opening:
@@ -503,7 +510,7 @@
     ) -> Capacity:
         """Return what the upstreams of a service can take from here."""
         summary = self._summaries.get(service, now)
-        balancers = 1 + len(self._fleet.heard_balancers(now))
+        balancers = self._fleet.count_sharing(now)
         return Capacity(
             summary.warm_in_s,
             summary.requests_per_s / balancers,
--- a/ibispitch/waiting/core.py
+++ b/ibispitch/waiting/core.py
@@ -255,6 +255,8 @@
         """Return the rate of the openings that go before one.
 
         Before a late one go all, before one in time the more urgent ones.
+        Those that arrived before the routes were known count for each
+        service.
 
         :returns: openings per second, ``None`` if too little was seen to
             know it.
@@ -266,7 +268,7 @@
         count = sum(
             len(times)
             for (service, priority), times in self._times_by_key.items()
-            if service == opening.service
+            if service in (opening.service, None)
             and (is_late or priority < opening.priority)
         )
         return count / min(RATE_WINDOW_S, now - self._since)
@@ -279,6 +281,48 @@
                 del self._times_by_key[key]
 
 
+class SparePlacements:
+    """Openings placed on cold upstreams although others go before them.
+
+    They take from the places that are left for them in a window. Without
+    this count, a balancer that sees a little room places all its late
+    openings at once, since the statuses that show the places as taken come
+    from the agents later.
+    """
+
+    def __init__(self):
+        self._placed_by_flow: dict[
+            FlowKey, tuple[ServiceName | None, float]
+        ] = {}
+
+    def record(self, opening: Opening, now: float) -> None:
+        """Count a placement."""
+        self._expire(now)
+        flow = opening.packet.flow
+        # Another placement of the same flow becomes the newest entry.
+        self._placed_by_flow.pop(flow, None)
+        self._placed_by_flow[flow] = opening.service, now
+
+    def remove(self, flow: FlowKey) -> None:
+        """Count a placement no longer, since the agent handed it back."""
+        self._placed_by_flow.pop(flow, None)
+
+    def count(self, service: ServiceName | None, now: float) -> int:
+        """Return the placements of a service in the last window."""
+        self._expire(now)
+        return sum(
+            placed_service == service
+            for placed_service, _ in self._placed_by_flow.values()
+        )
+
+    def _expire(self, now: float) -> None:
+        while self._placed_by_flow:
+            flow, (_, placed_at) = next(iter(self._placed_by_flow.items()))
+            if now - placed_at <= COLD_WINDOW_S:
+                return
+            del self._placed_by_flow[flow]
+
+
 class OpeningQueue:
     """Queue of waiting openings, at most one for each flow.
 
@@ -290,6 +334,7 @@
     def __init__(self, recognises_attempts: bool = False):
         self._recognises_attempts = recognises_attempts
         self._arrivals = ArrivalRates()
+        self._spare_placements = SparePlacements()
         self._opening_by_flow: dict[FlowKey, Opening] = {}
         self._rates_by_service: dict[ServiceName | None, _ServiceRates] = {}
 
@@ -426,13 +471,14 @@
 
         It should if openings that go before it, because they can be in time
         or are more urgent, are expected to need all new flows that the cold
-        upstreams may take until they are warm. Right after the start of the
+        upstreams may take until they are warm, beside those that went to
+        others like it. Right after the start of the
         process nothing is known of the arrivals. All flows are left to the
         most urgent openings then, since a late one has the least to lose.
 
         :param opening: an opening.
         :param cold_openings: this balancer's share of the new flows that cold
-            upstreams may take now.
+            upstreams may take in :data:`COLD_WINDOW_S`.
         :param warm_in_s: see :class:`Capacity`.
         :param now: time in seconds.
         :param top_priority: priority of the most urgent route of the service.
@@ -440,8 +486,20 @@
         per_s = self._arrivals.per_s_before(opening, now)
         if per_s is None:
             return opening.is_late(now) or opening.priority > top_priority
+        if per_s == 0.0:
+            return False
         expected = per_s * min(warm_in_s, COLD_WINDOW_S)
-        return 0.0 < expected >= cold_openings
+        placed = self._spare_placements.count(opening.service, now)
+        return expected + placed >= cold_openings
+
+    def record_cold_placement(self, opening: Opening, now: float) -> None:
+        """Record that an opening was placed on a cold upstream."""
+        if self._arrivals.per_s_before(opening, now):
+            self._spare_placements.record(opening, now)
+
+    def record_return(self, flow: FlowKey) -> None:
+        """Record that an agent handed an opening back."""
+        self._spare_placements.remove(flow)
 
     def remove_expired(self, now: float) -> list[Opening]:
         """Remove the openings whose callers have given up.
--- a/tests/waiting/test_waiting.py
+++ b/tests/waiting/test_waiting.py
@@ -469,3 +469,59 @@
     assert not queue.should_defer(
         urgent, cold_openings=1, warm_in_s=1.5, now=10.0
     )
+
+
+def place_late(queue: OpeningQueue, count: int, now: float) -> list[Opening]:
+    """Place late openings on cold upstreams until they should wait."""
+    placed = []
+    for number in range(1000, 1000 + count):
+        late = opening(number, now - 1.0)
+        if not queue.should_defer(
+            late, cold_openings=10, warm_in_s=1.5, now=now
+        ):
+            queue.record_cold_placement(late, now)
+            placed.append(late)
+    return placed
+
+
+def test_late_openings_share_the_room_that_is_left():
+    """Guards against a backlog that is placed at once in a little room.
+
+    After a loss of power a balancer expected 8 openings in time and had 10
+    places: it placed all 15 late openings that waited, and those in time of
+    the next second found no place (osa-returns-now-grown, trouble-1).
+    """
+    queue = OpeningQueue()
+    queue.record_arrival(opening(99, 0.0), 0.0)
+    for number in range(4):
+        queue.record_arrival(opening(number, 9.9), 9.9)
+    assert len(place_late(queue, 15, now=10.0)) == 2
+    # The window has passed, and as many openings as before arrived in it.
+    for number in range(4):
+        queue.record_arrival(opening(number, 11.0), 11.0)
+    assert len(place_late(queue, 15, now=11.1)) == 2
+
+
+def test_a_returned_opening_leaves_its_room_to_others():
+    """Guards against places that count as taken though nothing runs there."""
+    queue = OpeningQueue()
+    queue.record_arrival(opening(99, 0.0), 0.0)
+    for number in range(4):
+        queue.record_arrival(opening(number, 9.9), 9.9)
+    placed = place_late(queue, 15, now=10.0)
+    queue.record_return(placed[0].packet.flow)
+    assert len(place_late(queue, 15, now=10.0)) == 1
+
+
+def test_arrivals_before_the_routes_count():
+    """Guards against late openings that take the places of those in time.
+
+    A balancer on a slow link got its routes 0.35 s after its start. It knew
+    no arrivals of the service then, and placed all late openings at once.
+    """
+    queue = OpeningQueue()
+    for number in range(20):
+        unknown = opening(number, 9.0)._replace(service=None, route=None)
+        queue.add(unknown, UNKNOWN, 9.7)
+    late = opening(50, 9.0)
+    assert queue.should_defer(late, cold_openings=30, warm_in_s=1.5, now=10.0)
