--- a/ibispitch/fleet/directory.py
+++ b/ibispitch/fleet/directory.py
@@ -16,17 +16,9 @@
 
 from ibispitch.ids import DatacentreName
 
-#: Time for which a process waits for its seeds before it reads the list.
-#: Seeds that are up answer within milliseconds.
-SEED_ANSWER_S = 0.05
-#: Time after which a failed read is repeated while no balancer is known to
-#: be up.
-READ_AGAIN_S = 0.3
 #: Time for which the balancers must differ from the list before it is
 #: written again. Restarts end within this time, so that they cost no calls.
 SETTLE_S = 8.0
-#: Interval of the checks whether the list is up to date.
-CHECK_INTERVAL_S = 1.0
 #: Maximum number of listed balancers of a data centre. Any one of them leads
 #: to the others.
 MAX_PER_DATACENTRE = 16
--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -17,7 +17,7 @@
 from ibispitch.forwarding.frames import OwnershipQuestions
 from ibispitch.forwarding.packets import FlowKey
 from ibispitch.gate.core import Gate
-from ibispitch.platform.directory import StoredDirectory
+from ibispitch.platform.directory import add_stored_balancers
 from ibispitch.platform.http import Request
 from ibispitch.platform.http import Response
 from ibispitch.platform.metrics import Counts
@@ -99,7 +99,7 @@
         following = node.make_route_reader().follow(lambda: False)
         node.start(following, is_essential=True)
         node.every_round(self._send_round)
-        node.start(node.add_stored_balancers(self._on_directory))
+        node.start(self._add_stored_balancers())
         node.every(SWEEP_INTERVAL_S, lambda: self._core.sweep(node.clock()))
         node.every(GATE_CHECK_INTERVAL_S, self._check_gate)
         await node.is_stopping.wait()
@@ -128,6 +128,11 @@
             'flows.saved', now, balancers=ips, flows=self._core.flow_count
         )
 
+    async def _add_stored_balancers(self) -> None:
+        """Contact the balancers that the store lists, if it is needed."""
+        if await add_stored_balancers(self._node) is not None:
+            self._send_status(self._node.fleet.take_added_balancers())
+
     # Outbox of the core.
 
     def to_balancer(self, ip: str, data: bytes) -> None:
@@ -193,9 +198,6 @@
         self._send_status(node.fleet.take_added_balancers())
         node.check_position(ip, status)
 
-    def _on_directory(self, _stored: StoredDirectory) -> None:
-        self._send_status(self._node.fleet.take_added_balancers())
-
     def _on_routes(self, _origin: RoutesOrigin) -> None:
         node = self._node
         self._core.set_routes(node.routes.index, node.clock())
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -9,10 +9,6 @@
 from ibispitch.checkpoint.messages import CheckpointPart
 from ibispitch.checkpoint.messages import CheckpointRequest
 from ibispitch.fleet.core import STATUS_INTERVAL_S
-from ibispitch.fleet.directory import CHECK_INTERVAL_S
-from ibispitch.fleet.directory import choose_listed
-from ibispitch.fleet.directory import DirectoryWriter
-from ibispitch.fleet.directory import KnownBalancer
 from ibispitch.fleet.messages import AgentStatus
 from ibispitch.fleet.messages import BalancerStatus
 from ibispitch.fleet.messages import Message
@@ -26,15 +22,15 @@
 from ibispitch.forwarding.frames import Return
 from ibispitch.forwarding.packets import FlowKey
 from ibispitch.forwarding.packets import Packet
-from ibispitch.platform.directory import StoredDirectory
-from ibispitch.platform.directory import write_directory
+from ibispitch.platform.directory import add_stored_balancers
+from ibispitch.platform.directory import CHECK_INTERVAL_S
+from ibispitch.platform.directory import DirectoryKeeper
 from ibispitch.platform.http import Request
 from ibispitch.platform.http import Response
 from ibispitch.platform.metrics import Counts
 from ibispitch.platform.node import Node
 from ibispitch.platform.node import TICK_INTERVAL_S
 from ibispitch.platform.packets import PlatformPacketCodec
-from ibispitch.platform.store import StoreCallError
 from ibispitch.rotation.core import BalancerLink
 from ibispitch.rotation.core import is_standby
 from ibispitch.routes.reader_choice import choose_readers
@@ -99,7 +95,7 @@
         self._started_at = node.clock()
         self._near_ips: list[str] = []
         self._near_counted_at = -math.inf
-        self._directory = DirectoryWriter()
+        self._directory = DirectoryKeeper(node)
         self._core = BalancerCore(
             node.settings.datacentre, node.fleet, self._codec, self,
             node.log, node.histograms, self._random, node.clock(),
@@ -125,8 +121,11 @@
         following = node.make_route_reader().follow(self._is_reader)
         node.start(following, is_essential=True)
         node.every_round(self._send_round)
-        node.start(node.add_stored_balancers(self._on_directory))
-        node.every(CHECK_INTERVAL_S, self._check_directory)
+        node.start(self._add_stored_balancers())
+        node.every(
+            CHECK_INTERVAL_S,
+            lambda: self._directory.check(self._readers()[0].ip),
+        )
         node.every(TICK_INTERVAL_S, lambda: self._core.tick(node.clock()))
         await node.is_stopping.wait()
         await self._stop()
@@ -310,53 +309,15 @@
             self._core.refused,
         )
 
-    # List of balancers in the store.
-
-    def _on_directory(self, stored: StoredDirectory) -> None:
-        self._directory.record_stored(stored.ips, stored.era)
-        self._send_status(
-            self._node.fleet.take_added_balancers(), wants_answer=True,
-            lists_fleet=False,
-        )  # fmt: skip
-
-    def _check_directory(self) -> None:
-        """Write the list of balancers if it is this process's turn."""
-        node = self._node
-        settings = node.settings
-        if self._readers()[0].ip != settings.ip:
-            return
-        listed = choose_listed(
-            (
-                KnownBalancer(settings.datacentre, settings.ip),
-                *(
-                    KnownBalancer(view.status.datacentre, view.ip)
-                    for view in node.fleet.balancers_by_ip.values()
-                    if view.status is not None
-                ),
-            )
-        )
-        era = node.routes.position.era
-        if self._directory.is_due(listed, era, node.clock()):
-            node.start(self._write_directory(listed, era))
-
-    async def _write_directory(
-        self, listed: tuple[str, ...], era: int
-    ) -> None:
-        node = self._node
-        store = node.transport.store(node.settings.store_address)
-        try:
-            await write_directory(store, listed)
-        except StoreCallError as error:
-            node.log.change(
-                'directory.not_written', node.clock(), error=str(error)
-            )
-        else:
-            self._directory.record_stored(listed, era)
-            node.log.change(
-                'directory.written', node.clock(), balancers=len(listed)
-            )
-        finally:
-            store.close()
+    async def _add_stored_balancers(self) -> None:
+        """Contact the balancers that the store lists, if it is needed."""
+        stored = await add_stored_balancers(self._node)
+        if stored is not None:
+            self._directory.record_stored(stored)
+            self._send_status(
+                self._node.fleet.take_added_balancers(), wants_answer=True,
+                lists_fleet=False,
+            )  # fmt: skip
 
     # Status.
 
--- a/ibispitch/platform/node.py
+++ b/ibispitch/platform/node.py
@@ -23,8 +23,6 @@
 from ibispitch.fleet.core import RoundSchedule
 from ibispitch.fleet.core import START_ROUND_INTERVALS_S
 from ibispitch.fleet.core import STATUS_INTERVAL_S
-from ibispitch.fleet.directory import READ_AGAIN_S
-from ibispitch.fleet.directory import SEED_ANSWER_S
 from ibispitch.fleet.messages import BalancerStatus
 from ibispitch.fleet.messages import decode_message
 from ibispitch.fleet.messages import encode_message
@@ -36,8 +34,6 @@
 from ibispitch.forwarding.packets import FlowKey
 from ibispitch.histograms import LatencyHistograms
 from ibispitch.ids import Address
-from ibispitch.platform.directory import read_directory
-from ibispitch.platform.directory import StoredDirectory
 from ibispitch.platform.http import Handler
 from ibispitch.platform.link import Link
 from ibispitch.platform.metrics import Counters
@@ -50,7 +46,6 @@
 from ibispitch.platform.settings import load_settings
 from ibispitch.platform.settings import NodeSettings
 from ibispitch.platform.settings import SettingsError
-from ibispitch.platform.store import StoreCallError
 from ibispitch.platform.transport import BoundSocket
 from ibispitch.platform.transport import Closable
 from ibispitch.platform.transport import HostTransport
@@ -334,45 +329,6 @@
         for ip in self.settings.seed_ips:
             self.fleet.add_balancer(ip, self.clock())
 
-    async def add_stored_balancers(
-        self, on_read: Callable[[StoredDirectory], None]
-    ) -> None:
-        """Add the balancers that the store lists, if the seeds are silent.
-
-        The fleet of a first start has no list yet.
-
-        :param on_read: called with the list after its balancers were added.
-        """
-        if self.settings.is_first_start:
-            return
-        await asyncio.sleep(SEED_ANSWER_S)
-        store = self.transport.store(self.settings.store_address)
-        try:
-            while not self.fleet.heard_balancers(self.clock()):
-                try:
-                    stored = await read_directory(store)
-                except StoreCallError as error:
-                    self.log.change(
-                        'directory.not_read', self.clock(), error=str(error)
-                    )
-                    await asyncio.sleep(READ_AGAIN_S)
-                except ValueError as error:
-                    self.log.change(
-                        'directory.unusable', self.clock(), error=str(error)
-                    )
-                    return
-                else:
-                    now = self.clock()
-                    for ip in stored.ips:
-                        self.fleet.add_balancer(ip, now)
-                    self.log.change(
-                        'directory.read', now, balancers=len(stored.ips)
-                    )
-                    on_read(stored)
-                    return
-        finally:
-            store.close()
-
     def begin_round(self) -> RoundReceivers:
         """Begin a round of status messages.
 
