Prefer agents for long flows by the addresses of the flow

Cause: after all processes were killed, the packets of each open flow were tried at 13 agents on average, in an order that says nothing of where the flow is.

Four wrong trials at once would count as misrouting, so that the last one is kept: its first trials are as few as those that are allowed while an agent is missing.

Ruled out: flows in the store, copies at other agents (docs/design.md, 9.2).

Measured: the owner is among the first two of 17 and of 60 agents for more than half of the flows, the busiest upstream has at most 1.15 times the mean (tests/placement/test_preference.py).

--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -389,7 +389,7 @@
             is_long = kind_named(route.kind).expects_long_flows
         return choose_agent(
             views, route, self._datacentre, is_long, opening.is_late(now),
-            self._rng, now, self._near_load_by_service[service],
+            self._rng, now, self._near_load_by_service[service], flow,
         )  # fmt: skip
 
     def _can_take_openings(self, view: AgentView, now: float) -> bool:
--- a/ibispitch/locating/core.py
+++ b/ibispitch/locating/core.py
@@ -22,6 +22,7 @@
 from ibispitch.forwarding.packets import Packet
 from ibispitch.ids import DatacentreName
 from ibispitch.ids import ServiceName
+from ibispitch.placement.preference import by_preference
 
 #: Time within which agents must answer: two round trips between data centres
 #: and the delay of the event loops at both ends.
@@ -37,9 +38,11 @@
 #: upstreams would count as misrouting the flow. Trials at agents that answered
 #: ``RESTARTED`` are counted, but only ``MAX_TRIAL_BATCH`` limits them.
 MAX_TRIALS = 2
-#: Maximum number of agents tried at the same time, the nearest first. Once
-#: all agents have answered, it applies instead of ``MAX_TRIALS``, because the
-#: owner is then one of those that answered ``UNKNOWN`` or ``RESTARTED``.
+#: Maximum number of agents tried at the same time, near and preferred ones
+#: first. The first trials are ``MAX_TRIALS``, which most often include the
+#: owner of a long flow and otherwise misroute nothing. Once all agents have
+#: answered, it applies to further trials instead of ``MAX_TRIALS``, because
+#: the owner is then one of those that answered ``UNKNOWN`` or ``RESTARTED``.
 MAX_TRIAL_BATCH = 12
 #: Window in which trials are counted; longer than the longest interval
 #: between repeated packets of callers and upstreams (1.6 s).
@@ -444,9 +447,12 @@
             MAX_TRIAL_BATCH if is_complete else max(0, MAX_TRIALS - recent)
         )
         restarted = [ip for ip in search.restarted if ip not in tried]
+        # Placement has preferred the first ones, near ones before all.
+        restarted = by_preference(packet.flow, restarted)
+        unknown = by_preference(packet.flow, unknown)
         chosen = sorted(
             restarted + unknown[:max_unknown], key=self._is_remote
-        )[:MAX_TRIAL_BATCH]
+        )[: MAX_TRIAL_BATCH if trials else MAX_TRIALS]
         if not chosen:
             missing = (*search.unknown, *search.restarted)
             return self._schedule_retry(search, missing, now)
--- a/ibispitch/placement/core.py
+++ b/ibispitch/placement/core.py
@@ -13,7 +13,9 @@
 
 from ibispitch.fleet.core import AgentView
 from ibispitch.fleet.messages import AgentState
+from ibispitch.forwarding.packets import FlowKey
 from ibispitch.ids import DatacentreName
+from ibispitch.placement.preference import by_preference
 from ibispitch.placement.smoothing import SmoothedLoad
 from ibispitch.routes.kinds import kind_named
 from ibispitch.routes.kinds import LargeBody
@@ -31,6 +33,9 @@
 #: Load that is added for an average number of long flows, whose later
 #: requests go to the same upstream.
 LONG_FLOW_LOAD = 1.0
+#: Difference of load up to which upstreams count as equally loaded for a long
+#: flow: a fifth of an average number of long flows.
+EQUAL_LOAD = 0.2
 #: Load that is added to an upstream in the state ``PRESUMED``. An upstream
 #: that is known to be ready goes first unless all its slots are busy.
 PRESUMED_LOAD = 1.0
@@ -86,6 +91,7 @@
     rng: random.Random,
     now: float,
     near_load: SmoothedLoad | None = None,
+    flow: FlowKey | None = None,
 ) -> AgentView | None:
     """Return the agent for a new flow.
 
@@ -99,6 +105,9 @@
     :param now: time in seconds.
     :param near_load: load of the upstreams of the service in the data centre
         of this balancer; ``None`` if only the present load is known.
+    :param flow: the flow. If it is long, it goes to the one that is preferred
+        for it among upstreams of almost the same load, see
+        :mod:`ibispitch.placement.preference`.
     :returns: ``None`` if no upstream can start a request soon. The opening
         should then wait at the balancer, where more urgent ones go first.
     """
@@ -111,7 +120,7 @@
     mean = max(1.0, long_flows / slots)
     usual_s = usual_work_s(views)
     remote_load = REMOTE_LOAD_BY_LARGE_BODY[kind_named(route.kind).large_body]
-    candidates = (
+    candidates = [
         Candidate(
             load_of(view, usual_s, is_late)
             + LONG_FLOW_LOAD
@@ -124,8 +133,16 @@
             view,
         )
         for view in views
-    )
-    return min(candidates).view
+    ]
+    best = min(candidates)
+    if not is_long or flow is None:
+        return best.view
+    view_by_ip = {
+        candidate.view.ip: candidate.view
+        for candidate in candidates
+        if candidate.cost <= best.cost + EQUAL_LOAD
+    }
+    return view_by_ip[by_preference(flow, view_by_ip)[0]]
 
 
 def placeable_views(
