--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -126,16 +126,12 @@
             overload.scheduling, gate.service, self.flows, outbox.to_upstream,
             log, histograms,
         )  # fmt: skip
-        self.flows.on_end = self._end_requests
+        self.flows.on_end = self.requests.remove
         #: Openings that wait for a place at the upstream.
         self.openings = HeldOpenings(
             overload.gate, gate, self._upstream_load, self, log
         )
 
-    def _end_requests(self, flow: FlowKey, now: float) -> None:
-        """Forget the requests of a flow that has ended."""
-        self.requests.remove(flow)
-
     def set_routes(self, routes: RouteIndex, now: float) -> None:
         """Use these routes for new flows."""
         self.routes = routes
@@ -229,7 +225,7 @@
             kept=self.flow_count - len(ended),
         )  # fmt: skip
         for flow in ended:
-            self.flows.drop(flow, now)
+            self.flows.drop(flow)
         self._denied_flows.clear()
         self._knows_all_flows = True
 
@@ -328,7 +324,7 @@
         self._last_opening_at_by_balancer[ip] = now
         state = self.flows.state_by_flow.get(flow)
         if state is not None and self._opens_new_flow(state, packet):
-            self.flows.drop(flow, now)
+            self.flows.drop(flow)
             state = None
         if (
             state is not None
@@ -360,7 +356,7 @@
             reason = self.gate.admit(flow, self.routes, forward.position, now)
         if reason is not None:
             if state is not None:
-                self.flows.drop(flow, now)
+                self.flows.drop(flow)
             self._return_packet(ip, reason, forward.raw, forward.tried)
             self.flows.is_changed = True
             return
@@ -396,7 +392,7 @@
     def pass_opening(self, opening: GateOpening, now: float) -> None:
         """Send an admitted opening to the upstream."""
         flow = opening.flow
-        self.flows.drop(flow, now)
+        self.flows.drop(flow)
         state = self.flows.add(flow, opening.balancer, self.routes, now)
         state.asked_at = opening.asked_at
         self._send_opening(
@@ -507,13 +503,11 @@
             self.flows.close(packet.flow, state, now)
         if packet.flags & RST:
             # After a FIN, the upstream still runs the request before it.
-            self._forget_request(packet.flow, state, now)
+            self._forget_request(packet.flow, state)
         return may_pass
 
-    def _forget_request(
-        self, flow: FlowKey, state: FlowState, now: float
-    ) -> None:
-        self._end_requests(flow, now)
+    def _forget_request(self, flow: FlowKey, state: FlowState) -> None:
+        self.requests.remove(flow)
         state.is_held = False
 
     @staticmethod
@@ -664,7 +658,7 @@
             self.flows.close(packet.flow, state, now)
             self.requests.record_answer(packet.flow)
             if packet.flags & RST:
-                self._forget_request(packet.flow, state, now)
+                self._forget_request(packet.flow, state)
         self._pass_next(now)
 
     def _record_answer(
@@ -742,7 +736,7 @@
             reason = Reason.NOT_OWNED
             self._record_denial(flow)
         self.flows.is_changed |= not state.is_unconfirmed
-        self.flows.drop(flow, now)
+        self.flows.drop(flow)
         self._log.decision(
             'upstream.handed_back', flow, now, reason=reason.name
         )
--- a/ibispitch/forwarding/flows.py
+++ b/ibispitch/forwarding/flows.py
@@ -152,8 +152,8 @@
         self.long_flows = 0
         #: Whether the load has changed since this flag was last cleared.
         self.is_changed = False
-        #: Called with each flow that is forgotten, and the time.
-        self.on_end: Callable[[FlowKey, float], None] = lambda flow, now: None
+        #: Called with each flow that is forgotten.
+        self.on_end: Callable[[FlowKey], None] = lambda flow: None
 
     def add(
         self,
@@ -183,11 +183,11 @@
         self.state_by_flow[flow] = state
         return state
 
-    def drop(self, flow: FlowKey, now: float) -> None:
+    def drop(self, flow: FlowKey) -> None:
         """Forget a flow."""
         state = self.state_by_flow.pop(flow, None)
         if state is not None:
-            self.on_end(flow, now)
+            self.on_end(flow)
             self._expected.pop(flow, None)
             self._set_running(state, False)
             if state.closed_at is None:
@@ -308,4 +308,4 @@
                 state.request_received_at = None
                 self._set_running(state, False)
         for flow in expired_flows:
-            self.drop(flow, now)
+            self.drop(flow)
