Move what a balancer knows of the fleet out of its core

forwarding/balancer.py had the conditions under which it may conclude that no agent has a flow beside the handling of packets. They are a class of fleet/ now; behaviour stays, tests pass with one import changed.

--- /dev/null
+++ b/ibispitch/fleet/known.py
@@ -0,0 +1,50 @@
+"""Whether a balancer knows all agents.
+
+Only then may it conclude from the answers of the agents that none has a flow,
+and reset the flow.
+"""
+
+from ibispitch.fleet.core import Fleet
+
+#: Time after its start from which a balancer knows all agents and may
+#: conclude that no agent has a flow: one round of status messages.
+FLEET_KNOWN_S = 0.4
+#: The same if no other balancer has sent the list of agents. Either all
+#: processes were killed and restart within 2 s, or the seeds in the settings
+#: are outdated and are corrected within 3 s.
+FLEET_KNOWN_WITHOUT_LIST_S = 3.5
+#: Time after the first message of a new agent in which more new agents are
+#: expected. An agent contacts all balancers within milliseconds of its
+#: start.
+NEW_AGENTS_S = 0.25
+
+
+class KnownFleet:
+    """What a process knows of the fleet since its start.
+
+    :param fleet: the agents and balancers that it knows.
+    :param started_at: start of the process, in seconds.
+    """
+
+    def __init__(self, fleet: Fleet, started_at: float):
+        self._fleet = fleet
+        self._started_at = started_at
+
+    def has_run_long_enough(self, now: float) -> bool:
+        """Return whether this process has run long enough to know all agents.
+
+        Processes that were killed together restart at different times. If
+        all upstreams have just started too, an agent that has not restarted
+        yet cannot have a flow, so the shorter time is enough.
+        """
+        since_start = now - self._started_at
+        if self._fleet.has_agent_list or self._fleet.has_only_cold_upstreams():
+            return since_start >= FLEET_KNOWN_S
+        return since_start >= FLEET_KNOWN_WITHOUT_LIST_S
+
+    def is_complete(self, now: float) -> bool:
+        """Return whether all agents are known and no new ones appear."""
+        are_agents_starting = (
+            now - self._fleet.last_new_agent_at < NEW_AGENTS_S
+        )
+        return self.has_run_long_enough(now) and not are_agents_starting
--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -10,6 +10,7 @@
 from ibispitch.decisionlog import DecisionLog
 from ibispitch.fleet.core import AgentView
 from ibispitch.fleet.core import Fleet
+from ibispitch.fleet.known import KnownFleet
 from ibispitch.fleet.summary import ServiceSummaries
 from ibispitch.forwarding import frames
 from ibispitch.forwarding.frames import MAX_TRIED
@@ -50,17 +51,6 @@
 from ibispitch.waiting.core import Opening
 from ibispitch.waiting.core import OpeningQueue
 
-#: Time after its start from which a balancer knows all agents and may
-#: conclude that no agent has a flow: one round of status messages.
-FLEET_KNOWN_S = 0.4
-#: The same if no other balancer has sent the list of agents. Either all
-#: processes were killed and restart within 2 s, or the seeds in the settings
-#: are outdated and are corrected within 3 s.
-FLEET_KNOWN_WITHOUT_LIST_S = 3.5
-#: Time after the first message of a new agent in which more new agents are
-#: expected. An agent contacts all balancers within milliseconds of its
-#: start.
-NEW_AGENTS_S = 0.25
 #: If an agent has sent nothing for this time after an opening was forwarded
 #: to it, a copy of the opening goes to another agent.
 AGENT_RESPONSE_S = 0.15
@@ -136,7 +126,7 @@
         self._log = log
         self._histograms = histograms
         self._rng = rng
-        self._started_at = now
+        self._known_fleet = KnownFleet(fleet, now)
         self._table = FlowTable()
         self._locator = Locator(fleet, datacentre)
         self._recognises_attempts = overload.retries.mode is not Mode.OFF
@@ -234,7 +224,7 @@
         """Continue overdue searches, place waiting openings, expire flows."""
         self._execute_steps(self._locator.expire(now), now)
         self._ended_attempts.expire(now)
-        if self._unknown_since_by_flow and self._knows_all_agents(now):
+        if self._unknown_since_by_flow and self._known_fleet.is_complete(now):
             self._expire_unknown_flows(now)
         if self._queue:
             self._place_waiting(now)
@@ -574,7 +564,7 @@
 
     def _search_owner(self, packet: Packet, now: float) -> None:
         service = self._service_of(packet.flow)
-        if self._knows_all_agents(now):
+        if self._known_fleet.is_complete(now):
             self._execute_steps(
                 self._locator.search(packet, service, now), now
             )
@@ -636,9 +626,9 @@
         self._log.decision('flow.tried', packet.flow, now, agent=ip)
 
     def _handle_not_found(self, packet: Packet, now: float) -> None:
-        if self._knows_all_agents(now) and not self._fleet.has_unheard_agents(
+        if self._known_fleet.is_complete(
             now
-        ):
+        ) and not self._fleet.has_unheard_agents(now):
             self._record_lost_request(packet, now)
             self._reset(packet, 'no agent has the flow', now)
             return
@@ -662,20 +652,9 @@
     def knows_fleet(self, now: float) -> bool:
         """Return whether this process has run long enough to know all agents.
 
-        Processes that were killed together restart at different times. If
-        all upstreams have just started too, an agent that has not restarted
-        yet cannot have a flow, so the shorter time is enough.
+        See :class:`KnownFleet`.
         """
-        since_start = now - self._started_at
-        if self._fleet.has_agent_list or self._fleet.has_only_cold_upstreams():
-            return since_start >= FLEET_KNOWN_S
-        return since_start >= FLEET_KNOWN_WITHOUT_LIST_S
-
-    def _knows_all_agents(self, now: float) -> bool:
-        are_agents_starting = (
-            now - self._fleet.last_new_agent_at < NEW_AGENTS_S
-        )
-        return self.knows_fleet(now) and not are_agents_starting
+        return self._known_fleet.has_run_long_enough(now)
 
     def _count_refusal(self, flow: FlowKey, reason: str) -> dict[str, str]:
         """Count a refused opening.
--- a/tests/forwarding/test_balancer_core.py
+++ b/tests/forwarding/test_balancer_core.py
@@ -6,10 +6,10 @@
 
 from ibispitch.decisionlog import DecisionLog
 from ibispitch.fleet.core import Fleet
+from ibispitch.fleet.known import NEW_AGENTS_S
 from ibispitch.fleet.messages import AgentState
 from ibispitch.forwarding import frames
 from ibispitch.forwarding.balancer import BalancerCore
-from ibispitch.forwarding.balancer import NEW_AGENTS_S
 from ibispitch.forwarding.frames import Reason
 from ibispitch.forwarding.frames import Verdict
 from ibispitch.histograms import LatencyHistograms
