Try twelve preferred agents at once; keep the answers of all tried agents

The owner was among the first trials, but its upstream had nothing to answer to an acknowledgement; the next batch replaced it in the list of tried agents, so that its later answer ended no search. That could also happen before, with more than twelve restarted agents.

Change: tried agents stay in the list until their trials expire; twelve agents are tried at once as before, in the order of preference.

Ruled out: keeping two trials first. Each further batch costs a round of questions, up to 80 ms if an agent doesn't answer.

--- a/ibispitch/locating/core.py
+++ b/ibispitch/locating/core.py
@@ -39,10 +39,9 @@
 #: ``RESTARTED`` are counted, but only ``MAX_TRIAL_BATCH`` limits them.
 MAX_TRIALS = 2
 #: Maximum number of agents tried at the same time, near and preferred ones
-#: first. The first trials are ``MAX_TRIALS``, which most often include the
-#: owner of a long flow and otherwise misroute nothing. Once all agents have
-#: answered, it applies to further trials instead of ``MAX_TRIALS``, because
-#: the owner is then one of those that answered ``UNKNOWN`` or ``RESTARTED``.
+#: first: they most often include the owner of a long flow. Once all agents
+#: have answered, it applies instead of ``MAX_TRIALS``, because the owner is
+#: then one of those that answered ``UNKNOWN`` or ``RESTARTED``.
 MAX_TRIAL_BATCH = 12
 #: Window in which trials are counted; longer than the longest interval
 #: between repeated packets of callers and upstreams (1.6 s).
@@ -452,12 +451,13 @@
         unknown = by_preference(packet.flow, unknown)
         chosen = sorted(
             restarted + unknown[:max_unknown], key=self._is_remote
-        )[: MAX_TRIAL_BATCH if trials else MAX_TRIALS]
+        )[:MAX_TRIAL_BATCH]
         if not chosen:
             missing = (*search.unknown, *search.restarted)
             return self._schedule_retry(search, missing, now)
         trials.extend((now, ip) for ip in chosen)
-        self._open_trials_by_flow[packet.flow] = set(chosen)
+        # An owner whose upstream has nothing to answer yet stays among them.
+        self._open_trials_by_flow.setdefault(packet.flow, set()).update(chosen)
         # The owner can answer a retry once its upstream has answered.
         self._schedule_retry(search, (), now)
         return [TryAgent(ip, packet) for ip in chosen]
