Move the rounds of status messages to a module of their own

The schedule keeps no view and becomes fleet/rounds.py, before reports between data centres are added to the view. Only the place of the code changes; tests/fleet passes with one import changed.

--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -6,10 +6,10 @@
 from ibispitch.checkpoint.core import CheckpointCollector
 from ibispitch.checkpoint.messages import CheckpointPart
 from ibispitch.checkpoint.messages import CheckpointRequest
-from ibispitch.fleet.core import STATUS_INTERVAL_S
 from ibispitch.fleet.messages import AgentStatus
 from ibispitch.fleet.messages import BalancerStatus
 from ibispitch.fleet.messages import Message
+from ibispitch.fleet.rounds import STATUS_INTERVAL_S
 from ibispitch.forwarding.agent import AgentCore
 from ibispitch.forwarding.frames import Forward
 from ibispitch.forwarding.frames import Frame
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -8,13 +8,13 @@
 from ibispitch.checkpoint.core import CheckpointCache
 from ibispitch.checkpoint.messages import CheckpointPart
 from ibispitch.checkpoint.messages import CheckpointRequest
-from ibispitch.fleet.core import STATUS_INTERVAL_S
 from ibispitch.fleet.messages import AgentStatus
 from ibispitch.fleet.messages import BalancerStatus
 from ibispitch.fleet.messages import Message
 from ibispitch.fleet.messages import pack_ips
 from ibispitch.fleet.messages import Status
 from ibispitch.fleet.messages import unpack_ips
+from ibispitch.fleet.rounds import STATUS_INTERVAL_S
 from ibispitch.forwarding.balancer import BalancerCore
 from ibispitch.forwarding.frames import EndedAttempt
 from ibispitch.forwarding.frames import Frame
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -6,7 +6,6 @@
 from ibispitch.fleet.core import FORGET_AFTER_S
 from ibispitch.fleet.core import LOST_S
 from ibispitch.fleet.core import RESTART_TIMEOUT_S
-from ibispitch.fleet.core import RoundSchedule
 from ibispitch.fleet.core import SUSPECT_INTERVALS
 from ibispitch.fleet.messages import AgentState
 from ibispitch.fleet.messages import AgentStatus
@@ -14,6 +13,7 @@
 from ibispitch.fleet.messages import decode_message
 from ibispitch.fleet.messages import encode_message
 from ibispitch.fleet.messages import pack_ips
+from ibispitch.fleet.rounds import RoundSchedule
 
 
 def agent(number=1, incarnation=1000, state=AgentState.READY, **changes):
