Count the bytes that a process sends, by content and data centre

The new metric ibispitch_sent_bytes has a count for each kind of message and frame, split by whether the receiver is in the same data centre. tests/platform/test_metrics.py compares the sum with what the simulated network carried.

--- a/ibispitch/fleet/messages.py
+++ b/ibispitch/fleet/messages.py
@@ -174,6 +174,15 @@
 _decoder = msgspec.msgpack.Decoder(Message)
 _entries_decoder = msgspec.msgpack.Decoder(tuple[ReportEntry, ...])
 
+_LONG_ARRAY = 0xDC
+_NAME_BY_TAG = {
+    1: 'agent_status',
+    2: 'balancer_status',
+    3: 'checkpoint_part',
+    4: 'checkpoint_request',
+    5: 'datacentre_report',
+}
+
 #: Maximum size of the entries of a report after decompression. A hundred
 #: entries have 12 kB.
 MAX_ENTRIES_BYTES = 65_536
@@ -216,6 +225,17 @@
     return _entries_decoder.decode(data)
 
 
+def message_name(data: bytes) -> str:
+    """Return the name of the type of an encoded message, for metrics.
+
+    >>> message_name(encode_message(CheckpointRequest(1)))
+    'checkpoint_request'
+    """
+    # An array of 16 elements or more has its length in two further bytes.
+    tag = data[3] if data[0] == _LONG_ARRAY else data[1]
+    return _NAME_BY_TAG.get(tag, 'unknown')
+
+
 def encode_message(message: Message) -> bytes:
     """Return the datagram of a message."""
     return _encoder.encode(message)
--- a/ibispitch/forwarding/frames.py
+++ b/ibispitch/forwarding/frames.py
@@ -42,6 +42,21 @@
     TRIAL = 2
 
 
+#: Names for metrics.
+_NAME_BY_KIND = {
+    RETURN: 'return',
+    QUESTIONS: 'question',
+    ANSWERS: 'answer',
+    AGE: 'age',
+    ATTEMPT: 'attempt',
+}
+_NAME_BY_PURPOSE = {
+    Purpose.OPENING.value: 'opening',
+    Purpose.OWNED.value: 'packet',
+    Purpose.TRIAL.value: 'trial',
+}
+
+
 class Reason(enum.IntEnum):
     """Why an agent hands a packet back to the balancer."""
 
@@ -196,6 +211,16 @@
 _VERDICTS = tuple(Verdict)
 
 
+def frame_name(data: bytes) -> str:
+    """Return the name of the kind of a frame.
+
+    Forwarded packets of callers are named after their purpose.
+    """
+    if data[0] == FORWARD:
+        return _NAME_BY_PURPOSE.get(data[1], 'unknown')
+    return _NAME_BY_KIND.get(data[0], 'unknown')
+
+
 def encode_forward(
     purpose: Purpose,
     position: TablePosition,
--- a/ibispitch/platform/node.py
+++ b/ibispitch/platform/node.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 from itertools import chain
 from itertools import islice
 from itertools import repeat
@@ -38,6 +39,7 @@
 from ibispitch.platform.http import Handler
 from ibispitch.platform.link import Link
 from ibispitch.platform.metrics import Counters
+from ibispitch.platform.metrics import Counts
 from ibispitch.platform.metrics import Gauges
 from ibispitch.platform.metrics import METRICS_PORT
 from ibispitch.platform.metrics import MetricsPage
@@ -47,6 +49,8 @@
 from ibispitch.platform.settings import load_settings
 from ibispitch.platform.settings import NodeSettings
 from ibispitch.platform.settings import SettingsError
+from ibispitch.platform.traffic import FIRST_STATUS_BYTE
+from ibispitch.platform.traffic import SentBytes
 from ibispitch.platform.transport import BoundSocket
 from ibispitch.platform.transport import Closable
 from ibispitch.platform.transport import HostTransport
@@ -89,9 +93,6 @@
 AGENT_FAR_WAIT_SHARE = 0.2
 #: Tolerance of the timer for this wait; a timer may fire slightly early.
 FAR_WAIT_MARGIN_S = 0.005
-#: Status messages begin with a byte of at least this value, frames with a
-#: lower one.
-FIRST_STATUS_BYTE = 0x90
 
 
 class Node:
@@ -128,6 +129,7 @@
         self._load_settings = load
         self._settings_read_at = transport.clock()
         self._message_number = 0
+        self._sent_bytes = SentBytes()
         self._rounds = RoundSchedule()
         self._random = transport.rng()
         self._is_halted = False
@@ -319,10 +321,21 @@
                 'series_left_out': self.histograms.left_out,
             }
 
-        page = MetricsPage(self.log, self.histograms, read_gauges, counters)
+        page = MetricsPage(
+            self.log, self.histograms, read_gauges,
+            lambda: chain(counters(), self._count_sent_bytes()),
+        )  # fmt: skip
         address = Address(self.settings.ip, METRICS_PORT)
         await self.serve(address, page.answer)
 
+    def _count_sent_bytes(self) -> Iterator[Counts]:
+        yield Counts(
+            'sent_bytes',
+            'Bytes sent to other processes, by content and data centre',
+            ('content', 'reach'),
+            self._sent_bytes.count_by_name_and_reach,
+        )
+
     # Peers.
 
     def add_seeds(self) -> None:
@@ -416,6 +429,8 @@
         self.link.send_frame(ip, data)
 
     def _send_datagram(self, ip: str, data: bytes) -> None:
+        is_far = self.fleet.is_far(ip, self.settings.datacentre)
+        self._sent_bytes.record(data, is_far)
         self._peer_socket.send(data, (ip, self._peer_port))
 
     def to_caller(self, flow: FlowKey, data: bytes) -> None:
--- a/tests/platform/test_metrics.py
+++ b/tests/platform/test_metrics.py
@@ -130,3 +130,40 @@
         balancer['ibispitch_further_attempts'], 'service'
     )
     assert attempts['counter',] > 0
+
+
+def test_sent_bytes_by_content_and_data_centre():
+    """Guards against traffic between data centres that nobody can explain."""
+
+    async def scenario(loop):
+        agents = [(name, 'counter') for name in ('accra', 'kumasi')]
+        network = FlowNetwork(loop, {'accra': 2, 'kumasi': 2}, agents)
+        network.configure(1, (FEED, QUOTE))
+        await network.start()
+        callers = [network.add_caller('accra', QUOTE) for _ in range(5)]
+        await network.send_requests(callers, 20, 2)
+        samples = [await scrape(host) for host in network.balancers]
+        return network, samples
+
+    network, scraped = simulate(scenario)
+    for host, families in zip(network.balancers, scraped, strict=True):
+        bytes_by_labels = {
+            (sample.labels['content'], sample.labels['reach']): sample.value
+            for sample in families['ibispitch_sent_bytes']
+        }
+        to_callers = network.sent_bytes[host.name] - sum(
+            bytes_by_labels.values()
+        )
+        assert to_callers == 0
+        assert bytes_by_labels['balancer_status', 'same_datacentre'] > 0
+        assert 'unknown' not in {name for name, _ in bytes_by_labels}
+    reporters = [
+        families
+        for families in scraped
+        if any(
+            sample.labels
+            == {'content': 'datacentre_report', 'reach': 'other_datacentre'}
+            for sample in families['ibispitch_sent_bytes']
+        )
+    ]
+    assert len(reporters) == 2
