Report changed states at once; tell a new balancer what is known elsewhere

Change: a process whose state has changed is in a report of the next round; a near balancer sends a new one its view of the other data centres before its list of processes; statuses go to other data centres directly only while no balancer near reports. A reporter reports in each round in its first 3 s.

--- a/ibispitch/fleet/reports.py
+++ b/ibispitch/fleet/reports.py
@@ -12,13 +12,16 @@
 that gets no reports asks the agents directly, as it does when statuses are
 late.
 
+Between two reports a process whose state has changed is reported with the
+next round of status messages. A balancer that starts gets from those near it
+what they know of the other data centres, instead of asking each process there.
+
 In a fleet of more than :data:`MAX_PROCESSES_IN_TURN` processes a report has a
 part of them, in rotation. Each report names the agents that are silent, so
 that their loss is known as soon as in a small fleet.
 """
 
 from collections import defaultdict
-from collections.abc import Iterator
 import math
 import socket
 from typing import NamedTuple
@@ -28,6 +31,7 @@
 from ibispitch.fleet.core import AgentView
 from ibispitch.fleet.core import BalancerView
 from ibispitch.fleet.core import Fleet
+from ibispitch.fleet.messages import AgentState
 from ibispitch.fleet.messages import BalancerStatus
 from ibispitch.fleet.messages import DatacentreReport
 from ibispitch.fleet.messages import pack_entries
@@ -46,10 +50,9 @@
 MAX_ENTRIES = 40
 #: Maximum number of silent agents that a report names.
 MAX_SILENT = 64
-#: Time after the start of a process in which it sends its status to all data
-#: centres itself, so that all processes know each other soon after a start
-#: of the whole fleet.
-DIRECT_S = 3.0
+#: Time after its start in which a balancer reports in each round of status
+#: messages. All processes of a data centre may start together.
+START_S = 3.0
 
 
 class AddressedReport(NamedTuple):
@@ -66,6 +69,7 @@
     :param ip: IP address of the balancer.
     :param datacentre: its data centre.
     :param link_mbps: capacity of its link in Mbit/s.
+    :param now: start time of the balancer, in seconds.
     """
 
     def __init__(
@@ -74,13 +78,16 @@
         ip: str,
         datacentre: DatacentreName,
         link_mbps: float,
+        now: float,
     ):
         self._fleet = fleet
         self._ip = ip
         self._datacentre = datacentre
         self._link_mbps = link_mbps
+        self._started_at = now
         self._rounds_left = 0
         self._count = 0
+        self._reported_by_ip: dict[str, _State | None] = {}
 
     def is_chosen(self, now: float) -> bool:
         """Return whether this balancer reports for its data centre."""
@@ -99,24 +106,65 @@
         """
         if not self.is_chosen(now):
             self._rounds_left = 0
+            self._reported_by_ip.clear()
             return []
-        if self._rounds_left:
-            self._rounds_left -= 1
-            return []
-        self._rounds_left = FAR_ROUNDS - 1
-        self._count += 1
+        is_full = self._is_full_due(now)
+        self._count += is_full
         receivers = self._receivers(now)
-        if not receivers:
+        entries = self._entries(own, is_full, now)
+        if not receivers or not entries:
             return []
-        silent = self._silent(now)
+        silent = self._silent(now, self._datacentre)
         return [
             AddressedReport(
                 ip, DatacentreReport(self._datacentre, True, silent, packed)
             )
-            for packed in self._packed_entries(own, now)
+            for packed in _pack(entries)
             for ip in receivers
         ]
 
+    def _is_full_due(self, now: float) -> bool:
+        if now - self._started_at < START_S:
+            self._rounds_left = 0
+            return True
+        if self._rounds_left:
+            self._rounds_left -= 1
+            return False
+        self._rounds_left = FAR_ROUNDS - 1
+        return True
+
+    def known_reports(self, now: float) -> list[DatacentreReport]:
+        """Return what is known of other data centres, for a near balancer.
+
+        It has at most :data:`MAX_ENTRIES` processes of each data centre.
+        """
+        views_by_datacentre: dict[
+            DatacentreName, list[AgentView | BalancerView]
+        ] = defaultdict(list)
+        for view in (
+            *self._fleet.heard_balancers(now),
+            *self._fleet.agents_by_ip.values(),
+        ):
+            datacentre = view.status.datacentre
+            if (
+                datacentre != self._datacentre
+                and self._fleet.has_recent_status(view, now)
+                and len(views_by_datacentre[datacentre]) < MAX_ENTRIES
+            ):
+                views_by_datacentre[datacentre].append(view)
+        return [
+            DatacentreReport(
+                datacentre,
+                False,
+                self._silent(now, datacentre),
+                pack_entries(
+                    _entry(view.ip, view.status, 0.0, now - view.heard_at)
+                    for view in views
+                ),
+            )
+            for datacentre, views in views_by_datacentre.items()
+        ]
+
     def _near_balancers(self, now: float) -> list[BalancerView]:
         return [
             view
@@ -124,11 +172,11 @@
             if view.status.datacentre == self._datacentre
         ]
 
-    def _near_agents(self) -> list[AgentView]:
+    def _agents_of(self, datacentre: DatacentreName) -> list[AgentView]:
         return [
             view
             for view in self._fleet.agents_by_ip.values()
-            if view.status.datacentre == self._datacentre
+            if view.status.datacentre == datacentre
         ]
 
     def _receivers(self, now: float) -> list[str]:
@@ -161,9 +209,14 @@
             receivers.append(ips[self._count % len(ips)])
         return receivers
 
-    def _packed_entries(
-        self, own: BalancerStatus, now: float
-    ) -> Iterator[bytes]:
+    def _entries(
+        self, own: BalancerStatus, is_full: bool, now: float
+    ) -> list[ReportEntry]:
+        """Return the entries of a report.
+
+        :param is_full: whether a report is due. Otherwise it has the
+            processes whose state has changed since they were reported.
+        """
         known = len(self._fleet.agents_by_ip) + len(
             self._fleet.balancers_by_ip
         )
@@ -171,29 +224,50 @@
         interval_s = turns * FAR_ROUNDS * STATUS_INTERVAL_S
         views = [
             view
-            for view in (*self._near_balancers(now), *self._near_agents())
+            for view in (
+                *self._near_balancers(now),
+                *self._agents_of(self._datacentre),
+            )
             if self._fleet.has_recent_status(view, now)
         ]
         views.sort(key=lambda view: view.ip)
+        in_turn = views[self._count % turns :: turns] if is_full else []
+        due = {view.ip: view for view in (*in_turn, *self._changed(views))}
         entries = [
-            _entry(self._ip, own, interval_s, age_s=0.0),
-            *(
-                _entry(view.ip, view.status, interval_s, now - view.heard_at)
-                for view in views[self._count % turns :: turns]
-            ),
+            _entry(view.ip, view.status, interval_s, now - view.heard_at)
+            for view in due.values()
         ]
-        return (
-            pack_entries(entries[start : start + MAX_ENTRIES])
-            for start in range(0, len(entries), MAX_ENTRIES)
-        )
+        if is_full:
+            entries.append(_entry(self._ip, own, interval_s, age_s=0.0))
+        return entries
+
+    def _changed(
+        self, views: list[AgentView | BalancerView]
+    ) -> list[AgentView | BalancerView]:
+        """Return processes whose state has changed since it was reported.
+
+        A balancer that has just become the reporter knows no earlier states;
+        the next reports have all processes.
+        """
+        state_by_ip = {view.ip: _state_of(view.status) for view in views}
+        former = self._reported_by_ip or state_by_ip
+        changed = [
+            view
+            for view in views
+            if state_by_ip[view.ip] != former.get(view.ip)
+        ]
+        for view in changed[MAX_ENTRIES:]:
+            state_by_ip[view.ip] = former.get(view.ip)
+        self._reported_by_ip = state_by_ip
+        return changed[:MAX_ENTRIES]
 
-    def _silent(self, now: float) -> bytes:
+    def _silent(self, now: float, datacentre: DatacentreName) -> bytes:
         """Return the agents without a recent status, packed.
 
         A process that was frozen knows no recent status of any agent. It
         names none until it has those of most agents again.
         """
-        agents = self._near_agents()
+        agents = self._agents_of(datacentre)
         silent = [
             view
             for view in agents
@@ -205,6 +279,32 @@
         return pack_ips(view.ip for view in silent[:MAX_SILENT])
 
 
+class _State(NamedTuple):
+    """What others should know of a process at once when it changes.
+
+    :param incarnation: the upstream of an agent, 0 for a balancer.
+    :param state: the state of this upstream.
+    """
+
+    started_ms: int
+    incarnation: int = 0
+    state: AgentState | None = None
+
+
+def _state_of(status: Status) -> _State:
+    if isinstance(status, BalancerStatus):
+        return _State(status.started_ms)
+    return _State(status.started_ms, status.incarnation, status.state)
+
+
+def _pack(entries: list[ReportEntry]) -> list[bytes]:
+    """Return entries in compressed parts that fit into a datagram each."""
+    return [
+        pack_entries(entries[start : start + MAX_ENTRIES])
+        for start in range(0, len(entries), MAX_ENTRIES)
+    ]
+
+
 def _rank(view: BalancerView) -> tuple[float, str]:
     """Return the order in which balancers report, the first choice first."""
     return -view.status.link_mbps, view.ip
--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -352,8 +352,11 @@
         return Response(200, b'{}')
 
     def _send_status_to_all(self) -> None:
-        """Send a changed state to all balancers at once."""
-        self._send_status(self._node.fleet.balancers_by_ip)
+        """Send a changed state to all balancers at once.
+
+        Those of other data centres get it with the next report.
+        """
+        self._send_status(self._node.direct_receivers())
 
     def _send_status(
         self, ips: Iterable[str], wants_answer: bool = False
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -104,7 +104,7 @@
         self._directory = DirectoryKeeper(node)
         self._reporter = Reporter(
             node.fleet, node.settings.ip, node.settings.datacentre,
-            node.settings.link_mbps,
+            node.settings.link_mbps, self._started_at,
         )  # fmt: skip
         self._core = BalancerCore(
             node.settings.datacentre, node.fleet, self._codec, self,
@@ -157,7 +157,10 @@
             if (is_out and is_quiet) or now - stop_requested_at > limit_s:
                 break
         self._is_leaving = True
-        self._send_status(self._known_ips(), lists_fleet=False)
+        self._send_status(
+            [*self._near_ips_of_fleet(), *self._far_balancers()],
+            lists_fleet=False,
+        )
         await node.link.drain(limit_s - (node.clock() - stop_requested_at))
 
     # Outbox of the core.
@@ -303,8 +306,13 @@
                 node.log.change('fleet.balancer', now, balancer=ip)
                 # Its answer lists the processes that it knows. A few lists
                 # are enough, and hundreds of balancers may start together.
-                lists_fleet = self._full_statuses_left > 0
+                is_near = not node.fleet.is_far(ip, node.settings.datacentre)
+                lists_fleet = is_near and self._full_statuses_left > 0
                 self._full_statuses_left -= lists_fleet
+                if lists_fleet:
+                    # Before the list, so that it need not ask these agents.
+                    for report in self._reporter.known_reports(now):
+                        node.send(report, [ip])
                 self._send_status(
                     [ip], wants_answer=True, lists_fleet=lists_fleet
                 )
@@ -333,7 +341,10 @@
     def _on_routes(self, origin: RoutesOrigin) -> None:
         self._core.set_routes(self._node.routes.index)
         if origin is RoutesOrigin.STORE:
-            self._send_status(self._known_ips(), lists_fleet=False)
+            self._send_status(
+                [*self._near_ips_of_fleet(), *self._far_balancers()],
+                lists_fleet=False,
+            )
         elif origin is RoutesOrigin.FAR:
             # The others here wait for a process of their data centre.
             self._send_status(self._near_ips_of_fleet(), lists_fleet=False)
@@ -421,6 +432,11 @@
             if not node.fleet.is_far(ip, node.settings.datacentre)
         ]
 
+    def _far_balancers(self) -> list[str]:
+        fleet = self._node.fleet
+        _near, far = fleet.split_balancers(self._node.settings.datacentre)
+        return far
+
     def _known_ips(self) -> list[str]:
         fleet = self._node.fleet
         return [*fleet.balancers_by_ip, *fleet.agents_by_ip]
--- a/ibispitch/platform/node.py
+++ b/ibispitch/platform/node.py
@@ -25,7 +25,7 @@
 from ibispitch.fleet.messages import encode_message
 from ibispitch.fleet.messages import Message
 from ibispitch.fleet.messages import Status
-from ibispitch.fleet.reports import DIRECT_S
+from ibispitch.fleet.reports import START_S
 from ibispitch.fleet.rounds import RoundReceivers
 from ibispitch.fleet.rounds import RoundSchedule
 from ibispitch.fleet.rounds import START_ROUND_INTERVALS_S
@@ -356,17 +356,27 @@
         self.watch_settings()
         self.add_seeds()
         near, far = self.fleet.split_balancers(self.settings.datacentre)
-        if self._is_reported(now):
-            far = [ip for ip in far if not self.fleet.passes_on(ip)]
-        return self._rounds.next(near, far)
-
-    def _is_reported(self, now: float) -> bool:
-        """Return whether others report this process to other data centres."""
-        if now - self.started_at < DIRECT_S:
-            return False
-        return self._is_balancer or self.fleet.has_near_reports(
+        return self._rounds.next(near, self._direct_only(far, now))
+
+    def direct_receivers(self) -> list[str]:
+        """Return the balancers to which this process sends its own status.
+
+        Those of other data centres get it in a report, if there are any.
+        """
+        near, far = self.fleet.split_balancers(self.settings.datacentre)
+        return [*near, *self._direct_only(far, self.clock())]
+
+    def _direct_only(self, far: list[str], now: float) -> list[str]:
+        """Return those balancers of other data centres without reports."""
+        is_reported = self.fleet.has_near_reports(
             self.settings.datacentre, now
         )
+        if self._is_balancer and now - self.started_at >= START_S:
+            # The last balancer of a data centre is its reporter.
+            is_reported = True
+        if not is_reported:
+            return far
+        return [ip for ip in far if not self.fleet.passes_on(ip)]
 
     def choose_to_ask(self, known: list[str], count: int) -> list[str]:
         """Return processes to ask for their status in a round.
--- a/tests/fleet/test_reports.py
+++ b/tests/fleet/test_reports.py
@@ -14,8 +14,10 @@
 from ibispitch.fleet.messages import MAX_ENTRIES_BYTES
 from ibispitch.fleet.messages import unpack_entries
 from ibispitch.fleet.messages import unpack_ips
+from ibispitch.fleet.reports import MAX_ENTRIES
 from ibispitch.fleet.reports import MAX_PROCESSES_IN_TURN
 from ibispitch.fleet.reports import Reporter
+from ibispitch.fleet.reports import START_S
 from ibispitch.fleet.rounds import FAR_ROUNDS
 from ibispitch.fleet.rounds import STATUS_INTERVAL_S
 from tests.fleet.test_fleet import agent
@@ -40,7 +42,9 @@
         ]
         self.far_ips = [f'10.2.0.{n + 1}' for n in range(far)]
         self.number = 0
-        self.reporter = Reporter(self.fleet, OWN_IP, 'accra', link_mbps)
+        self.reporter = Reporter(
+            self.fleet, OWN_IP, 'accra', link_mbps, -START_S
+        )
 
     def hear_all(self, now, silent=(), **changes):
         self.number += 1
@@ -94,6 +98,50 @@
     assert len(centre.report(2.2)) == 1
 
 
+def test_changed_state_is_in_the_next_round():
+    """Guards against other data centres that learn late of a new upstream."""
+    centre = DataCentre()
+    changed = centre.agent_ips[1]
+    centre.hear_all(0.0)
+    centre.report(0.0)
+    centre.hear_all(0.4)
+    status = agent(3, incarnation=2000, state=AgentState.DRAINING)
+    centre.fleet.record_agent_status(changed, status, 0.4)
+    ((_, report),) = centre.report(0.4)
+    assert addresses(report) == {changed}
+    assert centre.report(0.8) == []
+
+
+def test_new_balancer_gets_what_is_known_elsewhere():
+    """Guards against a question to each process of all data centres.
+
+    Restarts of balancers cost most of the control traffic between data
+    centres on a day with 30 of them (osa-returns-now-grown, scale-1).
+    """
+    centre = DataCentre()
+    centre.hear_all(0.0)
+    centre.fleet.record_report('kumasi', (), 0.0)
+    for number in range(60):
+        status = agent(1, datacentre='kumasi', interval_s=1.6)
+        centre.fleet.record_agent_status(f'10.2.1.{number}', status, 0.0, True)
+    (report,) = centre.reporter.known_reports(0.5)
+    assert not report.is_to_pass_on
+    assert report.datacentre == 'kumasi'
+    entries = unpack_entries(report.entries)
+    assert len(entries) == MAX_ENTRIES
+    assert {e.age_ms for e in entries} == {500}
+    assert {e.status.interval_s for e in entries} == {1.6}
+
+
+def test_starting_reporter_reports_in_each_round():
+    """Guards against data centres that meet late when all processes start."""
+    centre = DataCentre()
+    centre.reporter = Reporter(centre.fleet, OWN_IP, 'accra', 100.0, 0.0)
+    for n in range(4):
+        centre.hear_all(n * 0.1)
+        assert len(centre.report(n * 0.1)) == 1
+
+
 def test_receivers_take_turns():
     """Guards against reports that are all sent to a balancer that is gone."""
     centre = DataCentre(far=4)
