Search for owners near: other balancers name them, near agents are tried first

After a change of the rotation a balancer asked each agent of the other data centres for a flow whose owner the balancer before still knew; after a kill of all processes it asked all of them for flows that nearly all lived nearby.

Change: a search asks at most 16 near balancers beside the near agents; an agent that one of them names is asked next. If most near agents have restarted, they are tried before agents elsewhere are asked, and those are not asked for 0.3 s after a trial that was not handed back.

Ruled out: to believe a named owner without a question, since outdated names would send packets round in circles; one question to a balancer of each other data centre, which knows only what its own callers use.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -427,12 +427,15 @@
             and view.status.passes_on
         )
 
-    def has_near_reports(self, datacentre: DatacentreName, now: float) -> bool:
-        """Return whether balancers of a data centre report for it."""
-        return any(
-            view.status.passes_on and view.status.datacentre == datacentre
+    def near_balancers(
+        self, datacentre: DatacentreName, now: float
+    ) -> list[BalancerView]:
+        """Return balancers of a data centre that take part in reports."""
+        return [
+            view
             for view in self.heard_balancers(now)
-        )
+            if view.status.passes_on and view.status.datacentre == datacentre
+        ]
 
     def is_far(self, ip: str, datacentre: DatacentreName) -> bool:
         """Return whether a process is known to be in another data centre."""
--- a/ibispitch/fleet/reports.py
+++ b/ibispitch/fleet/reports.py
@@ -91,11 +91,8 @@
 
     def is_chosen(self, now: float) -> bool:
         """Return whether this balancer reports for its data centre."""
-        others = [
-            _rank(view)
-            for view in self._near_balancers(now)
-            if view.status.passes_on
-        ]
+        near = self._fleet.near_balancers(self._datacentre, now)
+        others = [_rank(view) for view in near]
         return not others or (-self._link_mbps, self._ip) < min(others)
 
     def next(self, own: BalancerStatus, now: float) -> list[AddressedReport]:
--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -3,7 +3,6 @@
 from collections import Counter
 from collections import defaultdict
 import random
-import socket
 from typing import Any
 from typing import Protocol
 
@@ -13,6 +12,7 @@
 from ibispitch.fleet.known import KnownFleet
 from ibispitch.fleet.summary import ServiceSummaries
 from ibispitch.forwarding import frames
+from ibispitch.forwarding.frames import ip_number
 from ibispitch.forwarding.frames import MAX_TRIED
 from ibispitch.forwarding.frames import Purpose
 from ibispitch.forwarding.frames import Question
@@ -71,12 +71,15 @@
     def to_agent(
         self, ip: str, data: bytes, packet: Packet | None = None
     ) -> None:
-        """Send a frame to an agent.
+        """Send a frame to an agent, or a question to a balancer.
 
         :param packet: the caller's packet in the frame, if the frame may be
             queued while the link is busy.
         """
 
+    def to_balancer(self, ip: str, data: bytes) -> None:
+        """Send a frame to another balancer."""
+
     def to_caller(self, flow: FlowKey, data: bytes) -> None:
         """Send a packet to the caller of a flow."""
 
@@ -84,15 +87,6 @@
         """Send a frame to the other balancers of the callers here."""
 
 
-def ip_number(ip: str) -> int:
-    """Return an IPv4 address as a number.
-
-    >>> ip_number('10.1.0.12')
-    167837708
-    """
-    return int.from_bytes(socket.inet_aton(ip), 'big')
-
-
 class BalancerCore:
     """Places new flows and forwards the packets of open flows.
 
@@ -212,6 +206,33 @@
                 self._table.pop(packet.flow)
                 self._search_owner(packet, now)
 
+    def answer_questions(
+        self, ip: str, message: frames.OwnershipQuestions
+    ) -> None:
+        """Tell another balancer the owners of flows that are known here."""
+        owners = [
+            self._table.peek(question.flow) for question in message.questions
+        ]
+        self._outbox.to_balancer(
+            ip,
+            frames.encode_owners(
+                frames.KnownOwner(
+                    question.flow, ip_number(owner.ip) if owner else 0
+                )
+                for question, owner in zip(
+                    message.questions, owners, strict=True
+                )
+            ),
+        )
+
+    def receive_owners(
+        self, ip: str, message: frames.KnownOwners, now: float
+    ) -> None:
+        """Handle another balancer's answers to questions about flows."""
+        self._execute_steps(
+            self._locator.receive_owners(ip, message, now), now
+        )
+
     def receive_answers(
         self, ip: str, message: frames.OwnershipAnswers, now: float
     ) -> None:
@@ -585,7 +606,7 @@
         questions_by_ip: dict[str, list[Question]] = defaultdict(list)
         for step in steps:
             match step:
-                case locating.AskAgents(flow, acknowledged, ips):
+                case locating.AskOwner(flow, acknowledged, ips):
                     for ip in ips:
                         questions_by_ip[ip].append(
                             Question(flow, acknowledged)
--- a/ibispitch/forwarding/frames.py
+++ b/ibispitch/forwarding/frames.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 import enum
+import socket
 import struct
 from typing import NamedTuple
 
@@ -23,6 +24,7 @@
 ANSWERS = 4
 AGE = 5
 ATTEMPT = 6
+OWNERS = 7
 
 #: Maximum number of agents listed in a returned opening.
 MAX_TRIED = 4
@@ -49,6 +51,7 @@
     ANSWERS: 'answer',
     AGE: 'age',
     ATTEMPT: 'attempt',
+    OWNERS: 'known_owner',
 }
 _NAME_BY_PURPOSE = {
     Purpose.OPENING.value: 'opening',
@@ -156,6 +159,22 @@
     answers: tuple[Answer, ...]
 
 
+class KnownOwner(NamedTuple):
+    """The agent to which a balancer forwards a flow.
+
+    :param agent: its IPv4 number, 0 if the balancer does not know the flow.
+    """
+
+    flow: FlowKey
+    agent: int
+
+
+class KnownOwners(NamedTuple):
+    """A balancer's answers to the questions of another one."""
+
+    owners: tuple[KnownOwner, ...]
+
+
 class OpeningAge(NamedTuple):
     """Age of the request for which a caller opens a flow.
 
@@ -188,6 +207,7 @@
     | Return
     | OwnershipQuestions
     | OwnershipAnswers
+    | KnownOwners
     | OpeningAge
     | EndedAttempt
 )
@@ -198,6 +218,7 @@
 _QUESTION_LAYOUT = struct.Struct(f'<{FLOW_KEY_BYTES}sI')
 _ANSWERS_HEADER = struct.Struct('<BQ')
 _ANSWER_LAYOUT = struct.Struct(f'<{FLOW_KEY_BYTES}sB')
+_OWNER_LAYOUT = struct.Struct(f'<{FLOW_KEY_BYTES}sI')
 #: Kind, flow, age in milliseconds.
 _AGE_LAYOUT = struct.Struct(f'<B{FLOW_KEY_BYTES}sH')
 _MAX_AGE_MS = 0xFFFF
@@ -211,6 +232,24 @@
 _VERDICTS = tuple(Verdict)
 
 
+def ip_number(ip: str) -> int:
+    """Return an IPv4 address as a number.
+
+    >>> ip_number('10.1.0.12')
+    167837708
+    """
+    return int.from_bytes(socket.inet_aton(ip), 'big')
+
+
+def number_ip(number: int) -> str:
+    """Return the IPv4 address of a number.
+
+    >>> number_ip(167837708)
+    '10.1.0.12'
+    """
+    return socket.inet_ntoa(number.to_bytes(4, 'big'))
+
+
 def frame_name(data: bytes) -> str:
     """Return the name of the kind of a frame.
 
@@ -265,6 +304,18 @@
     return head + b''.join(_ANSWER_LAYOUT.pack(*answer) for answer in answers)
 
 
+def encode_owners(owners: Iterable[KnownOwner]) -> bytes:
+    """Return the datagram of a :class:`KnownOwners` frame.
+
+    >>> message = KnownOwners((KnownOwner(FlowKey(bytes(12)), 7),))
+    >>> decode_frame(encode_owners(message.owners)) == message
+    True
+    """
+    return bytes([OWNERS]) + b''.join(
+        _OWNER_LAYOUT.pack(*owner) for owner in owners
+    )
+
+
 def encode_age(flow: FlowKey, age_s: float) -> bytes:
     """Return the datagram of an :class:`OpeningAge` frame.
 
@@ -333,6 +384,11 @@
             incarnation,
             tuple(Answer(FlowKey(f), _VERDICTS[v]) for f, v in answers),
         )
+    if kind == OWNERS:
+        owners = _OWNER_LAYOUT.iter_unpack(data[1:])
+        return KnownOwners(
+            tuple(KnownOwner(FlowKey(f), ip) for f, ip in owners)
+        )
     if kind == AGE:
         _kind, flow, age_ms = _AGE_LAYOUT.unpack(data)
         return OpeningAge(FlowKey(flow), age_ms / 1000)
--- a/ibispitch/locating/core.py
+++ b/ibispitch/locating/core.py
@@ -2,11 +2,14 @@
 
 Whenever a balancer joins or leaves, the fabric sends most flows to other
 balancers than before. A balancer that receives a packet of an unknown flow
-asks the agents of its service, then all others. It does not forward packets
-to an agent that may not own the flow, with one exception, a trial: an agent
-that started after its upstream does not know which flows the upstream holds,
-so it may hand one packet to its upstream, which hands it back if it does not
-hold the flow.
+asks the agents of its service in its data centre and the other balancers
+there, which may have forwarded the flow until then. Agents of other data
+centres are asked if nobody near knows the flow. It does not forward packets to
+an agent that may not own the flow, with one exception, a trial: an agent that
+started after its upstream does not know which flows the upstream holds, so it
+may hand one packet to its upstream, which hands it back if it does not hold
+the flow. Agents near the balancer are tried before those far away are asked:
+they hold most of its flows.
 """
 
 from collections.abc import Iterable
@@ -16,6 +19,8 @@
 from ibispitch.fleet.core import Fleet
 from ibispitch.fleet.messages import AgentState
 from ibispitch.forwarding.frames import Answer
+from ibispitch.forwarding.frames import KnownOwners
+from ibispitch.forwarding.frames import number_ip
 from ibispitch.forwarding.frames import OwnershipAnswers
 from ibispitch.forwarding.frames import Verdict
 from ibispitch.forwarding.packets import FlowKey
@@ -46,6 +51,10 @@
 #: Window in which trials are counted; longer than the longest interval
 #: between repeated packets of callers and upstreams (1.6 s).
 TRIAL_WINDOW_S = 2.5
+#: Time after a trial for which other agents are not asked while a tried one
+#: has not handed the packet back. Its upstream may have nothing to answer, or
+#: it holds the flow and answers a packet that comes a round trip later.
+TRIAL_ANSWER_S = 0.3
 #: Maximum number of flows whose denials are remembered.
 MAX_DENIED_FLOWS = 8192
 #: Time for which the search of a flow is retried: the longest interval after
@@ -54,12 +63,15 @@
 #: Interval of the retries. A starting agent becomes known to all balancers
 #: in about this time.
 RETRY_INTERVAL_S = 0.1
+#: Maximum number of other balancers that are asked for the owner of a flow.
+#: In a larger data centre the flow may come from one that is not asked.
+MAX_ASKED_BALANCERS = 16
 #: Maximum number of packets that are kept for scheduled searches, 5 MB.
 MAX_SCHEDULED_PACKETS = 4096
 
 
-class AskAgents(NamedTuple):
-    """Step that asks agents whether they own a flow."""
+class AskOwner(NamedTuple):
+    """Step that asks agents and other balancers for the owner of a flow."""
 
     flow: FlowKey
     acknowledged: int
@@ -97,7 +109,7 @@
     missing: tuple[str, ...]
 
 
-Step = AskAgents | Found | TryAgent | NotFound | Unanswered
+Step = AskOwner | Found | TryAgent | NotFound | Unanswered
 
 
 class _Denials(NamedTuple):
@@ -126,7 +138,9 @@
 
     __slots__ = (
         'asked',
+        'balancers',
         'deadline',
+        'named',
         'packets',
         'restarted',
         'service',
@@ -153,8 +167,17 @@
         self.unknown: list[str] = []
         #: Agents that answered ``RESTARTED``.
         self.restarted: list[str] = []
+        #: Balancers that have not answered yet.
+        self.balancers: set[str] = set()
+        #: Agents that balancers named as the owner and that are not asked.
+        self.named: set[str] = set()
         self.deadline = 0.0
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether an answer is missing."""
+        return bool(self.unanswered or self.balancers)
+
     @property
     def denied(self) -> frozenset[str]:
         """Agents that have denied owning the flow."""
@@ -232,9 +255,15 @@
         ]
         # Most flows are held by an upstream in their caller's data centre.
         near = [v for v in views if v.status.datacentre == self._datacentre]
-        return self._ask_agents(
-            search, [view.ip for view in near or views], now
-        )
+        if until is None:
+            search.balancers.update(self._balancers_to_ask(now))
+        return self._ask(search, [view.ip for view in near or views], now)
+
+    def _balancers_to_ask(self, now: float) -> list[str]:
+        views = self._fleet.near_balancers(self._datacentre, now)
+        # The fabric prefers those with fast links.
+        views.sort(key=lambda view: -view.status.link_mbps)
+        return [view.ip for view in views[:MAX_ASKED_BALANCERS]]
 
     def search_later(
         self,
@@ -319,7 +348,29 @@
             search.unknown.append(ip)
         elif answer.verdict is Verdict.RESTARTED:
             search.restarted.append(ip)
-        return [] if search.unanswered else self._conclude(search, now)
+        return [] if search.is_waiting else self._conclude(search, now)
+
+    def receive_owners(
+        self, balancer: str, message: KnownOwners, now: float
+    ) -> list[Step]:
+        """Process the answers of another balancer.
+
+        An agent that it names is asked, since the balancer may be wrong.
+
+        :returns: the next steps.
+        """
+        steps = []
+        for owner in message.owners:
+            search = self._search_by_flow.get(owner.flow)
+            if search is None or balancer not in search.balancers:
+                continue
+            search.balancers.discard(balancer)
+            ip = number_ip(owner.agent)
+            if ip in self._fleet.agents_by_ip and ip not in search.asked:
+                search.named.add(ip)
+            if not search.is_waiting:
+                steps += self._conclude(search, now)
+        return steps
 
     def _end_trial(
         self, ip: str, flow: FlowKey, incarnation: int
@@ -356,40 +407,68 @@
     def _may_answer(self, view: AgentView, now: float) -> bool:
         return now - view.heard_at < self._fleet.lost_after_s(view)
 
-    def _ask_agents(
-        self, search: _Search, ips: Iterable[str], now: float
+    def _ask(
+        self, search: _Search, agents: Iterable[str], now: float
     ) -> list[Step]:
-        ips = tuple(ips)
-        if not ips:
+        """Ask agents, and the balancers of a new search."""
+        search.named.clear()
+        search.asked.update(agents)
+        search.unanswered.update(agents)
+        if not search.is_waiting:
             return self._conclude(search, now)
-        search.asked.update(ips)
-        search.unanswered.update(ips)
         search.deadline = now + ANSWER_TIMEOUT_S
         packet = search.packets[0]
-        return [AskAgents(packet.flow, packet.acknowledged, ips)]
+        ips = (*agents, *search.balancers)
+        return [AskOwner(packet.flow, packet.acknowledged, ips)]
 
     def _conclude(self, search: _Search, now: float) -> list[Step]:
+        search.balancers.clear()
+        if search.named:
+            return self._ask(search, tuple(search.named), now)
         # Agents may have become known during the search.
         unasked = [
             view
             for view in self._fleet.agents_by_ip.values()
             if view.ip not in search.asked and self._may_answer(view, now)
         ]
-        first = [v for v in unasked if v.status.service == search.service]
-        if unasked:
-            return self._ask_agents(
-                search, [v.ip for v in first or unasked], now
-            )
         packet = search.packets[-1]
+        if unasked and not self._is_likely_near(search, now):
+            first = [v for v in unasked if v.status.service == search.service]
+            ips = [view.ip for view in first or unasked]
+            return self._ask(search, ips, now)
         del self._search_by_flow[packet.flow]
         self._remember_denials(packet.flow, search, now)
         missing = self._missing(search)
         if search.unknown or search.restarted:
-            return self._try_agents(search, packet, now)
+            return self._try_agents(search, packet, not unasked, now)
         if missing or not search.asked:
             return self._schedule_retry(search, missing, now)
         return [NotFound(packet)]
 
+    def _is_likely_near(self, search: _Search, now: float) -> bool:
+        """Return whether the owner is likely one of the asked agents.
+
+        That applies after most processes nearby were killed. The restarted
+        agents are tried before the others are asked, since each question to
+        the other data centres would cross in vain.
+        """
+        answered = len(search.asked) - len(search.unanswered)
+        if 2 * len(search.restarted) <= answered:
+            return False
+        flow = search.packets[0].flow
+        if self._untried(flow, search.restarted):
+            return True
+        tried_at, _ = self._trials_by_flow[flow][-1]
+        return (
+            bool(self._open_trials_by_flow.get(flow))
+            and now - tried_at < TRIAL_ANSWER_S
+        )
+
+    def _untried(self, flow: FlowKey, ips: Iterable[str]) -> list[str]:
+        """Return those of some agents that were not tried for a flow."""
+        tried = {ip for _, ip in self._trials_by_flow.get(flow, ())}
+        return [ip for ip in ips if ip not in tried]
+
     def _missing(self, search: _Search) -> tuple[str, ...]:
         """Return the agents whose answer a search needs and does not have.
 
@@ -431,21 +510,26 @@
             del denials[next(iter(denials))]
 
     def _try_agents(
-        self, search: _Search, packet: Packet, now: float
+        self,
+        search: _Search,
+        packet: Packet,
+        are_all_asked: bool,
+        now: float,
     ) -> list[Step]:
         trials = self._trials_by_flow.setdefault(packet.flow, [])
         recent = sum(now - at < TRIAL_WINDOW_S for at, _ in trials)
-        tried = {ip for _, ip in trials}
-        is_complete = not self._missing(
-            search
-        ) and not self._fleet.has_unheard_agents(now)
-        unknown = [ip for ip in search.unknown if ip not in tried]
+        is_complete = (
+            are_all_asked
+            and not self._missing(search)
+            and not self._fleet.has_unheard_agents(now)
+        )
+        unknown = self._untried(packet.flow, search.unknown)
         # If all agents have answered and none has claimed the flow, the owner
         # is among those that do not know.
         max_unknown = (
             MAX_TRIAL_BATCH if is_complete else max(0, MAX_TRIALS - recent)
         )
-        restarted = [ip for ip in search.restarted if ip not in tried]
+        restarted = self._untried(packet.flow, search.restarted)
         # Placement has preferred the first ones, near ones before all.
         restarted = by_preference(packet.flow, restarted)
         unknown = by_preference(packet.flow, unknown)
--- a/ibispitch/locating/table.py
+++ b/ibispitch/locating/table.py
@@ -62,6 +62,10 @@
                 self._young[flow] = owner
         return owner
 
+    def peek(self, flow: FlowKey) -> Owner | None:
+        """Return the owner of a flow without marking the flow as used."""
+        return self._young.get(flow) or self._old.get(flow)
+
     def put(self, flow: FlowKey, owner: Owner) -> None:
         """Remember the owner of a flow."""
         self._old.pop(flow, None)
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -24,7 +24,9 @@
 from ibispitch.forwarding.balancer import BalancerCore
 from ibispitch.forwarding.frames import EndedAttempt
 from ibispitch.forwarding.frames import Frame
+from ibispitch.forwarding.frames import KnownOwners
 from ibispitch.forwarding.frames import OwnershipAnswers
+from ibispitch.forwarding.frames import OwnershipQuestions
 from ibispitch.forwarding.frames import Return
 from ibispitch.forwarding.packets import FlowKey
 from ibispitch.forwarding.packets import Packet
@@ -177,6 +179,10 @@
         else:
             self._node.link.send_packet(ip, data, packet)
 
+    def to_balancer(self, ip: str, data: bytes) -> None:
+        """Send a frame to another balancer."""
+        self._node.to_peer(ip, data)
+
     def to_caller(self, flow: FlowKey, data: bytes) -> None:
         """Send a packet to the caller of a flow."""
         self._node.to_caller(flow, data)
@@ -227,6 +233,10 @@
             self._core.receive_returned_packet(ip, frame, now)
         elif isinstance(frame, OwnershipAnswers):
             self._core.receive_answers(ip, frame, now)
+        elif isinstance(frame, OwnershipQuestions):
+            self._core.answer_questions(ip, frame)
+        elif isinstance(frame, KnownOwners):
+            self._core.receive_owners(ip, frame, now)
         elif isinstance(frame, EndedAttempt):
             self._core.receive_ended_attempt(frame, now)
 
--- a/ibispitch/platform/node.py
+++ b/ibispitch/platform/node.py
@@ -129,7 +129,7 @@
         self._load_settings = load
         self._settings_read_at = transport.clock()
         self._message_number = 0
-        self._sent_bytes = SentBytes()
+        self.sent_bytes = SentBytes()
         self._rounds = RoundSchedule()
         self._random = transport.rng()
         self._is_halted = False
@@ -333,7 +333,7 @@
             'sent_bytes',
             'Bytes sent to other processes, by content and data centre',
             ('content', 'reach'),
-            self._sent_bytes.count_by_name_and_reach,
+            self.sent_bytes.count_by_name_and_reach,
         )
 
     # Peers.
@@ -368,9 +368,8 @@
 
     def _direct_only(self, far: list[str], now: float) -> list[str]:
         """Return those balancers of other data centres without reports."""
-        is_reported = self.fleet.has_near_reports(
-            self.settings.datacentre, now
-        )
+        datacentre = self.settings.datacentre
+        is_reported = bool(self.fleet.near_balancers(datacentre, now))
         if self._is_balancer and now - self.started_at >= START_S:
             # The last balancer of a data centre is its reporter.
             is_reported = True
@@ -440,7 +439,7 @@
 
     def _send_datagram(self, ip: str, data: bytes) -> None:
         is_far = self.fleet.is_far(ip, self.settings.datacentre)
-        self._sent_bytes.record(data, is_far)
+        self.sent_bytes.record(data, is_far)
         self._peer_socket.send(data, (ip, self._peer_port))
 
     def to_caller(self, flow: FlowKey, data: bytes) -> None:
