Place openings on warm upstreams when the places of cold ones are left to others

Cause: an upstream that has just started has no flows, so that it looks best for a long flow. Its few places are left to more urgent openings; the long flow then waited and was chosen for the same upstream every 20 ms until it was late, though warm upstreams had free slots.

Change: an opening that leaves a cold upstream to others is placed on a warm one, and waits only if none has room.

Ruled out: searches (no search was running), slow links (first copies on the same hosts passed), too few places (load of the warm upstreams 0.5).

--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -297,7 +297,11 @@
         if view is None:
             view = self._choose_agent(route, flow, tried, opening, now)
         if view is not None and self._should_defer(view, opening, now):
-            view = None
+            # A cold upstream has few flows and looks best, but a warm one
+            # serves the opening now.
+            view = self._choose_agent(
+                route, flow, tried, opening, now, is_warm=True
+            )
         if view is None:
             self._enqueue(opening, now, is_returned=bool(tried))
             return
@@ -387,13 +391,19 @@
         tried: tuple[int, ...],
         opening: Opening,
         now: float,
+        is_warm: bool = False,
     ) -> AgentView | None:
+        """Return the agent for an opening.
+
+        :param is_warm: whether only warm upstreams come into question.
+        """
         service = route.service_for(flow)
         views = (
             view
             for view in self._fleet.agents_of(service)
             if self._can_take_openings(view, now)
             and not (tried and ip_number(view.ip) in tried)
+            and not (is_warm and view.cold_openings(now) is not None)
         )
         is_long = self._fleet.has_long_flows(Destination(route.destination))
         if is_long is None:
