Move the status messages of a balancer to a module of their own

platform/balancer.py had grown to 543 lines with three duties: sockets and stops, status messages and reports, choice of readers. Messages and their order stay; tests/platform/test_reports, test_directory and test_metrics pass, the test of the version before now replaces the new class.

--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -2,25 +2,14 @@
 
 import asyncio
 from collections.abc import Iterable
-from itertools import islice
 import math
-import socket
-
-from msgspec.structs import replace
 
 from ibispitch.checkpoint.core import CheckpointCache
 from ibispitch.checkpoint.messages import CheckpointPart
 from ibispitch.checkpoint.messages import CheckpointRequest
 from ibispitch.fleet.messages import AgentStatus
-from ibispitch.fleet.messages import BalancerStatus
 from ibispitch.fleet.messages import DatacentreReport
 from ibispitch.fleet.messages import Message
-from ibispitch.fleet.messages import pack_ips
-from ibispitch.fleet.messages import Status
-from ibispitch.fleet.messages import unpack_entries
-from ibispitch.fleet.messages import unpack_ips
-from ibispitch.fleet.reports import Reporter
-from ibispitch.fleet.rounds import STATUS_INTERVAL_S
 from ibispitch.forwarding.balancer import BalancerCore
 from ibispitch.forwarding.frames import EndedAttempt
 from ibispitch.forwarding.frames import Frame
@@ -39,6 +28,7 @@
 from ibispitch.platform.node import Node
 from ibispitch.platform.node import TICK_INTERVAL_S
 from ibispitch.platform.packets import PlatformPacketCodec
+from ibispitch.platform.statuses import BalancerStatuses
 from ibispitch.rotation.core import BalancerLink
 from ibispitch.rotation.core import is_standby
 from ibispitch.routes.reader_choice import choose_readers
@@ -49,23 +39,6 @@
 #: Time after its start at which a balancer reports that it is ready although
 #: it knows no agent.
 READY_WITHOUT_AGENTS_S = 2.0
-#: Number of balancers that get a full status in a round while processes start
-#: or are silent. A full status lists the addresses of the known processes;
-#: the others get a status without them. Each balancer gets about two full
-#: ones in a round, and the addresses in them are valid for 3 s.
-FULL_STATUSES_PER_ROUND = 2
-#: Otherwise one balancer gets a full status in every third round.
-FULL_STATUS_ROUNDS = 3
-#: While nothing changes, one in sixteen answers to known processes is a full
-#: status.
-FULL_STATUS_ANSWERS = 16
-#: Maximum number of full statuses that a balancer sends between two rounds to
-#: new processes and in answers. Each is up to 1 kB, and at the start of a
-#: large fleet all processes are new to each other.
-MAX_FULL_STATUSES = 24
-#: Maximum number of balancers and of agents that a status lists, so that it
-#: fits into a datagram.
-MAX_LISTED_PROCESSES = 128
 #: Delay of the placement of waiting openings after a status of an agent, so
 #: that the statuses of several agents cost one placement.
 PLACEMENT_DELAY_S = 0.003
@@ -92,27 +65,20 @@
         self._codec = PlatformPacketCodec()
         self._checkpoints = CheckpointCache()
         self._last_packet_at = 0.0
-        self._answer_count = 0
-        self._round_count = 0
-        self._full_statuses_left = MAX_FULL_STATUSES
         self._placement: asyncio.TimerHandle | None = None
         self._random = node.transport.rng()
-        #: Whether the process is about to exit. Before that other processes
-        #: still send messages to it.
-        self._is_leaving = False
         self._started_at = node.clock()
         self._near_ips: list[str] = []
         self._near_counted_at = -math.inf
         self._directory = DirectoryKeeper(node)
-        self._reporter = Reporter(
-            node.fleet, node.settings.ip, node.settings.datacentre,
-            node.settings.link_mbps, self._started_at,
-        )  # fmt: skip
         self._core = BalancerCore(
             node.settings.datacentre, node.fleet, self._codec, self,
             node.log, node.histograms, self._random, node.clock(),
             node.overload,
         )  # fmt: skip
+        self._statuses = BalancerStatuses(
+            node, self._core.knows_fleet, self._on_agent_status, self._random
+        )
         node.on_message = self._on_message
         node.on_frame = self._on_frame
         node.on_routes = self._on_routes
@@ -158,11 +124,8 @@
             )
             if (is_out and is_quiet) or now - stop_requested_at > limit_s:
                 break
-        self._is_leaving = True
-        self._send_status(
-            [*self._near_ips_of_fleet(), *self._far_balancers()],
-            lists_fleet=False,
-        )
+        self._statuses.is_leaving = True
+        self._statuses.announce()
         await node.link.drain(limit_s - (node.clock() - stop_requested_at))
 
     # Outbox of the core.
@@ -200,7 +163,7 @@
         now = self._node.clock()
         if now - self._near_counted_at >= NEAR_BALANCERS_KEPT_S:
             self._near_counted_at = now
-            links = self._near_links()
+            links = self._statuses.near_links()
             in_rotation = [
                 link.ip for link in links if not is_standby(link, links)
             ]
@@ -208,15 +171,6 @@
             self._near_ips = self._random.sample(in_rotation, count)
         return self._near_ips
 
-    def _near_links(self) -> list[BalancerLink]:
-        """Return the other balancers of this data centre that respond."""
-        heard = self._node.fleet.heard_balancers(self._node.clock())
-        return [
-            BalancerLink(view.ip, view.status.link_mbps)
-            for view in heard
-            if view.status.datacentre == self._node.settings.datacentre
-        ]
-
     # Input.
 
     def _on_packet(self, raw: bytes, sender: tuple[str, int]) -> None:
@@ -247,95 +201,13 @@
             for part in self._checkpoints.parts_for(ip, message.started_ms):
                 self._node.send(part, [ip])
         elif isinstance(message, DatacentreReport):
-            self._on_report(ip, message)
+            self._statuses.receive_report(ip, message)
         else:
-            self._on_status(ip, message)
-
-    def _on_report(self, ip: str, report: DatacentreReport) -> None:
-        node = self._node
-        now = node.clock()
-        try:
-            entries = unpack_entries(report.entries)
-        except ValueError as error:
-            node.log.change('peer.unreadable', now, peer=ip, error=str(error))
-            return
-        if report.is_to_pass_on:
-            near = (link.ip for link in self._near_links())
-            node.send(replace(report, is_to_pass_on=False), list(near))
-        node.fleet.record_report(
-            report.datacentre, unpack_ips(report.silent), now
-        )
-        for entry in entries:
-            age_s = entry.age_ms / 1000
-            status = entry.status
-            if isinstance(status, BalancerStatus):
-                status = replace(status, age_s=status.age_s + age_s)
-            self._record_status(
-                socket.inet_ntoa(entry.ip), status, now - age_s, True
-            )
+            self._statuses.receive(ip, message)
 
-    def _on_status(self, ip: str, status: Status) -> None:
-        node = self._node
-        now = node.clock()
-        is_new = self._record_status(ip, status, now)
-        if status.wants_answer:
-            self._answer_count += 1
-            is_turn = self._answer_count % FULL_STATUS_ANSWERS == 0
-            is_due = is_new or node.fleet.is_changing(now)
-            lists_fleet = is_turn or (is_due and self._full_statuses_left > 0)
-            self._full_statuses_left -= lists_fleet
-            self._send_status([ip], lists_fleet=lists_fleet)
-
-    def _record_status(
-        self, ip: str, status: Status, now: float, is_reported: bool = False
-    ) -> bool:
-        """Record the status of a process and contact those that it names.
-
-        :param now: time of the status.
-        :param is_reported: whether it came in a report of its data centre.
-        :returns: whether the process is new or has restarted.
-        """
-        node = self._node
-        if ip == node.settings.ip:
-            return False
-        if isinstance(status, AgentStatus):
-            self._schedule_placement()
-            self._checkpoints.record_process(ip, status.started_ms)
-            former = node.fleet.record_agent_status(
-                ip, status, now, is_reported
-            )
-            is_new = former is None or former.started_ms != status.started_ms
-            if former is None or former.state is not status.state:
-                node.log.change(
-                    'fleet.agent', now, agent=ip, state=status.state.name,
-                    service=status.service, incarnation=status.incarnation,
-                )  # fmt: skip
-        else:
-            is_new = node.fleet.record_balancer_status(ip, status, now)
-            if is_new:
-                node.log.change('fleet.balancer', now, balancer=ip)
-                # Its answer lists the processes that it knows. A few lists
-                # are enough, and hundreds of balancers may start together.
-                is_near = not node.fleet.is_far(ip, node.settings.datacentre)
-                lists_fleet = is_near and self._full_statuses_left > 0
-                self._full_statuses_left -= lists_fleet
-                if lists_fleet:
-                    # Before the list, so that it need not ask these agents.
-                    for report in self._reporter.known_reports(now):
-                        node.send(report, [ip])
-                self._send_status(
-                    [ip], wants_answer=True, lists_fleet=lists_fleet
-                )
-            self._send_status(
-                node.fleet.unknown_agents(unpack_ips(status.agents), now),
-                wants_answer=True, lists_fleet=False,
-            )  # fmt: skip
-            self._send_status(
-                node.fleet.take_added_balancers(), wants_answer=True,
-                lists_fleet=False,
-            )  # fmt: skip
-            node.check_position(ip, status)
-        return is_new
+    def _on_agent_status(self, ip: str, status: AgentStatus) -> None:
+        self._schedule_placement()
+        self._checkpoints.record_process(ip, status.started_ms)
 
     def _schedule_placement(self) -> None:
         """Place waiting openings soon, because an agent's state arrived."""
@@ -351,13 +223,10 @@
     def _on_routes(self, origin: RoutesOrigin) -> None:
         self._core.set_routes(self._node.routes.index)
         if origin is RoutesOrigin.STORE:
-            self._send_status(
-                [*self._near_ips_of_fleet(), *self._far_balancers()],
-                lists_fleet=False,
-            )
+            self._statuses.announce()
         elif origin is RoutesOrigin.FAR:
             # The others here wait for a process of their data centre.
-            self._send_status(self._near_ips_of_fleet(), lists_fleet=False)
+            self._statuses.announce_near()
 
     def _gauges(self) -> dict[str, float]:
         now = self._node.clock()
@@ -369,7 +238,7 @@
             'datacentres_reporting': len(
                 self._node.fleet.reporting_datacentres(now)
             ),
-            'is_reporter': self._reporter.is_chosen(now),
+            'is_reporter': self._statuses.reporter.is_chosen(now),
         }
 
     def _counters(self) -> Iterable[Counts]:
@@ -391,105 +260,11 @@
         stored = await add_stored_balancers(self._node)
         if stored is not None:
             self._directory.record_stored(stored)
-            self._send_status(
-                self._node.fleet.take_added_balancers(), wants_answer=True,
-                lists_fleet=False,
-            )  # fmt: skip
-
-    # Status.
-
-    def _make_status(
-        self, wants_answer: bool, rounds: int, lists_fleet: bool
-    ) -> BalancerStatus:
-        node = self._node
-        now = node.clock()
-        return BalancerStatus(
-            datacentre=node.settings.datacentre,
-            started_ms=node.started_ms,
-            number=node.next_message_number(),
-            revision=node.routes.position.revision,
-            age_s=min(1e6, node.routes.age_s(now)),
-            link_mbps=node.settings.link_mbps,
-            is_leaving=self._is_leaving,
-            knows_fleet=self._core.knows_fleet(now),
-            balancers=self._pack_sample(
-                view.ip
-                for view in node.fleet.heard_balancers(now)
-                if lists_fleet
-            ),
-            agents=self._pack_sample(
-                node.fleet.recent_agents(now) if lists_fleet else ()
-            ),
-            interval_s=rounds * STATUS_INTERVAL_S,
-            wants_answer=wants_answer,
-            era=node.routes.position.era,
-            version=node.routes.version,
-            passes_on=True,
-        )
-
-    def _pack_sample(self, ips: Iterable[str]) -> bytes:
-        ips = list(ips)
-        if len(ips) > MAX_LISTED_PROCESSES:
-            ips = self._random.sample(ips, MAX_LISTED_PROCESSES)
-        return pack_ips(ips)
-
-    def _near_ips_of_fleet(self) -> list[str]:
-        """Return the known processes of this data centre."""
-        node = self._node
-        return [
-            ip
-            for ip in self._known_ips()
-            if not node.fleet.is_far(ip, node.settings.datacentre)
-        ]
-
-    def _far_balancers(self) -> list[str]:
-        fleet = self._node.fleet
-        _near, far = fleet.split_balancers(self._node.settings.datacentre)
-        return far
-
-    def _known_ips(self) -> list[str]:
-        fleet = self._node.fleet
-        return [*fleet.balancers_by_ip, *fleet.agents_by_ip]
+            self._statuses.contact_added()
 
     def _send_round(self) -> None:
-        node = self._node
-        receivers = node.begin_round()
-        self._checkpoints.expire(node.clock())
-        known = [*receivers.near, *receivers.far]
-        self._round_count += 1
-        self._full_statuses_left = MAX_FULL_STATUSES
-        if node.fleet.is_changing(node.clock()):
-            full_receivers = node.choose_to_ask(known, FULL_STATUSES_PER_ROUND)
-        elif self._round_count % FULL_STATUS_ROUNDS == 0:
-            full_receivers = node.choose_to_ask(known, 1)
-        else:
-            full_receivers = list(
-                islice(node.fleet.balancers_without_status(), 1)
-            )
-        self._send_status(full_receivers, wants_answer=True)
-        self._send_status(
-            [ip for ip in known if ip not in full_receivers], lists_fleet=False
-        )
-        own = self._make_status(False, 1, lists_fleet=False)
-        for ip, report in self._reporter.next(own, node.clock()):
-            node.send(report, [ip])
-        # An agent may have forgotten this balancer. An answer shows that
-        # the agent is alive.
-        silent = node.fleet.silent_agents(node.clock())
-        self._send_status(silent, wants_answer=True, lists_fleet=False)
-
-    def _send_status(
-        self,
-        ips: Iterable[str],
-        wants_answer: bool = False,
-        lists_fleet: bool = True,
-    ) -> None:
-        self._node.send_status(
-            ips,
-            lambda rounds: self._make_status(
-                wants_answer, rounds, lists_fleet
-            ),
-        )
+        self._checkpoints.expire(self._node.clock())
+        self._statuses.send_round()
 
     # HTTP.
 
@@ -534,7 +309,8 @@
     def _is_standby(self) -> bool:
         settings = self._node.settings
         return is_standby(
-            BalancerLink(settings.ip, settings.link_mbps), self._near_links()
+            BalancerLink(settings.ip, settings.link_mbps),
+            self._statuses.near_links(),
         )
 
     async def _refuse_heartbeat(self, _request: Request) -> Response:
--- a/tests/platform/test_reports.py
+++ b/tests/platform/test_reports.py
@@ -2,10 +2,12 @@
 
 import asyncio
 
+from msgspec.structs import replace
 import pytest
 
 from ibispitch.fleet.core import LOST_S
 from ibispitch.platform import balancer as balancer_program
+from ibispitch.platform.statuses import BalancerStatuses
 from testbed.flow_callers import Outcome
 from testbed.flow_network import FlowNetwork
 from testbed.flow_platform import FEED
@@ -153,31 +155,28 @@
     assert network.outcomes(asked_at)[Outcome.FAILED] == 0
 
 
-def test_processes_of_the_version_before():
-    """Guards against agents that a balancer without reports doesn't know.
+class FormerStatuses(BalancerStatuses):
+    """Status messages of a balancer without reports."""
 
-    One balancer neither sends nor understands reports.
-    """
+    def _make_status(self, *args, **options):
+        status = super()._make_status(*args, **options)
+        return replace(status, passes_on=False)
+
+    def receive_report(self, ip, report):
+        raise AssertionError('a former balancer got a report')
 
-    class FormerBalancer(balancer_program.Balancer):
-        def _make_status(self, *args, **options):
-            status = super()._make_status(*args, **options)
-            return balancer_program.replace(status, passes_on=False)
 
-        def _on_report(self, ip, report):
-            raise AssertionError('a former balancer got a report')
+def test_processes_of_the_version_before(monkeypatch):
+    """Guards against agents that a balancer without reports doesn't know."""
 
     async def scenario(loop):
         network = await start(loop)
         former = balancers_of(network, 'accra')[0]
         network.kill(former, None)
         await asyncio.sleep(0.5)
-        network.start_process(former)
-        former.task.cancel()
-        node = former.node
-        former.task = loop.create_task(
-            network._run(former, FormerBalancer(node))
-        )
+        with monkeypatch.context() as patch:
+            patch.setattr(balancer_program, 'BalancerStatuses', FormerStatuses)
+            network.start_process(former)
         await asyncio.sleep(4.0)
         worst = 0
         for _ in range(100):
