--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -96,7 +96,7 @@
         await node.serve(settings.readiness_address, self._answer_readiness)
         await node.serve_metrics(self._gauges, self._counters)
         node.add_seeds()
-        following = node.make_route_reader().follow(lambda: False)
+        following = node.exchange.make_route_reader().follow(lambda: False)
         node.start(following, is_essential=True)
         node.every_round(self._send_round)
         node.start(self._add_stored_balancers())
@@ -167,7 +167,7 @@
         if isinstance(frame, Forward):
             self._core.receive(ip, frame, now)
             if frame.position > node.routes.position:
-                node.fetch_if_newer(ip, frame.position)
+                node.exchange.fetch_if_newer(ip, frame.position)
             self._schedule_notification()
         elif isinstance(frame, OwnershipQuestions):
             self._core.answer_questions(ip, frame, now)
@@ -196,7 +196,7 @@
         elif status.wants_answer:
             self._send_status([ip])
         self._send_status(node.fleet.take_added_balancers())
-        node.check_position(ip, status)
+        node.exchange.check_position(ip, status)
 
     def _on_routes(self, _origin: RoutesOrigin) -> None:
         node = self._node
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -93,10 +93,10 @@
             await node.serve(
                 settings.heartbeat_address, self._refuse_heartbeat
             )
-        await node.serve_routes()
+        await node.exchange.serve_routes()
         await node.serve_metrics(self._gauges, self._counters)
         node.add_seeds()
-        following = node.make_route_reader().follow(self._is_reader)
+        following = node.exchange.make_route_reader().follow(self._is_reader)
         node.start(following, is_essential=True)
         node.every_round(self._send_round)
         node.start(self._add_stored_balancers())
@@ -284,7 +284,7 @@
         return node.clock() - self._started_at > READY_WITHOUT_AGENTS_S
 
     def _is_reader(self) -> bool:
-        if not self._node.may_read_first():
+        if not self._node.exchange.may_read_first():
             return False
         return self._node.settings.ip in (one.ip for one in self._readers())
 
--- a/ibispitch/platform/node.py
+++ b/ibispitch/platform/node.py
@@ -12,7 +12,6 @@
 from itertools import chain
 from itertools import islice
 from itertools import repeat
-import math
 import signal
 import sys
 
@@ -20,7 +19,6 @@
 from ibispitch.decisionlog import DecisionLog
 from ibispitch.decisionlog import standard_output
 from ibispitch.fleet.core import Fleet
-from ibispitch.fleet.messages import BalancerStatus
 from ibispitch.fleet.messages import decode_message
 from ibispitch.fleet.messages import encode_message
 from ibispitch.fleet.messages import Message
@@ -36,6 +34,7 @@
 from ibispitch.forwarding.packets import FlowKey
 from ibispitch.histograms import LatencyHistograms
 from ibispitch.ids import Address
+from ibispitch.platform.exchange import RouteExchange
 from ibispitch.platform.http import Handler
 from ibispitch.platform.link import Link
 from ibispitch.platform.metrics import Counters
@@ -44,7 +43,6 @@
 from ibispitch.platform.metrics import METRICS_PORT
 from ibispitch.platform.metrics import MetricsPage
 from ibispitch.platform.metrics import no_counters
-from ibispitch.platform.routes import PlatformRoutes
 from ibispitch.platform.settings import EXIT_SETTINGS
 from ibispitch.platform.settings import load_settings
 from ibispitch.platform.settings import NodeSettings
@@ -56,12 +54,6 @@
 from ibispitch.platform.transport import HostTransport
 from ibispitch.platform.transport import Transport
 from ibispitch.routes.core import RoutesCore
-from ibispitch.routes.fetching import RouteFetches
-from ibispitch.routes.fetching import RouteOffer
-from ibispitch.routes.position import TablePosition
-from ibispitch.routes.reader import RouteReader
-from ibispitch.routes.reader_choice import poll_timing
-from ibispitch.routes.reader_choice import PollTiming
 from ibispitch.routes.source import RoutesOrigin
 from ibispitch.settings.overload import ALL_OFF
 from ibispitch.settings.overload import OverloadSettings
@@ -75,24 +67,6 @@
 #: balancer has a recent status. The platform corrects stale seeds within 3 s.
 RELOAD_INTERVAL_S = 5.0
 ALONE_RELOAD_INTERVAL_S = 1.0
-#: Time for which a process of a fleet that starts for the first time waits for
-#: the routes of other processes before it reads the store. Traffic starts 12 s
-#: after the hosts, and hundreds of processes would read at the same time.
-FIRST_START_WAIT_S = 3.0
-#: Capacity of a link below which a restarted process asks others for the
-#: routes before it reads the store. On 5 Mbit/s the store's uncompressed copy
-#: of 1,700 routes takes 0.35 s, the compressed table of another process a
-#: tenth of it.
-SLOW_LINK_MBPS = 50.0
-#: Time for which such a process waits for the routes of others.
-PEER_ROUTES_WAIT_S = 0.3
-#: Part of the time within which changes must be in force for which a balancer
-#: waits for newer routes from its own data centre. Agents wait longer, so that
-#: one balancer fetches the table for its data centre.
-BALANCER_FAR_WAIT_SHARE = 0.05
-AGENT_FAR_WAIT_SHARE = 0.2
-#: Tolerance of the timer for this wait; a timer may fire slightly early.
-FAR_WAIT_MARGIN_S = 0.005
 
 
 class Node:
@@ -120,24 +94,23 @@
         self.clock = transport.clock
         self.fleet = Fleet(settings.ip)
         self.routes = RoutesCore()
-        self._store_era = 0
         self.histograms = LatencyHistograms()
         self.started_ms = transport.unix_ms()
         self.started_at = transport.clock()
         self.is_stopping = asyncio.Event()
-        self._loop = asyncio.get_running_loop()
+        self.loop = asyncio.get_running_loop()
         self._load_settings = load
         self._settings_read_at = transport.clock()
         self._message_number = 0
         self.sent_bytes = SentBytes()
         self._rounds = RoundSchedule()
-        self._random = transport.rng()
-        self._is_halted = False
+        self.random = transport.rng()
+        #: Whether this process does nothing any more.
+        self.is_halted = False
         self._caller_port = settings.packet_address.port
-        self._peer_port = settings.peer_address.port
-        self._far_wait_s = self._choose_far_wait_s()
-        self._fetches = RouteFetches(self._far_wait_s)
-        self._far_fetch: asyncio.TimerHandle | None = None
+        self.peer_port = settings.peer_address.port
+        #: Gets routes from the store and from other processes.
+        self.exchange = RouteExchange(self)
         self._tasks: set[asyncio.Task] = set()
         self._servers: list[Closable] = []
         self._packet_socket: BoundSocket | None = None
@@ -171,13 +144,19 @@
     async def serve(self, address: Address, handler: Handler) -> None:
         """Serve HTTP requests at an address."""
         server = await self.transport.serve(
-            address, handler, self._on_connection_error(address)
+            address, handler, self.on_connection_error(address)
         )
+        self.add_server(server)
+
+    def add_server(self, server: Closable) -> None:
+        """Close a server with this process."""
         self._servers.append(server)
 
-    def _on_connection_error(
+    def on_connection_error(
         self, address: Address
     ) -> Callable[[Exception], None]:
+        """Return a function that logs the failure of a connection."""
+
         def log_error(error: Exception) -> None:
             self.log.change(
                 'connection.failed', self.clock(), at_port=address.port,
@@ -186,16 +165,6 @@
 
         return log_error
 
-    async def serve_routes(self) -> None:
-        """Serve the route table to other processes."""
-        self._servers.append(
-            await self.transport.serve_table(
-                self.settings.peer_address,
-                lambda: self.routes.index and self.routes.index.table,
-                self._on_connection_error(self.settings.peer_address),
-            )
-        )
-
     def start(self, work: Awaitable, is_essential: bool = False) -> None:
         """Run a coroutine in the background; a failure is logged.
 
@@ -209,7 +178,7 @@
             self._tasks.discard(task)
             if task.cancelled() or task.exception() is None:
                 return
-            self._loop.call_exception_handler(
+            self.loop.call_exception_handler(
                 {'message': 'task failed', 'exception': task.exception()}
             )
             if is_essential:
@@ -221,8 +190,8 @@
         """Call an action at intervals; a failure is logged, not fatal."""
 
         def run():
-            if not self._is_halted:
-                self._loop.call_later(interval_s, run)
+            if not self.is_halted:
+                self.loop.call_later(interval_s, run)
                 action()
 
         run()
@@ -232,8 +201,8 @@
         intervals_s = chain(START_ROUND_INTERVALS_S, repeat(STATUS_INTERVAL_S))
 
         def run():
-            if not self._is_halted:
-                self._loop.call_later(next(intervals_s), run)
+            if not self.is_halted:
+                self.loop.call_later(next(intervals_s), run)
                 action()
 
         run()
@@ -241,9 +210,9 @@
     def handle_signals(self, on_reload: Callable[[], None]) -> None:
         """Stop on SIGTERM and SIGINT, read the settings on SIGHUP."""
         for number in (signal.SIGTERM, signal.SIGINT):
-            self._loop.add_signal_handler(number, self.is_stopping.set)
-        self._loop.add_signal_handler(signal.SIGHUP, on_reload)
-        self._loop.set_exception_handler(self._log_exception)
+            self.loop.add_signal_handler(number, self.is_stopping.set)
+        self.loop.add_signal_handler(signal.SIGHUP, on_reload)
+        self.loop.set_exception_handler(self._log_exception)
 
     def _log_exception(self, _loop, context: dict) -> None:
         error = context.get('exception')
@@ -290,7 +259,7 @@
 
         Other processes see the same as if the process had exited.
         """
-        self._is_halted = True
+        self.is_halted = True
         self.link.close()
         for task in self._tasks:
             task.cancel()
@@ -366,11 +335,16 @@
         near, far = self.fleet.split_balancers(self.settings.datacentre)
         return [*near, *self._direct_only(far, self.clock())]
 
+    @property
+    def is_balancer(self) -> bool:
+        """Whether this is the process of a balancer."""
+        return self.settings.upstream_reply_address is None
+
     def _direct_only(self, far: list[str], now: float) -> list[str]:
         """Return those balancers of other data centres without reports."""
         datacentre = self.settings.datacentre
         is_reported = bool(self.fleet.near_balancers(datacentre, now))
-        if self._is_balancer and now - self.started_at >= START_S:
+        if self.is_balancer and now - self.started_at >= START_S:
             # The last balancer of a data centre is its reporter.
             is_reported = True
         if not is_reported:
@@ -388,20 +362,10 @@
         """
         chosen = (
             *islice(self.fleet.balancers_without_status(), count),
-            *self._random.sample(known, min(count, len(known))),
+            *self.random.sample(known, min(count, len(known))),
         )
         return list(dict.fromkeys(chosen))
 
-    def check_position(self, ip: str, status: BalancerStatus) -> None:
-        """Fetch or confirm routes, by those that a balancer has.
-
-        :param status: status of the balancer.
-        """
-        confirmed_at = self.clock() - status.age_s
-        self.fetch_if_newer(ip, status.position, status.version, confirmed_at)
-        if self.routes.record_confirmation(status.position, confirmed_at):
-            self._on_routes_changed(RoutesOrigin.NEAR)
-
     def next_message_number(self) -> int:
         """Return the number of the next status message."""
         self._message_number += 1
@@ -440,7 +404,7 @@
     def _send_datagram(self, ip: str, data: bytes) -> None:
         is_far = self.fleet.is_far(ip, self.settings.datacentre)
         self.sent_bytes.record(data, is_far)
-        self._peer_socket.send(data, (ip, self._peer_port))
+        self._peer_socket.send(data, (ip, self.peer_port))
 
     def to_caller(self, flow: FlowKey, data: bytes) -> None:
         """Send a packet to the caller of a flow."""
@@ -459,151 +423,6 @@
         else:
             handle(sender[0], decoded)
 
-    # Routes.
-
-    def make_route_reader(self) -> RouteReader:
-        """Return a reader of the routes in the store."""
-        store = self.transport.store(self.settings.store_address)
-        bound_s = self.settings.bounds.configuration_s
-        return RouteReader(
-            self.routes, PlatformRoutes(store, self._log_unreadable),
-            self.clock, self.log, self._on_routes_changed, bound_s,
-            self._poll_timing, self.started_at + self._first_wait_s,
-        )  # fmt: skip
-
-    def _choose_far_wait_s(self) -> float:
-        """Return how long routes of other data centres wait for near ones.
-
-        Balancers of a data centre wait for different times, so that the
-        others can fetch from the first one.
-        """
-        bound_s = self.settings.bounds.configuration_s
-        if self._is_balancer:
-            return (
-                BALANCER_FAR_WAIT_SHARE
-                * bound_s
-                * self._random.uniform(0.5, 1.5)
-            )
-        return AGENT_FAR_WAIT_SHARE * bound_s
-
-    @property
-    def _is_balancer(self) -> bool:
-        return self.settings.upstream_reply_address is None
-
-    @property
-    def _first_wait_s(self) -> float:
-        """Time for which a process without routes waits for other processes.
-
-        After a restart there is traffic, so it asks the store at once unless
-        its link is slow.
-        """
-        if self.settings.is_first_start:
-            return FIRST_START_WAIT_S
-        is_slow = 0.0 < self.settings.link_mbps < SLOW_LINK_MBPS
-        return PEER_ROUTES_WAIT_S if is_slow else 0.0
-
-    def may_read_first(self) -> bool:
-        """Return whether this process may read the store for others.
-
-        When a whole fleet starts for the first time, all balancers are alone
-        for a moment; only the seeds read the store then.
-        """
-        is_starting = self.clock() - self.started_at < self._first_wait_s
-        return not is_starting or self.settings.ip in self.settings.seed_ips
-
-    def _log_unreadable(self, name: str, problem: str, count: int) -> None:
-        self.log.change(
-            'routes.unreadable', self.clock(), name=name, problem=problem,
-            count=count,
-        )  # fmt: skip
-
-    def _poll_timing(self) -> PollTiming:
-        balancers = len(self.fleet.balancers_by_ip) + self._is_balancer
-        return poll_timing(balancers)
-
-    def fetch_if_newer(
-        self,
-        ip: str,
-        position: TablePosition,
-        version: int = 0,
-        confirmed_at: float = -math.inf,
-    ) -> None:
-        """Fetch the routes of a process if they are newer.
-
-        :param position: position of the routes of that process.
-        :param version: version of its configuration, 0 if not known.
-        :param confirmed_at: time at which the store confirmed its routes.
-        """
-        if not self.routes.is_newer(position, version):
-            return
-        offer = RouteOffer(
-            ip, position, version, confirmed_at,
-            self.fleet.is_far(ip, self.settings.datacentre),
-        )  # fmt: skip
-        is_urgent = (
-            self.routes.index is None and not self.settings.is_first_start
-        )
-        if self._fetches.offer(offer, self.clock(), is_urgent) is not None:
-            self.start(self._fetch(offer))
-        elif offer.is_far and self._far_fetch is None:
-            self._far_fetch = self._loop.call_later(
-                self._far_wait_s + FAR_WAIT_MARGIN_S, self._fetch_from_far
-            )
-
-    def _fetch_from_far(self) -> None:
-        """Fetch routes of another data centre if none here has them."""
-        self._far_fetch = None
-        if self._is_halted:
-            return
-        offer = self._fetches.due(self.clock())
-        if offer is None:
-            return
-        if self.routes.is_newer(offer.position, offer.version):
-            self.start(self._fetch(offer))
-        else:
-            self._fetches.end(offer)
-
-    async def _fetch(self, offer: RouteOffer) -> None:
-        try:
-            table = await self.transport.fetch_table(
-                Address(offer.ip, self._peer_port)
-            )
-        except (OSError, TimeoutError, ValueError) as error:
-            self.log.change(
-                'routes.fetch_failed', self.clock(), peer=offer.ip,
-                error=repr(error),
-            )  # fmt: skip
-            return
-        finally:
-            self._fetches.end(offer)
-        is_changed = self.routes.merge(table, self.clock())
-        is_confirmed = self.routes.record_confirmation(
-            offer.position, offer.confirmed_at
-        )
-        if is_changed or is_confirmed:
-            self._on_routes_changed(
-                RoutesOrigin.FAR if offer.is_far else RoutesOrigin.NEAR
-            )
-
-    def _on_routes_changed(
-        self, origin: RoutesOrigin = RoutesOrigin.STORE
-    ) -> None:
-        table = self.routes.index.table
-        now = self.clock()
-        if self._store_era not in (0, table.era):
-            self.log.change(
-                'store.restored', now, era=table.era,
-                former_era=self._store_era, revision=table.revision,
-                held_out=sorted(table.held_out),
-            )  # fmt: skip
-        self._store_era = table.era
-        self.log.change(
-            'routes.changed', now, era=table.era, revision=table.revision,
-            version=table.version, routes=len(table.routes),
-            out=sorted(table.all_out), origin=origin.value,
-        )  # fmt: skip
-        self.on_routes(origin)
-
 
 def _raised_at(error: BaseException | None) -> str:
     """Return the file and line where an exception was raised."""
--- a/ibispitch/platform/statuses.py
+++ b/ibispitch/platform/statuses.py
@@ -152,7 +152,7 @@
                 wants_answer=True, lists_fleet=False,
             )  # fmt: skip
             self.contact_added()
-            node.check_position(ip, status)
+            node.exchange.check_position(ip, status)
         return is_new
 
     def _make_status(
--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -6,7 +6,7 @@
 
 from ibispitch.fleet.directory import SETTLE_S
 from ibispitch.platform.directory import KEY
-from ibispitch.platform.node import PEER_ROUTES_WAIT_S
+from ibispitch.platform.exchange import PEER_ROUTES_WAIT_S
 from testbed.flow_network import FlowNetwork
 from testbed.flow_platform import FEED
 from testbed.memory_store import Fault
