Move the searches of a balancer out of its core

OwnerSearches has the latter, with the answers to other balancers; the core is its sink, as the agent's core is that of the openings at the gate. Steps and log lines stay; tests/forwarding, locating, waiting, retry and placement pass with one call renamed.

--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -15,21 +15,19 @@
 from ibispitch.forwarding.frames import ip_number
 from ibispitch.forwarding.frames import MAX_TRIED
 from ibispitch.forwarding.frames import Purpose
-from ibispitch.forwarding.frames import Question
 from ibispitch.forwarding.frames import Reason
 from ibispitch.forwarding.packets import Destination
 from ibispitch.forwarding.packets import destination_of
 from ibispitch.forwarding.packets import FlowKey
 from ibispitch.forwarding.packets import Packet
 from ibispitch.forwarding.packets import PacketCodec
+from ibispitch.forwarding.searches import OwnerSearches
 from ibispitch.gate.core import COLD_WINDOW_S
 from ibispitch.gate.core import STATES_ADMITTING_FLOWS
 from ibispitch.histograms import LatencyHistograms
 from ibispitch.histograms import Series
 from ibispitch.ids import DatacentreName
 from ibispitch.ids import ServiceName
-from ibispitch.locating import core as locating
-from ibispitch.locating.core import Locator
 from ibispitch.locating.table import FlowTable
 from ibispitch.locating.table import Owner
 from ibispitch.placement.core import choose_agent
@@ -122,17 +120,18 @@
         self._rng = rng
         self._known_fleet = KnownFleet(fleet, now)
         self._table = FlowTable()
-        self._locator = Locator(fleet, datacentre)
         self._recognises_attempts = overload.retries.mode is not Mode.OFF
+        #: Searches for the owners of flows that this process doesn't know.
+        self.searches = OwnerSearches(
+            fleet, self._known_fleet, self._table, datacentre, outbox, self,
+            log, self._recognises_attempts,
+        )  # fmt: skip
         self._queue = OpeningQueue(self._recognises_attempts)
         self._ended_attempts = EndedAttempts()
         #: Openings recognised as a further attempt, by service.
         self.further_attempts: Counter[ServiceName] = Counter()
         #: Refused openings by service, kind and reason.
         self.refused: Counter[tuple[str, str, str]] = Counter()
-        #: Time of the first packet of flows whose owner is not yet searched,
-        #: because few agents are known.
-        self._unknown_since_by_flow: dict[FlowKey, float] = {}
         self._summaries = ServiceSummaries(fleet)
         #: Load of the upstreams in this data centre.
         self._near_load_by_service: dict[ServiceName, SmoothedLoad] = (
@@ -149,12 +148,12 @@
     def receive(self, packet: Packet, now: float) -> None:
         """Handle a packet from a caller."""
         if packet.is_opening:
-            self._locator.forget(packet.flow)
+            self.searches.forget(packet.flow)
             self._handle_opening(packet, (), now)
             return
         owner = self._table.get(packet.flow)
         if owner is None:
-            self._search_owner(packet, now)
+            self.searches.search(packet, now)
         elif self._fleet.has_lost_flows(
             owner.ip, owner.incarnation, now
         ) and not self._fleet.has_other_upstream(
@@ -162,7 +161,7 @@
         ):
             self._handle_ended(owner, packet, 'upstream ended', now)
         else:
-            self._forward(owner, packet)
+            self.forward(owner, packet)
 
     def receive_returned_packet(
         self, ip: str, returned: frames.Return, now: float
@@ -179,7 +178,7 @@
             self._log.decision(
                 'flow.handed_back', packet.flow, now,
                 agent=ip, reason=reason.name,
-                service=self._service_of(packet.flow),
+                service=self.service_of(packet.flow),
             )  # fmt: skip
             self._handle_opening(packet, tried[-MAX_TRIED:], now)
         elif reason in LOG_TEXT_BY_END_REASON:
@@ -188,7 +187,7 @@
                 return
             if reason is Reason.ENDED:
                 # The agent knows that its upstream held the flow.
-                self._reset(
+                self.reset(
                     packet, LOG_TEXT_BY_END_REASON[reason], now, agent=ip
                 )
             else:
@@ -198,68 +197,20 @@
         else:
             owner = self._table.get(packet.flow)
             if owner is None:
-                service = self._service_of(packet.flow)
-                self._execute_steps(
-                    self._locator.receive_denial(ip, packet, service, now), now
-                )
+                self.searches.receive_denial(ip, packet, now)
             elif owner.ip == ip:
                 self._table.pop(packet.flow)
-                self._search_owner(packet, now)
-
-    def answer_questions(
-        self, ip: str, message: frames.OwnershipQuestions
-    ) -> None:
-        """Tell another balancer the owners of flows that are known here."""
-        owners = [
-            self._table.peek(question.flow) for question in message.questions
-        ]
-        self._outbox.to_balancer(
-            ip,
-            frames.encode_owners(
-                frames.KnownOwner(
-                    question.flow, ip_number(owner.ip) if owner else 0
-                )
-                for question, owner in zip(
-                    message.questions, owners, strict=True
-                )
-            ),
-        )
-
-    def receive_owners(
-        self, ip: str, message: frames.KnownOwners, now: float
-    ) -> None:
-        """Handle another balancer's answers to questions about flows."""
-        self._execute_steps(
-            self._locator.receive_owners(ip, message, now), now
-        )
-
-    def receive_answers(
-        self, ip: str, message: frames.OwnershipAnswers, now: float
-    ) -> None:
-        """Handle an agent's answers to questions about flows."""
-        self._execute_steps(
-            self._locator.receive_answers(ip, message, now), now
-        )
+                self.searches.search(packet, now)
 
     def tick(self, now: float) -> None:
         """Continue overdue searches, place waiting openings, expire flows."""
-        self._execute_steps(self._locator.expire(now), now)
+        self.searches.tick(now)
         self._ended_attempts.expire(now)
-        if self._unknown_since_by_flow and self._known_fleet.is_complete(now):
-            self._expire_unknown_flows(now)
         if self._queue:
             self._place_waiting(now)
         if self.routes is not None:
             self._table.expire(self.routes.table.idle_timeout_s, now)
 
-    def _expire_unknown_flows(self, now: float) -> None:
-        """Forget flows whose search has had time to end."""
-        self._unknown_since_by_flow = {
-            flow: since
-            for flow, since in self._unknown_since_by_flow.items()
-            if now - since <= locating.RETRY_PERIOD_S
-        }
-
     def place_waiting(self, now: float) -> None:
         """Place waiting openings, because the state of agents has changed."""
         if self._queue:
@@ -286,7 +237,7 @@
             return
         route = self._route_of(flow)
         if route is None:
-            self._reset(packet, 'no route', now)
+            self.reset(packet, 'no route', now)
             return
         view = None
         owner = self._table.get(flow)
@@ -453,7 +404,7 @@
         )
 
     def _make_opening(self, packet: Packet, now: float) -> Opening:
-        service = self._service_of(packet.flow)
+        service = self.service_of(packet.flow)
         owner = self._table.get(packet.flow)
         earlier = owner.earlier if owner else None
         is_first_copy = owner is None and not packet.acknowledged
@@ -488,7 +439,7 @@
 
     def _refuse(self, opening: Opening, now: float) -> None:
         self._record_end(opening, now)
-        self._reset(
+        self.reset(
             opening.packet, 'cannot be served in time', now,
             waited_ms=round(1000 * (now - opening.sent_at)),
             waiting=len(self._queue),
@@ -502,9 +453,9 @@
         :param ended_at: time at which the caller ends the attempt.
         """
         if self._recognises_attempts and opening.has_next_attempt(ended_at):
-            self._record_attempt(opening.packet.flow, opening.ended(ended_at))
+            self.record_attempt(opening.packet.flow, opening.ended(ended_at))
 
-    def _record_attempt(self, flow: FlowKey, attempt: Attempt) -> None:
+    def record_attempt(self, flow: FlowKey, attempt: Attempt) -> None:
         """Record an attempt that has ended, here and at other balancers."""
         self._ended_attempts.record(flow, attempt)
         self._outbox.to_balancers(
@@ -565,16 +516,18 @@
         return self.routes.route_of(flow) if self.routes else None
 
     @property
-    def _position(self) -> TablePosition:
+    def position(self) -> TablePosition:
+        """Position of the routes."""
         return self.routes.position if self.routes else NO_POSITION
 
     # Open flows.
 
-    def _forward(self, owner: Owner, packet: Packet) -> None:
+    def forward(self, owner: Owner, packet: Packet) -> None:
+        """Forward a packet to the owner of its flow."""
         self._outbox.to_agent(
             owner.ip,
             frames.encode_forward(
-                Purpose.OWNED, self._position, owner.incarnation, packet.raw
+                Purpose.OWNED, self.position, owner.incarnation, packet.raw
             ),
             packet,
         )
@@ -588,98 +541,16 @@
         open at another upstream.
         """
         if owner is not None and owner.is_only_recipient:
-            self._reset(packet, why, now, agent=owner.ip)
+            self.reset(packet, why, now, agent=owner.ip)
             return
         self._table.pop(packet.flow)
-        self._search_owner(packet, now)
+        self.searches.search(packet, now)
 
-    def _search_owner(self, packet: Packet, now: float) -> None:
-        service = self._service_of(packet.flow)
-        if self._known_fleet.is_complete(now):
-            self._execute_steps(
-                self._locator.search(packet, service, now), now
-            )
-        else:
-            # After a start all flows are unknown and few agents are known.
-            # Delaying the search lets the questions of one tick share
-            # datagrams.
-            until = now + locating.RETRY_PERIOD_S
-            self._locator.search_later([packet], service, now, until)
-            if self._recognises_attempts:
-                self._unknown_since_by_flow.setdefault(packet.flow, now)
-
-    def _service_of(self, flow: FlowKey) -> ServiceName | None:
+    def service_of(self, flow: FlowKey) -> ServiceName | None:
+        """Return the service of a flow, ``None`` if it has no route."""
         route = self._route_of(flow)
         return route.service_for(flow) if route else None
 
-    def _execute_steps(self, steps: list[locating.Step], now: float) -> None:
-        questions_by_ip: dict[str, list[Question]] = defaultdict(list)
-        for step in steps:
-            match step:
-                case locating.AskOwner(flow, acknowledged, ips):
-                    for ip in ips:
-                        questions_by_ip[ip].append(
-                            Question(flow, acknowledged)
-                        )
-                case locating.Found(ip, incarnation, packets):
-                    owner = Owner(ip, incarnation, 0.0)
-                    self._table.put(packets[0].flow, owner)
-                    self._log.decision(
-                        'flow.found', packets[0].flow, now, agent=ip
-                    )
-                    for packet in packets:
-                        self._forward(owner, packet)
-                case locating.TryAgent(ip, packet):
-                    self._try_agent(ip, packet, now)
-                case locating.NotFound(packet):
-                    self._handle_not_found(packet, now)
-                case locating.Unanswered(flow, missing):
-                    self._log.failure(
-                        'flow.not_found', flow, now, missing=list(missing)
-                    )
-        for ip, questions in questions_by_ip.items():
-            for data in frames.encode_questions(questions):
-                self._outbox.to_agent(ip, data)
-
-    def _try_agent(self, ip: str, packet: Packet, now: float) -> None:
-        view = self._fleet.agents_by_ip.get(ip)
-        if view is None:
-            return
-        self._outbox.to_agent(
-            ip,
-            frames.encode_forward(
-                Purpose.TRIAL,
-                self._position,
-                view.status.incarnation,
-                packet.raw,
-            ),
-        )
-        self._log.decision('flow.tried', packet.flow, now, agent=ip)
-
-    def _handle_not_found(self, packet: Packet, now: float) -> None:
-        if self._known_fleet.is_complete(
-            now
-        ) and not self._fleet.has_unheard_agents(now):
-            self._record_lost_request(packet, now)
-            self._reset(packet, 'no agent has the flow', now)
-            return
-        self._locator.search_later(
-            [packet],
-            self._service_of(packet.flow),
-            now + locating.RETRY_INTERVAL_S,
-            now + locating.RETRY_PERIOD_S,
-        )
-
-    def _record_lost_request(self, packet: Packet, now: float) -> None:
-        """Record the end of a request whose flow is lost.
-
-        The caller repeats it on a new flow. The request may be older than the
-        first packet that this process has seen.
-        """
-        since = self._unknown_since_by_flow.pop(packet.flow, now)
-        if self._recognises_attempts and packet.size:
-            self._record_attempt(packet.flow, Attempt(since, 1, now))
-
     def knows_fleet(self, now: float) -> bool:
         """Return whether this process has run long enough to know all agents.
 
@@ -702,9 +573,14 @@
             'datacentre': self._datacentre,
         }
 
-    def _reset(
+    def reset(
         self, packet: Packet, why: str, now: float, **inputs: Any
     ) -> None:
+        """Reset the flow of a packet.
+
+        :param why: reason for the log line.
+        :param inputs: further fields of the log line.
+        """
         flow = packet.flow
         if packet.is_opening:
             inputs |= self._count_refusal(flow, why)
@@ -718,6 +594,6 @@
             flow,
             now,
             why=why,
-            revision=self._position.revision,
+            revision=self.position.revision,
             **inputs,
         )
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -186,11 +186,11 @@
         if isinstance(frame, Return):
             self._core.receive_returned_packet(ip, frame, now)
         elif isinstance(frame, OwnershipAnswers):
-            self._core.receive_answers(ip, frame, now)
+            self._core.searches.receive_answers(ip, frame, now)
         elif isinstance(frame, OwnershipQuestions):
-            self._core.answer_questions(ip, frame)
+            self._core.searches.answer_questions(ip, frame)
         elif isinstance(frame, KnownOwners):
-            self._core.receive_owners(ip, frame, now)
+            self._core.searches.receive_owners(ip, frame, now)
         elif isinstance(frame, EndedAttempt):
             self._core.receive_ended_attempt(frame, now)
 
--- a/tests/forwarding/test_balancer_core.py
+++ b/tests/forwarding/test_balancer_core.py
@@ -127,7 +127,7 @@
     assert outbox.to_callers == []
     assert FIRST in {ip for ip, _ in outbox.frames}
     outbox.frames.clear()
-    core.receive_answers(
+    core.searches.receive_answers(
         FIRST,
         frames.OwnershipAnswers(
             1000, (frames.Answer(REQUEST.flow, Verdict.OWNED),)
@@ -170,7 +170,7 @@
         now += 0.02
         core.tick(now)
         for ip, _ in outbox.frames:
-            core.receive_answers(
+            core.searches.receive_answers(
                 ip, frames.OwnershipAnswers(1000, (denial,)), now
             )
         outbox.frames.clear()
@@ -202,7 +202,7 @@
             fleet.record_agent_status(FIRST, agent(number=tick + 2), now)
         core.tick(now)
         for ip, _ in outbox.frames:
-            core.receive_answers(
+            core.searches.receive_answers(
                 ip, frames.OwnershipAnswers(1000, (denial,)), now
             )
         outbox.frames.clear()
