Move the tracking of requests out of the agent's core

forwarding/agent.py (789 lines) decided where packets go and followed where requests begin and end. RequestTracker has the latter; the gate tells the slots of its upstream in one place instead of two. Behaviour and log lines stay; tests/forwarding, gate, scheduling, outcomes and four files of tests/platform pass; one test passes its log to the core instead of replacing it.

--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -23,14 +23,13 @@
 from ibispitch.forwarding.packets import PacketCodec
 from ibispitch.forwarding.packets import RST
 from ibispitch.forwarding.packets import sequence_distance
-from ibispitch.forwarding.packets import SYN
 from ibispitch.forwarding.requests import ScheduledRequests
+from ibispitch.forwarding.tracking import RequestTracker
 from ibispitch.gate.core import COLD_WINDOW_S
 from ibispitch.gate.core import Gate
 from ibispitch.gate.core import Heartbeat
 from ibispitch.gate.queue import GateOpening
 from ibispitch.histograms import LatencyHistograms
-from ibispitch.histograms import Series
 from ibispitch.outcomes.core import Outcomes
 from ibispitch.routes.model import RouteIndex
 from ibispitch.routes.position import NO_POSITION
@@ -121,12 +120,14 @@
         self._asked_at_by_flow: dict[FlowKey, float] = {}
         self._last_opening_at_by_balancer: dict[str, float] = {}
         self.routes: RouteIndex | None = None
-        self.outcomes = Outcomes()
         self.requests = ScheduledRequests(
             overload.scheduling, gate.service, self.flows, outbox.to_upstream,
             log, histograms,
         )  # fmt: skip
         self.flows.on_end = self.requests.remove
+        self._tracker = RequestTracker(
+            self.flows, self.requests, codec, gate, log, histograms
+        )
         #: Openings that wait for a place at the upstream.
         self.openings = HeldOpenings(
             overload.gate, gate, self._upstream_load, self, log
@@ -151,7 +152,7 @@
             return False
         if former not in (0, heartbeat.started_ms):
             self._forget_flows_of_former_upstream(now)
-            self.outcomes = Outcomes()
+            self._tracker.outcomes = Outcomes()
         if self._restored_incarnation == heartbeat.started_ms:
             self._knows_all_flows = True
         elif self._restored_incarnation:
@@ -455,7 +456,7 @@
         They neither count as load nor wait behind requests that do.
         """
         if packet.size:
-            self._track_sequence(state, packet)
+            self._tracker.track_sequence(state, packet)
             state.request_received_at = now
             state.request_id = self._codec.request_id(packet)
         if packet.flags & (FIN | RST):
@@ -470,7 +471,7 @@
         if state.request_received_at is None or state.closed_at is not None:
             return
         self.flows.count_request(flow, state, now)
-        self._log_passed(flow, state, now)
+        self._tracker.log_passed(flow, state, now)
         self.flows.start_request(flow, state)
         state.queue_position = self.flows.started_requests
         request = self._request_of(flow, state.request_received_at)
@@ -490,7 +491,7 @@
     def _may_pass(self, state: FlowState, packet: Packet, now: float) -> bool:
         """Return whether a packet may pass; if not, it is held or dropped."""
         request = None
-        if self._track_caller(state, packet, now):
+        if self._tracker.track_caller(state, packet, now):
             sent_at = self._request_sent_at(state, now)
             request = self._request_of(packet.flow, sent_at)
         if request is None:
@@ -503,65 +504,14 @@
             self.flows.close(packet.flow, state, now)
         if packet.flags & RST:
             # After a FIN, the upstream still runs the request before it.
-            self._forget_request(packet.flow, state)
+            self._tracker.forget_request(packet.flow, state)
         return may_pass
 
-    def _forget_request(self, flow: FlowKey, state: FlowState) -> None:
-        self.requests.remove(flow)
-        state.is_held = False
-
     @staticmethod
     def _request_sent_at(state: FlowState, now: float) -> float:
         """Return when the caller asked for the request that begins now."""
         return state.asked_at if state.requests == 1 else now
 
-    def _track_caller(
-        self, state: FlowState, packet: Packet, now: float
-    ) -> bool:
-        """Record the data of a caller's packet.
-
-        :returns: whether a request begins.
-        """
-        if not packet.size or not self._track_sequence(state, packet):
-            return False
-        begins_request = state.request_received_at is None
-        if begins_request:
-            state.held_s = 0.0
-            self.flows.count_request(packet.flow, state, now)
-            self._record_request(state, packet, now)
-        state.request_received_at = now
-        self.flows.start_request(packet.flow, state)
-        state.queue_position = self.flows.started_requests
-        state.is_overdue = False
-        return begins_request
-
-    @staticmethod
-    def _track_sequence(state: FlowState, packet: Packet) -> bool:
-        """Record the end of a caller's data.
-
-        :returns: whether the packet has data that was not seen before.
-        """
-        end = (packet.sequence + packet.size) & 0xFFFFFFFF
-        is_new = (
-            state.caller_next_sequence is None
-            or sequence_distance(end, state.caller_next_sequence) > 0
-        )
-        if is_new:
-            state.caller_next_sequence = end
-        return is_new
-
-    def _record_request(
-        self, state: FlowState, packet: Packet, now: float
-    ) -> None:
-        state.request_id = self._codec.request_id(packet)
-        self._log_passed(packet.flow, state, now)
-
-    def _log_passed(self, flow: FlowKey, state: FlowState, now: float) -> None:
-        self._log.decision(
-            'request.passed', flow, now, request=state.request_id,
-            running=self.flows.running, balancer=state.balancer,
-        )  # fmt: skip
-
     def answer_questions(
         self, ip: str, message: frames.OwnershipQuestions, now: float
     ) -> None:
@@ -620,69 +570,9 @@
         if state.answered_at is None:
             state.answered_at = now
             self.flows.record_opening_answer(flow, now)
-        self._track_upstream(state, packet, now)
-        self._outbox.to_caller(flow, packet.raw)
-
-    def _track_upstream(
-        self, state: FlowState, packet: Packet, now: float
-    ) -> None:
-        length = packet.size + bool(packet.flags & SYN)
-        end = (packet.sequence + length) & 0xFFFFFFFF
-        # Packets may be reordered: a FIN or RST may arrive before the answer.
-        is_reordered = state.upstream_next_sequence is not None and (
-            sequence_distance(packet.sequence, state.upstream_next_sequence)
-            > 0
-        )
-        if (
-            state.upstream_next_sequence is None
-            or sequence_distance(end, state.upstream_next_sequence) > 0
-        ):
-            state.upstream_next_sequence = end
-        # If the request is held, the data belongs to an earlier answer.
-        if packet.size and not state.is_held:
-            if state.request_received_at is not None:
-                took_s = now - state.request_received_at
-                self._record_answer(packet.flow, state, took_s, now)
-                self._log.decision(
-                    'request.answered', packet.flow, now,
-                    request=state.request_id,
-                    took_ms=round(1000 * took_s, 1),
-                )  # fmt: skip
-                state.request_received_at = None
-            self.flows.end_request(state)
-            self.requests.record_answer(packet.flow)
-        if packet.flags & (FIN | RST):
-            if state.is_awaiting_answer and not is_reordered:
-                self._record_failure(packet.flow, state, 'broken off', now)
-                state.request_received_at = None
-            self.flows.close(packet.flow, state, now)
-            self.requests.record_answer(packet.flow)
-            if packet.flags & RST:
-                self._forget_request(packet.flow, state)
+        self._tracker.track_upstream(state, packet, now)
         self._pass_next(now)
-
-    def _record_answer(
-        self, flow: FlowKey, state: FlowState, took_s: float, now: float
-    ) -> None:
-        """Record the time from a request's last packet to its answer."""
-        self._histograms.record(
-            Series('request_latency', self.gate.service, state.kind),
-            state.held_s + took_s,
-        )
-        self.outcomes.record_answer(
-            took_s, state.queue_position, self._slots, now
-        )
-
-    def _record_failure(
-        self, flow: FlowKey, state: FlowState, why: str, now: float
-    ) -> None:
-        self.outcomes.record_failure(now)
-        self._log.failure(
-            'request.failed', flow, now, why=why, request=state.request_id,
-            service=self.gate.service, kind=state.kind,
-            running=self.flows.running,
-            failing=round(self.outcomes.failure_share(now), 2),
-        )  # fmt: skip
+        self._outbox.to_caller(flow, packet.raw)
 
     def load(self, now: float) -> int:
         """Return the requests that go before a new one that is on time.
@@ -712,11 +602,12 @@
         return UpstreamLoad(running, capacity.slots, capacity.work_s, late)
 
     def _capacity(self, now: float) -> Capacity:
-        return Capacity(self._slots, self.outcomes.work_s(now))
+        return Capacity(self.gate.slots, self.outcomes.work_s(now))
 
     @property
-    def _slots(self) -> int:
-        return self.gate.heartbeat.slots if self.gate.heartbeat else 1
+    def outcomes(self) -> Outcomes:
+        """How the requests of the upstream end."""
+        return self._tracker.outcomes
 
     def _handle_bounced(self, packet: Packet, now: float) -> None:
         """Handle a packet that the upstream handed back."""
@@ -763,10 +654,7 @@
 
     def sweep(self, now: float) -> None:
         """Record overdue requests; forget flows that are closed or idle."""
-        for flow, state in self.flows.state_by_flow.items():
-            if state.has_become_overdue(now):
-                state.is_overdue = True
-                self._record_failure(flow, state, 'no answer', now)
+        self._tracker.record_overdue(now)
         idle_s = self.routes.table.idle_timeout_s if self.routes else 60.0
         self.flows.sweep(idle_s, now)
 
--- a/ibispitch/gate/core.py
+++ b/ibispitch/gate/core.py
@@ -118,6 +118,11 @@
         """The upstream's incarnation, 0 if none is known."""
         return self.heartbeat.started_ms if self.heartbeat else 0
 
+    @property
+    def slots(self) -> int:
+        """Requests that the upstream runs at a time, 1 if it is not known."""
+        return self.heartbeat.slots if self.heartbeat else 1
+
     def receive_heartbeat(self, heartbeat: Heartbeat, now: float) -> bool:
         """Process a heartbeat.
 
--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -277,7 +277,7 @@
             number=node.next_message_number(),
             incarnation=gate.incarnation,
             state=state,
-            slots=gate.heartbeat.slots if gate.heartbeat else 1,
+            slots=gate.slots,
             running=core.load(now),
             work_s=core.outcomes.work_s(now),
             failing=round(core.outcomes.failure_share(now), 2),
--- a/tests/forwarding/test_agent_core.py
+++ b/tests/forwarding/test_agent_core.py
@@ -86,9 +86,11 @@
     return Outbox()
 
 
-def make_core(outbox, knows_all_flows=True, overload=ALL_OFF) -> AgentCore:
+def make_core(
+    outbox, knows_all_flows=True, overload=ALL_OFF, log=None
+) -> AgentCore:
     gate = Gate('counter', 'accra', 1.2, ColdLimits(1.5, 5.0))
-    log = DecisionLog('test', lambda: 0.0, len)
+    log = log or DecisionLog('test', lambda: 0.0, len)
     return AgentCore(
         gate,
         CODEC,
--- a/tests/forwarding/test_trials.py
+++ b/tests/forwarding/test_trials.py
@@ -108,8 +108,7 @@
 def test_the_request_of_a_found_flow_is_logged():
     """Guards against requests that ``ibispitchctl explain`` can't follow."""
     log = RecordedLog()
-    core = make_core(Outbox(), knows_all_flows=False, overload=SCHEDULED)
-    core._log = log
+    core = make_core(Outbox(), False, SCHEDULED, log)
     core.receive_heartbeat(heartbeat(), 0.0)
     body = b'GET / HTTP/1.1\r\nX-Ibispitch-Request-Id: 7f\r\n\r\n'
     raw = data(caller=OWNED, body=body)
