Add a page that names the duty of each package

A newcomer could not see which of the 33 folders serve the own interface and which the platform. docs/packages.md has a row for each, in the order of a request's way; a test compares the rows with the folders.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -230,3 +230,18 @@
     shown = section('From an overload to its cause')
     missing = [ln for ln in output.splitlines() if ln.rstrip() not in shown]
     assert not missing
+
+
+def test_packages_have_a_row():
+    """Guards against folders of which a newcomer can't tell the duty."""
+    text = (ROOT / 'docs/packages.md').read_text(encoding='utf-8')
+    rows = re.findall(r'^\| `([a-z]+)` \|', text, re.MULTILINE)
+    packages = [
+        module.name
+        for module in pkgutil.iter_modules(ibispitch.__path__)
+        if module.ispkg
+    ]
+    assert sorted(rows) == sorted(packages)
+    files = {path.name for path in ROOT.glob('ibispitch/*.py')}
+    named = set(re.findall(r'`([a-z]+\.py)`', text))
+    assert named == files - {'__init__.py'}
