Pass reports on only to balancers that understand them

Found by reading: a report was passed on to all near balancers with a recent status, also to those of the version before, which log it as unreadable each 1.2 s.

--- a/ibispitch/platform/statuses.py
+++ b/ibispitch/platform/statuses.py
@@ -81,8 +81,11 @@
             node.log.change('peer.unreadable', now, peer=ip, error=str(error))
             return
         if report.is_to_pass_on:
-            near = (link.ip for link in self.near_links())
-            node.send(replace(report, is_to_pass_on=False), list(near))
+            near = node.fleet.near_balancers(node.settings.datacentre, now)
+            node.send(
+                replace(report, is_to_pass_on=False),
+                [view.ip for view in near],
+            )
         node.fleet.record_report(
             report.datacentre, unpack_ips(report.silent), now
         )
