--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -430,7 +430,11 @@
     def near_balancers(
         self, datacentre: DatacentreName, now: float
     ) -> list[BalancerView]:
-        """Return balancers of a data centre that take part in reports."""
+        """Return balancers of a data centre that take part in reports.
+
+        Those without a recent status, and those of the version before, are
+        left out.
+        """
         return [
             view
             for view in self.heard_balancers(now)
--- a/ibispitch/fleet/messages.py
+++ b/ibispitch/fleet/messages.py
@@ -112,7 +112,8 @@
     :param era: era of its routes, see :class:`TablePosition`.
     :param version: version of the operator's configuration in its routes.
     :param passes_on: whether it takes part in the reports between data
-        centres, see :mod:`ibispitch.fleet.reports`.
+        centres, see :mod:`ibispitch.fleet.reports`, and answers other
+        balancers' questions about owners of flows.
     """
 
     datacentre: DatacentreName
@@ -174,7 +175,9 @@
 _decoder = msgspec.msgpack.Decoder(Message)
 _entries_decoder = msgspec.msgpack.Decoder(tuple[ReportEntry, ...])
 
+#: First byte of a msgpack array of 16 elements or more.
 _LONG_ARRAY = 0xDC
+#: Names for metrics.
 _NAME_BY_TAG = {
     1: 'agent_status',
     2: 'balancer_status',
@@ -231,7 +234,7 @@
     >>> message_name(encode_message(CheckpointRequest(1)))
     'checkpoint_request'
     """
-    # An array of 16 elements or more has its length in two further bytes.
+    # The length of a long array is in two further bytes.
     tag = data[3] if data[0] == _LONG_ARRAY else data[1]
     return _NAME_BY_TAG.get(tag, 'unknown')
 
