--- a/ibispitch/platform/statuses.py
+++ b/ibispitch/platform/statuses.py
@@ -212,11 +212,12 @@
 
     def _near_ips(self) -> list[str]:
         """Return the known processes of this data centre."""
-        node = self._node
+        fleet = self._node.fleet
+        datacentre = self._node.settings.datacentre
         return [
             ip
-            for ip in self._known_ips()
-            if not node.fleet.is_far(ip, node.settings.datacentre)
+            for ip in (*fleet.balancers_by_ip, *fleet.agents_by_ip)
+            if not fleet.is_far(ip, datacentre)
         ]
 
     def _far_balancers(self) -> list[str]:
@@ -224,10 +225,6 @@
         _near, far = fleet.split_balancers(self._node.settings.datacentre)
         return far
 
-    def _known_ips(self) -> list[str]:
-        fleet = self._node.fleet
-        return [*fleet.balancers_by_ip, *fleet.agents_by_ip]
-
     def send_round(self) -> None:
         """Send a round of status messages, and the reports that are due."""
         node = self._node
--- a/ibispitch/platform/traffic.py
+++ b/ibispitch/platform/traffic.py
@@ -9,9 +9,8 @@
 
 from ibispitch.fleet.messages import message_name
 from ibispitch.forwarding.frames import frame_name
+from ibispitch.pacing.core import HEADER_BYTES
 
-#: Bytes of the UDP and IPv4 headers of a datagram.
-HEADER_BYTES = 28
 #: Status messages begin with a byte of at least this value, frames with a
 #: lower one.
 FIRST_STATUS_BYTE = 0x90
