Do not take the cold time of an upstream for its age

Cause: the agent derived the start of its upstream from the cold time that was left. A restarted agent then claimed to know all flows and denied those that it had not seen; an agent with a new upstream forgot flows from before it turned cold. An upstream turns cold without a restart, so cold time is no evidence of a start.

Change: the cold time decides only about new flows. A restarted agent reports unknown flows as unknown, and balancers try them at the upstream, which hands back what it doesn't hold. After a new incarnation the flows stay, unconfirmed and without load, until the upstream answers or hands back a packet.

test_flows_opened_before_the_first_heartbeat_live_on expected that a former flow is denied without asking the upstream. It now expects that the upstream's answer ends it (ENDED, which resets the flow at once as before).

--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -39,10 +39,6 @@
 from ibispitch.settings.overload import OverloadSettings
 from ibispitch.waiting.core import first_copy_sent_at
 
-#: Tolerance on the start time of an upstream, since its first heartbeat may
-#: be delayed on a busy host. If a flow is kept by mistake, the upstream hands
-#: back its next packet.
-START_TIME_TOLERANCE_S = 0.1
 #: Time within which the upstream should answer an opening. It runs on the
 #: same host, and the caller repeats an opening after 200 ms.
 OPENING_ANSWER_S = 0.1
@@ -138,7 +134,7 @@
         self.routes = routes
         self.requests.set_routes(routes, self._capacity(now), now)
         self.gate.set_routes(routes, now)
-        self._check_upstream_age(now)
+        self._check_predecessor()
         self.flows.is_changed = True
 
     def receive_heartbeat(self, heartbeat: Heartbeat, now: float) -> bool:
@@ -151,7 +147,7 @@
         if not self.gate.receive_heartbeat(heartbeat, now):
             return False
         if former not in (0, heartbeat.started_ms):
-            self._forget_flows_of_former_upstream(now)
+            self._doubt_flows(now)
             self._tracker.outcomes = Outcomes()
         if self._restored_incarnation == heartbeat.started_ms:
             self._knows_all_flows = True
@@ -159,7 +155,7 @@
             # The restored flows belong to an upstream that has ended.
             self._forget_all_flows(now)
         self._restored_incarnation = 0
-        self._check_upstream_age(now)
+        self._check_predecessor()
         is_changed = (
             state is not self.gate.state(now) or former != heartbeat.started_ms
         )
@@ -174,13 +170,9 @@
             self.flows.is_changed = True
         return is_changed
 
-    def _check_upstream_age(self, now: float) -> None:
-        if not self._knows_all_flows and self.gate.did_upstream_start_after(
-            self._started_at, self.routes
-        ):
-            self._knows_all_flows = True
+    def _check_predecessor(self) -> None:
+        if self.gate.did_turn_cold_after(self._started_at, self.routes):
             self.gate.rule_out_predecessor()
-            self._log.change('upstream.holds_no_earlier_flows', now)
 
     def record_upstream_end(self, upstream_id: str, now: float) -> bool:
         """Record that the upstream has announced its end.
@@ -205,30 +197,29 @@
             self._restored_incarnation = 0
             self._forget_all_flows(now)
 
-    def _forget_flows_of_former_upstream(self, now: float) -> None:
-        """Forget the flows of the previous upstream.
+    def _doubt_flows(self, now: float) -> None:
+        """Let the upstream decide on each flow whether it holds it.
 
-        Flows that the current upstream accepted before its first heartbeat
-        are kept.
+        The first heartbeat of a new incarnation may come after flows that it
+        has accepted, and a late one of a former incarnation may come at any
+        time, so neither shows which flows have ended. The upstream hands back
+        the next packet of a flow that it does not hold.
         """
-        started_at = self.gate.upstream_started_at(self.routes)
-        if started_at is None:
-            self._forget_all_flows(now)
-            return
-        ended = [
+        state_by_flow = self.flows.state_by_flow
+        unanswered = [
             flow
-            for flow, state in self.flows.state_by_flow.items()
-            if state.answered_at is None
-            or state.answered_at < started_at - START_TIME_TOLERANCE_S
+            for flow, state in state_by_flow.items()
+            if not state.is_answered and state.first_sequence is not None
         ]
+        for flow in unanswered:
+            self.flows.drop(flow)
+        for flow, state in state_by_flow.items():
+            self.flows.mark_unconfirmed(flow, state)
         self._log.change(
-            'upstream.flows_ended', now, flows=len(ended),
-            kept=self.flow_count - len(ended),
+            'upstream.flows_unconfirmed', now, flows=len(state_by_flow),
+            openings_dropped=len(unanswered),
         )  # fmt: skip
-        for flow in ended:
-            self.flows.drop(flow)
         self._denied_flows.clear()
-        self._knows_all_flows = True
 
     def _forget_all_flows(self, now: float) -> None:
         self._log.change('upstream.flows_ended', now, flows=self.flow_count)
@@ -526,10 +517,11 @@
 
     def _verdict(self, question: frames.Question, now: float) -> Verdict:
         state = self.flows.state_by_flow.get(question.flow)
-        if state is not None and not state.is_unconfirmed:
+        if state is not None and not state.is_only_tried:
             is_owned = _acknowledges_upstream(state, question.acknowledged)
             return Verdict.OWNED if is_owned else Verdict.NOT_OWNED
-        if self._knows_all_flows or question.flow in self._denied_flows:
+        is_unknown = state is None and self._knows_all_flows
+        if is_unknown or question.flow in self._denied_flows:
             return Verdict.NOT_OWNED
         if now - self._started_at < self._recent_start_s:
             return Verdict.RESTARTED
--- a/ibispitch/forwarding/flows.py
+++ b/ibispitch/forwarding/flows.py
@@ -79,8 +79,9 @@
         self.upstream_next_sequence: int | None = None
         #: Time of the first packet from the upstream, ``None`` if none came.
         self.answered_at: float | None = None
-        #: Whether the upstream may not hold the flow: the agent forwarded a
-        #: packet of an unknown flow, and the upstream has not answered yet.
+        #: Whether the upstream may not hold the flow, and has not answered
+        #: since. Either the agent forwarded a packet of an unknown flow, or
+        #: another incarnation may have held it.
         self.is_unconfirmed = False
         #: Whether the flow may carry several requests.
         self.is_long = False
@@ -114,6 +115,11 @@
         """Whether the upstream has sent a packet on the flow."""
         return self.answered_at is not None
 
+    @property
+    def is_only_tried(self) -> bool:
+        """Whether the upstream is not known to have ever held the flow."""
+        return self.is_unconfirmed and not self.is_answered
+
     @property
     def is_awaiting_answer(self) -> bool:
         """Whether a request waits for its answer and is not yet overdue."""
@@ -193,6 +199,23 @@
             if state.closed_at is None:
                 self.long_flows -= state.is_long
 
+    def mark_unconfirmed(self, flow: FlowKey, state: FlowState) -> None:
+        """Record that a flow may have ended with a former incarnation.
+
+        The flow is no load until the present one answers on it.
+        """
+        self.on_end(flow)
+        self._expected.pop(flow, None)
+        self._set_running(state, False)
+        state.is_unconfirmed = True
+        state.is_held = False
+        state.request_received_at = None
+        if state.closed_at is None:
+            self.long_flows -= state.is_long
+        # A second request after this shows again that the flow is long.
+        state.is_long = False
+        state.requests = min(1, state.requests)
+
     def clear(self) -> None:
         """Forget all flows."""
         self.state_by_flow.clear()
--- a/ibispitch/gate/core.py
+++ b/ibispitch/gate/core.py
@@ -31,10 +31,10 @@
 #: admitted new flows: the window, less the shortest restart of a killed
 #: process, 0.28 s for the start of the interpreter.
 PREDECESSOR_WINDOW_S = COLD_WINDOW_S + COLD_MARGIN_S - 0.28
-#: If an upstream is at most this old when its agent starts, it cannot hold
-#: earlier flows: an earlier agent would have had to receive its first
-#: heartbeat, forward flows, end and be restarted within this time.
-MAX_FRESH_AGE_S = 0.4
+#: If an upstream has been cold for at most this time when its agent starts,
+#: the previous agent has admitted no flows to it since: it would have had to
+#: receive a heartbeat, end and be restarted within this time.
+MAX_FRESH_COLD_S = 0.4
 #: States of an upstream in which it may get new flows.
 STATES_ADMITTING_FLOWS = (AgentState.READY, AgentState.PRESUMED)
 
@@ -49,8 +49,8 @@
 class Heartbeat(NamedTuple):
     """A heartbeat of an upstream.
 
-    An upstream is cold for some time after its start, during which it may
-    get only few new flows.
+    An upstream is cold for some time after its start, and may turn cold again
+    later. Meanwhile it may get only few new flows.
 
     :param upstream_id: name of the upstream, which a later process may reuse.
     :param started_ms: start of its process, Unix time; identifies the process
@@ -174,7 +174,7 @@
         self._predecessor_until = now + PREDECESSOR_WINDOW_S
 
     def rule_out_predecessor(self) -> None:
-        """Record that the upstream started after this process."""
+        """Record that the upstream turned cold after this process started."""
         self._predecessor_until = 0.0
 
     def mark_suspect(self) -> None:
@@ -249,11 +249,11 @@
         """Return the time until the upstream is warm."""
         return max(0.0, self._cold_until - now)
 
-    def upstream_started_at(self, routes: RouteIndex | None) -> float | None:
-        """Return when the upstream started.
+    def _turned_cold_at(self, routes: RouteIndex | None) -> float | None:
+        """Return when the upstream turned cold.
 
-        The start is derived from the remaining cold time rather than from
-        the upstream's wall clock, which may jump.
+        It may have done so long after its start, so that this says nothing
+        of the flows that it holds.
 
         :returns: seconds of the clock of :meth:`receive_heartbeat`, ``None``
             if the upstream is unknown, is warm or has no limits in the routes.
@@ -263,20 +263,21 @@
             return None
         if self.heartbeat.cold_left_s <= 0.0:
             return None
-        age_s = limits.cold_start_s - self.heartbeat.cold_left_s
-        return self._heartbeat_at - age_s
+        cold_s = limits.cold_start_s - self.heartbeat.cold_left_s
+        return self._heartbeat_at - cold_s
 
-    def did_upstream_start_after(
+    def did_turn_cold_after(
         self, time: float, routes: RouteIndex | None
     ) -> bool:
-        """Return whether the upstream started after a time or just before it.
+        """Return whether the upstream turned cold after a time.
 
-        :param time: time in seconds, such as the start of this process.
+        :param time: time in seconds, such as the start of this process. The
+            upstream may have turned cold :data:`MAX_FRESH_COLD_S` before it.
         :param routes: the agent's routes.
-        :returns: ``False`` if the start is not known.
+        :returns: ``False`` if it is not known.
         """
-        started_at = self.upstream_started_at(routes)
-        return started_at is not None and started_at > time - MAX_FRESH_AGE_S
+        cold_at = self._turned_cold_at(routes)
+        return cold_at is not None and cold_at > time - MAX_FRESH_COLD_S
 
     def admit(
         self,
