Accept only whole heartbeats of the agent's own upstream

Cause: five fields of any value were enough, and only the service was compared. The sender counted as a new incarnation of the upstream.

Ruled out: the order of incarnations, which was kept; a late heartbeat, since the record shows the answer 200 in the same millisecond.

Change: all fields have to be there with their types and with numbers that an upstream can send; service, address and data centre have to be those of the agent's upstream. The stand-ins send the address with its port, and all fields.

--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -25,6 +25,7 @@
 from ibispitch.platform.packets import PlatformPacketCodec
 from ibispitch.platform.upstreams import decode_heartbeat
 from ibispitch.platform.upstreams import upstream_id
+from ibispitch.platform.upstreams import UpstreamIdentity
 from ibispitch.routes.source import RoutesOrigin
 
 #: Delay of a status message after a change of load, so that changes in quick
@@ -60,6 +61,9 @@
         self._node = node
         self._codec = PlatformPacketCodec()
         self._upstream_address = settings.upstream_address
+        self._identity = UpstreamIdentity(
+            settings.service, settings.upstream_address, settings.datacentre
+        )
         self._upstream_socket = None
         self._has_checked_health = False
         self._started_at = node.clock()
@@ -338,15 +342,10 @@
         if request.method != 'PUT':
             return Response(405)
         try:
-            heartbeat = decode_heartbeat(name, request.body)
+            heartbeat = decode_heartbeat(name, request.body, self._identity)
         except ValueError as error:
             node.log.change('upstream.unreadable', now, error=str(error))
             return Response(400)
-        if heartbeat.service != node.settings.service:
-            node.log.change(
-                'upstream.other_service', now, service=heartbeat.service
-            )
-            return Response(400)
         if self._core.receive_heartbeat(heartbeat, now):
             self._send_status_to_all()
         return Response(200, b'{}')
--- /dev/null
+++ b/testbed/documents.py
@@ -0,0 +1,13 @@
+"""Odd documents that another writer may send or store."""
+
+#: A number that fits into no encoding of the product.
+BIG = 10**400
+
+
+def nested(depth: int = 100_000) -> bytes:
+    """Return a JSON document of nested lists.
+
+    >>> nested(2)
+    b'[[]]'
+    """
+    return b'[' * depth + b']' * depth
--- a/testbed/flow_network.py
+++ b/testbed/flow_network.py
@@ -26,6 +26,7 @@
 from testbed.flow_callers import FlowCaller
 from testbed.flow_callers import Outcome
 from testbed.flow_platform import HEARTBEAT_INTERVAL_S
+from testbed.flow_platform import heartbeat_of
 from testbed.flow_platform import HEARTBEAT_PORT
 from testbed.flow_platform import OUTBOUND_PORT
 from testbed.flow_platform import PACKET_PORT
@@ -312,16 +313,19 @@
             if upstream.is_frozen:
                 await asyncio.sleep(HEARTBEAT_INTERVAL_S)
                 continue
-            body = upstream.heartbeat() | {
-                'service': host.service, 'zone': host.datacentre,
-                'address': host.ip, 'version': 'v1',
-            }  # fmt: skip
-            await self.call(
-                host, HEARTBEAT_PORT, 'PUT',
-                f'/v1/instances/{upstream.name}', json.dumps(body).encode(),
-            )  # fmt: skip
+            await self.send_heartbeat(
+                host, upstream.name, heartbeat_of(host, upstream)
+            )
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
+    async def send_heartbeat(
+        self, host: Host, name: str, body: dict
+    ) -> Response | None:
+        """Send a heartbeat to the agent of a host."""
+        path = f'/v1/instances/{name}'
+        data = json.dumps(body).encode()
+        return await self.call(host, HEARTBEAT_PORT, 'PUT', path, data)
+
     async def leave(self, host: Host, drain_s: float = 3.0) -> None:
         """Drain the upstream of a host, deregister it and end it."""
         upstream = host.upstream
--- a/testbed/flow_platform.py
+++ b/testbed/flow_platform.py
@@ -48,6 +48,14 @@
 )
 
 
+def heartbeat_of(host, upstream) -> dict[str, Any]:
+    """Return the body of the next heartbeat of an upstream on a host."""
+    return upstream.heartbeat() | {
+        'service': host.service, 'zone': host.datacentre,
+        'address': f'{host.ip}:{UPSTREAM_PORT}', 'version': 'v1',
+    }  # fmt: skip
+
+
 def settings_text(
     name: str,
     ip: str,
--- a/testbed/flow_processes.py
+++ b/testbed/flow_processes.py
@@ -24,6 +24,7 @@
 from ibispitch.platform.http import Response
 from ibispitch.platform.http import serve
 from testbed.flow_callers import FlowCaller
+from testbed.flow_platform import heartbeat_of
 from testbed.flow_platform import HEARTBEAT_PORT
 from testbed.flow_platform import OUTBOUND_PORT
 from testbed.flow_platform import PACKET_PORT
@@ -288,7 +289,7 @@
     async def _send_heartbeats(self, host, upstream, stack) -> None:
         while upstream.is_alive:
             if not upstream.is_frozen:
-                body = upstream.heartbeat() | {'service': host.service}
+                body = heartbeat_of(host, upstream)
                 path = f'/v1/instances/{upstream.name}'
                 control = Address(host.ip, HEARTBEAT_PORT)
                 await call(control, 'PUT', path, json.dumps(body).encode())
--- a/tests/platform/test_deployment.py
+++ b/tests/platform/test_deployment.py
@@ -8,6 +8,7 @@
 from testbed.flow_network import FlowNetwork
 from testbed.flow_platform import FEED
 from testbed.flow_platform import HEARTBEAT_INTERVAL_S
+from testbed.flow_platform import heartbeat_of
 from testbed.flow_platform import QUOTE
 from testbed.simulated_loop import simulate
 
@@ -403,6 +404,32 @@
         check_errors(network)
 
 
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'address': None, 'zone': None, 'version': None},
+        {'address': '10.9.9.9:99999'}, {'slots': 10**400}, {'slots': -4},
+    ],
+)  # fmt: skip
+def test_heartbeat_of_another_writer(change):
+    """Guards against resets of a live upstream's flows by another's heartbeat.
+
+    It looked like that of a new upstream in the place of the live one.
+    """
+    answers = []
+
+    async def fault(network):
+        host = network.agents[0]
+        body = heartbeat_of(host, host.upstream) | change
+        body |= {'sequence': 1, 'born': host.upstream.born_ms + 5000}
+        answers.append(await network.send_heartbeat(host, 'i-other', body))
+
+    network = simulate(lambda loop: run_with(build(loop), fault))
+    check_errors(network)
+    assert network.outcomes()[Outcome.FAILED] == 0
+    assert [answer.status for answer in answers] == [400]
+
+
 @pytest.mark.parametrize('seed', range(4))
 def test_stale_seeds(seed):
     """Guards against a process that stays unknown because its seeds are gone.
