Refuse odd documents in all readers, and keep the entries beside them

Operators of a similar system reported that one odd entry of another writer ended the processes that read it, again and again. The same happened here: a nested configuration ended each process that read it, one entry of the stored list that is no address ended each round of statuses, and numbers too large were accepted and ended the next message that carried them.

Cause: readers caught only the errors that their authors had seen, and what decoders accept was not compared with what the product can use. The decoders raise RecursionError, which is no ValueError, and pass integers of any length.

Ruled out: a limit inside the decoders (msgspec has none).

Change: ibispitch.decoding turns all errors of decoders into ValueError and has the ranges of numbers; messages, tables and saved flows state them in their types. Items of the store, routes, services and listed balancers are checked one by one. Pages of the store have to go on. Settings refuse ports and numbers out of range.

--- a/ibispitch/agent/datapath.py
+++ b/ibispitch/agent/datapath.py
@@ -29,6 +29,7 @@
 from ibispitch.agent.upstream import UpstreamSockets
 from ibispitch.catalogue.documents import Entry
 from ibispitch.datagrams import DatagramSocket
+from ibispitch.decoding import decode_msgpack
 from ibispitch.ids import Address
 from ibispitch.ids import AgentId
 from ibispitch.ids import FlowId
@@ -527,14 +528,14 @@
 
     def _adopt_moved(self, effect: AdoptMovedFlow, now: float) -> None:
         try:
-            moved = msgspec.msgpack.decode(effect.data, type=MovedFlow)
+            moved = decode_msgpack(effect.data, MovedFlow)
             self.return_paths.record_packet(
                 effect.flow, moved.balancer, moved.destination, now
             )
             self._apply_effects(
                 self.cores.gate.adopt_flow(moved.data, now), now
             )
-        except msgspec.DecodeError:
+        except ValueError:
             self._reject('bad_message')
             return
         self._metrics.count('affinity.moved_here')
--- a/ibispitch/checkpoint/messages.py
+++ b/ibispitch/checkpoint/messages.py
@@ -1,7 +1,12 @@
 """Messages that carry the flows of a restarting agent."""
 
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
 
+from ibispitch.decoding import Count
+from ibispitch.forwarding.packets import FLOW_KEY_BYTES
 from ibispitch.forwarding.packets import FlowKey
 
 #: Maximum number of flows in one message, so that it fits into a datagram of
@@ -19,11 +24,16 @@
     :param flows: the flow keys.
     """
 
-    saved_by: int
-    incarnation: int
-    part: int
-    parts: int
-    flows: tuple[bytes, ...]
+    saved_by: Count
+    incarnation: Count
+    part: Count
+    parts: Count
+    flows: tuple[
+        Annotated[
+            bytes, Meta(min_length=FLOW_KEY_BYTES, max_length=FLOW_KEY_BYTES)
+        ],
+        ...,
+    ]
 
 
 class CheckpointRequest(msgspec.Struct, frozen=True, array_like=True, tag=4):
@@ -32,7 +42,7 @@
     :param started_ms: start of the requesting process, Unix time.
     """
 
-    started_ms: int
+    started_ms: Count
 
 
 def split_flows(
--- a/ibispitch/fleet/directory.py
+++ b/ibispitch/fleet/directory.py
@@ -10,11 +10,14 @@
 from collections import defaultdict
 from collections.abc import Iterable
 from itertools import chain
+from typing import Any
 from typing import NamedTuple
 
 import msgspec
 
+from ibispitch.decoding import decode_json
 from ibispitch.ids import DatacentreName
+from ibispitch.ids import is_ip
 
 #: Time for which the balancers must differ from the list before it is
 #: written again. Restarts end within this time, so that they cost no calls.
@@ -22,6 +25,8 @@
 #: Maximum number of listed balancers of a data centre. Any one of them leads
 #: to the others.
 MAX_PER_DATACENTRE = 16
+#: Maximum number of balancers that are taken from a stored list.
+MAX_STORED = 1024
 
 
 class KnownBalancer(NamedTuple):
@@ -35,6 +40,10 @@
     balancers: tuple[str, ...]
 
 
+class _StoredDocument(msgspec.Struct):
+    balancers: tuple[Any, ...]
+
+
 def encode_directory(ips: tuple[str, ...]) -> bytes:
     """Return the JSON document that lists balancers.
 
@@ -47,9 +56,18 @@
 def decode_directory(data: bytes) -> tuple[str, ...]:
     """Return the balancers that a document lists.
 
-    :raises ValueError: if it is not such a document.
+    Entries that are no IPv4 address are left out; the others hold.
+
+    :raises ValueError: if it is not such a document or has only such entries.
+
+    >>> decode_directory(b'{"balancers":["10.1.0.4", "10.1.0.4:99999", [[]]]}')
+    ('10.1.0.4',)
     """
-    return msgspec.json.decode(data, type=_Document).balancers
+    listed = decode_json(data, _StoredDocument).balancers
+    ips = tuple(entry for entry in listed[:MAX_STORED] if is_ip(entry))
+    if listed and not ips:
+        raise ValueError('none of the listed balancers is an IPv4 address')
+    return ips
 
 
 def choose_listed(balancers: Iterable[KnownBalancer]) -> tuple[str, ...]:
--- a/ibispitch/fleet/messages.py
+++ b/ibispitch/fleet/messages.py
@@ -7,12 +7,19 @@
 from collections.abc import Iterable
 import enum
 import socket
+from typing import Annotated
 import zlib
 
 import msgspec
+from msgspec import Meta
 
 from ibispitch.checkpoint.messages import CheckpointPart
 from ibispitch.checkpoint.messages import CheckpointRequest
+from ibispitch.decoding import Count
+from ibispitch.decoding import decode_with
+from ibispitch.decoding import Number
+from ibispitch.decoding import Quantity
+from ibispitch.decoding import Whole
 from ibispitch.ids import DatacentreName
 from ibispitch.ids import ServiceName
 from ibispitch.routes.position import TablePosition
@@ -73,25 +80,25 @@
 
     datacentre: DatacentreName
     service: ServiceName
-    started_ms: int
-    number: int
-    incarnation: int
+    started_ms: Count
+    number: Count
+    incarnation: Count
     state: AgentState
-    slots: int
-    running: int
-    work_s: float
-    failing: float
-    long_flows: int
-    cold_openings: int | None
-    cold_left_s: float
-    revision: int
-    interval_s: float
+    slots: Count
+    running: Whole
+    work_s: Number
+    failing: Number
+    long_flows: Whole
+    cold_openings: Whole | None
+    cold_left_s: Number
+    revision: Count
+    interval_s: Quantity
     wants_answer: bool
     reuse: tuple[tuple[bytes, bool], ...] = ()
-    unused_load: float | None = None
+    unused_load: Number | None = None
     unused_senders: tuple[DatacentreName, ...] = ()
-    cold_limit: int = 0
-    late: int = 0
+    cold_limit: Whole = 0
+    late: Whole = 0
 
 
 class BalancerStatus(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -117,19 +124,19 @@
     """
 
     datacentre: DatacentreName
-    started_ms: int
-    number: int
-    revision: int
-    age_s: float
-    link_mbps: float
+    started_ms: Count
+    number: Count
+    revision: Count
+    age_s: Number
+    link_mbps: Number
     is_leaving: bool
     knows_fleet: bool
     balancers: bytes
     agents: bytes
-    interval_s: float
+    interval_s: Quantity
     wants_answer: bool
-    era: int = 0
-    version: int = 0
+    era: Count = 0
+    version: Count = 0
     passes_on: bool = False
 
     @property
@@ -148,8 +155,8 @@
     :param age_ms: time since the reporting balancer got the status.
     """
 
-    ip: bytes
-    age_ms: int
+    ip: Annotated[bytes, Meta(min_length=IP_BYTES, max_length=IP_BYTES)]
+    age_ms: Count
     status: Status
 
 
@@ -225,7 +232,7 @@
         raise ValueError(
             f'the entries cannot be decompressed: {error}'
         ) from None
-    return _entries_decoder.decode(data)
+    return decode_with(_entries_decoder, data)
 
 
 def message_name(data: bytes) -> str:
@@ -247,6 +254,6 @@
 def decode_message(data: bytes) -> Message | None:
     """Decode a message, ``None`` if it is not valid."""
     try:
-        return _decoder.decode(data)
-    except msgspec.MsgspecError:
+        return decode_with(_decoder, data)
+    except ValueError:
         return None
--- a/ibispitch/forwarding/packets.py
+++ b/ibispitch/forwarding/packets.py
@@ -33,6 +33,7 @@
 BOUNCED = 16
 
 FLOW_KEY_BYTES = 12
+DESTINATION_BYTES = 6
 #: Largest distance between an acknowledgement and the upstream's next
 #: sequence number: the largest window of a sender, 64 packets of 1,200
 #: bytes. A reset has to be within the same distance.
--- a/ibispitch/ids.py
+++ b/ibispitch/ids.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import socket
+from typing import Any
 from typing import NamedTuple
 from typing import NewType
 
@@ -55,6 +56,18 @@
     return Address(str(ipaddress.IPv4Address(ip)), number)
 
 
+def is_ip(value: Any) -> bool:
+    """Return whether a value is the text of an IPv4 address.
+
+    >>> [is_ip('10.1.0.4'), is_ip('10.1.0.4:80'), is_ip(['10.1.0.4'])]
+    [True, False, False]
+    """
+    try:
+        return isinstance(value, str) and bool(ipaddress.IPv4Address(value))
+    except ValueError:
+        return False
+
+
 def service_number(name: ServiceName) -> ServiceNumber:
     """Return the number of a service in data-path frames.
 
--- a/ibispitch/membership/keys.py
+++ b/ibispitch/membership/keys.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ibispitch.decoding import decode_msgpack
 from ibispitch.ids import AgentId
 from ibispitch.ids import BalancerId
 from ibispitch.membership.records import AgentRecord
@@ -57,9 +58,9 @@
     """
     try:
         if item.key.startswith(BALANCER_PREFIX):
-            return msgspec.msgpack.decode(item.value, type=BalancerRecord)
+            return decode_msgpack(item.value, BalancerRecord)
         if item.key.startswith(AGENT_PREFIX):
-            return msgspec.msgpack.decode(item.value, type=AgentRecord)
-    except msgspec.MsgspecError:
+            return decode_msgpack(item.value, AgentRecord)
+    except ValueError:
         pass
     return None
--- a/ibispitch/membership/reader.py
+++ b/ibispitch/membership/reader.py
@@ -7,15 +7,19 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
 import math
 import random
 import time
+from typing import Any
 
 import msgspec
 
 from ibispitch.catalogue.documents import DocumentError
 from ibispitch.catalogue.documents import parse_document
+from ibispitch.decoding import decode_json
 from ibispitch.ids import Address
+from ibispitch.ids import parse_address
 from ibispitch.membership.keys import DATACENTRE_PREFIX
 from ibispitch.membership.keys import ENTRY_PREFIX
 from ibispitch.membership.records import BalancerRecord
@@ -94,18 +98,29 @@
         result = await store.range(cluster_key(cluster, 'members/'))
     except StoreError:
         return []
-    addresses = []
-    for item in result.items:
+    return [
+        address
+        for item in result.items
+        for address in snapshot_addresses(item.value)
+    ]
+
+
+def snapshot_addresses(value: bytes) -> Iterator[Address]:
+    """Return the control addresses in a snapshot.
+
+    Records that can't be read are left out: they are from another release,
+    whose balancers are found by gossip, or from another writer.
+    """
+    try:
+        records = decode_json(value, list[Any])
+    except ValueError:
+        return
+    for raw in records:
         try:
-            records = msgspec.json.decode(
-                item.value, type=list[BalancerRecord]
-            )
-        except msgspec.MsgspecError:
-            # The snapshot is from another release; its balancers are found
-            # by gossip.
+            record = msgspec.convert(raw, BalancerRecord)
+            yield parse_address(str(record.control_address))
+        except (ValueError, RecursionError):
             continue
-        addresses += [record.control_address for record in records]
-    return addresses
 
 
 class CatalogueReader:
--- a/ibispitch/platform/http.py
+++ b/ibispitch/platform/http.py
@@ -19,6 +19,9 @@
 MAX_BODY_BYTES = 8 << 20
 #: Time-out for idle connections and slow senders of requests.
 IDLE_TIMEOUT_S = 30.0
+#: Errors of the parser. A message that asks for another protocol raises
+#: ``HttpParserUpgrade``, which is no ``HttpParserError``.
+PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 
 _REASONS = {
     200: 'OK', 400: 'Bad Request', 404: 'Not Found',
@@ -101,7 +104,7 @@
     async def serve_connection(reader, writer):
         try:
             await _serve_requests(reader, writer, handler)
-        except (OSError, TimeoutError, httptools.HttpParserError) as error:
+        except (OSError, TimeoutError, *PARSER_ERRORS) as error:
             on_error(error)
         finally:
             writer.close()
@@ -174,7 +177,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._exchange(method, path, body)
-        except (ValueError, httptools.HttpParserError) as error:
+        except (ValueError, *PARSER_ERRORS) as error:
             self.close()
             raise ConnectionError(
                 f'malformed HTTP response: {error}'
--- a/ibispitch/platform/routes.py
+++ b/ibispitch/platform/routes.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
-import math
 from typing import Any
 
 import msgspec
 
+from ibispitch.decoding import decode_json
+from ibispitch.decoding import is_count
+from ibispitch.decoding import is_number
 from ibispitch.forwarding.packets import Destination
 from ibispitch.ids import DatacentreName
 from ibispitch.ids import ServiceName
@@ -15,6 +17,7 @@
 from ibispitch.platform.store import StoreCallError
 from ibispitch.routes.kinds import is_known
 from ibispitch.routes.kinds import KindName
+from ibispitch.routes.model import MAX_WEIGHT
 from ibispitch.routes.model import Route
 from ibispitch.routes.model import RouteTable
 from ibispitch.routes.model import ServiceLimits
@@ -120,9 +123,11 @@
         data is not a configuration.
     """
     try:
-        raw = msgspec.json.decode(data)
+        raw = decode_json(data)
         version, raw_routes = int(raw['version']), list(raw['routes'])
-    except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
+    except (KeyError, TypeError, ValueError):
+        return None
+    if not is_count(version):
         return None
     problems = _Problems()
     raw_services = raw.get('services')
@@ -158,22 +163,37 @@
     def __init__(self, raw: dict, problems: _Problems):
         self.raw = raw
         self._problems = problems
-        self.name = str(raw.get('name'))
+        self.name = _name_of(raw)
 
     def number(self, field: str, default: float = 0.0) -> float:
-        """Return a field that holds a finite number."""
+        """Return a field that holds a number in range."""
         value = self.raw.get(field, default)
-        is_number = isinstance(value, int | float)
-        if is_number and not isinstance(value, bool) and math.isfinite(value):
+        if is_number(value):
             return value
         self.report(f'{field} is not a number')
         return default
 
+    def text(self, field: str, default: str = '') -> str:
+        """Return a field that holds text."""
+        value = self.raw.get(field, default)
+        if isinstance(value, str):
+            return value
+        self.report(f'{field} is not text')
+        return default
+
     def report(self, problem: str) -> None:
         """Record a problem of the entry."""
         self._problems.add(problem, self.name)
 
 
+def _name_of(entry: Any) -> str:
+    """Return the name of an entry, for reports of its problems."""
+    name = entry.get('name') if isinstance(entry, dict) else entry
+    if name is None or isinstance(name, str):
+        return str(name)
+    return f'a {type(name).__name__}'
+
+
 def _decode_all(
     entries: list,
     decode: Callable[[_FieldReader], Any],
@@ -184,9 +204,8 @@
         try:
             decoded.append(decode(_FieldReader(entry, problems)))
         except (AttributeError, KeyError, TypeError, ValueError) as error:
-            named = entry.get('name') if isinstance(entry, dict) else entry
             reason = f'left out: {type(error).__name__} {error}'
-            problems.add(reason, str(named))
+            problems.add(reason, _name_of(entry))
     return tuple(decoded)
 
 
@@ -211,7 +230,7 @@
     port = int(raw['prefix'].strip('/'))
     if len(address) != 4 or not 0 < port < 1 << 16:
         raise ValueError('not an IPv4 address and a port')
-    kind = KindName(str(raw.get('type')))
+    kind = KindName(reader.text('type'))
     if not is_known(kind):
         reader.report(f'type {kind!r} is unknown, served without its hints')
     return Route(
@@ -240,16 +259,19 @@
     """
     raw = reader.raw
     if raw.get('service'):
-        return (Share(ServiceName(str(raw['service'])), 1),)
+        return (Share(_service_name(raw['service']), 1),)
     shares = []
     for part in raw['backends']:
         try:
-            service, weight = part['service'], int(part['weight'])
-        except (KeyError, TypeError, ValueError) as error:
+            service = _service_name(part['service'])
+            weight = int(part['weight'])
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
             reader.report(f'part left out: {type(error).__name__} {error}')
             continue
-        if weight > 0:
-            shares.append(Share(ServiceName(str(service)), weight))
+        if 0 < weight <= MAX_WEIGHT:
+            shares.append(Share(service, weight))
+        elif weight:
+            reader.report('part left out: weight out of range')
     if not shares:
         raise ValueError('no service with a weight above 0')
     return tuple(shares)
@@ -261,8 +283,18 @@
     :raises KeyError: if it has no name.
     """
     return ServiceLimits(
-        name=ServiceName(str(reader.raw['name'])),
+        name=_service_name(reader.raw['name']),
         cold_start_s=reader.number('cold_start_s'),
         cold_openings_per_s=reader.number('cold_per_s'),
-        health_path=str(reader.raw.get('health_path', '')),
+        health_path=reader.text('health_path'),
     )
+
+
+def _service_name(value: Any) -> ServiceName:
+    """Return the name of a service.
+
+    :raises TypeError: if it is not text.
+    """
+    if not isinstance(value, str):
+        raise TypeError(f'a service is named by a {type(value).__name__}')
+    return ServiceName(value)
--- a/ibispitch/platform/settings.py
+++ b/ibispitch/platform/settings.py
@@ -11,6 +11,7 @@
 from typing import Any
 from typing import NamedTuple
 
+from ibispitch.decoding import MAX_NUMBER
 from ibispitch.gate.core import ColdLimits
 from ibispitch.ids import Address
 from ibispitch.ids import DatacentreName
@@ -122,14 +123,14 @@
         seed_ips=read('seeds', _parse_ips, ()),
         is_first_start=read('bootstrap', _parse_flag, False),
         heartbeat_s=read('heartbeat_ms', _parse_milliseconds),
-        link_mbps=read('limits.link_mbps', float, 0.0),
+        link_mbps=read('limits.link_mbps', _parse_quantity, 0.0),
         bounds=Bounds(
             configuration_s=read('bounds.config_ms', _parse_milliseconds),
             stability_s=read('bounds.stability_ms', _parse_milliseconds, 0.0),
-            stop_s=read('bounds.grace_s', float),
+            stop_s=read('bounds.grace_s', _parse_quantity),
             cold=ColdLimits(
-                read('bounds.cold_factor', float, 1.0),
-                read('bounds.cold_slack', float, 0.0),
+                read('bounds.cold_factor', _parse_quantity, 1.0),
+                read('bounds.cold_slack', _parse_quantity, 0.0),
             ),
         ),
     )
@@ -165,7 +166,10 @@
 
 
 def _parse_first_port(text: str) -> int:
-    return int(text.split(',')[0])
+    port = int(text.split(',')[0])
+    if not 0 < port < 1 << 16:
+        raise ValueError('not a port from 1 to 65535')
+    return port
 
 
 def _parse_ips(text: str) -> tuple[str, ...]:
@@ -181,4 +185,11 @@
 
 
 def _parse_milliseconds(text: str) -> float:
-    return float(text) / 1000
+    return _parse_quantity(text) / 1000
+
+
+def _parse_quantity(text: str) -> float:
+    value = float(text)
+    if not 0.0 <= value <= MAX_NUMBER:
+        raise ValueError('not a number from 0')
+    return value
--- a/ibispitch/platform/store.py
+++ b/ibispitch/platform/store.py
@@ -6,13 +6,14 @@
 
 from base64 import b64decode
 from base64 import b64encode
-import binascii
 from typing import Any
 from typing import NamedTuple
 from urllib.parse import urlencode
 
 import msgspec
 
+from ibispitch.decoding import decode_json
+from ibispitch.decoding import is_count
 from ibispitch.ids import Address
 from ibispitch.platform.http import HttpClient
 from ibispitch.platform.http import Response
@@ -22,6 +23,9 @@
 CALL_TIMEOUT_S = 1.5
 #: Header with a number that rises each time the store comes back from a copy.
 ERA_HEADER = 'Store-Era'
+#: Largest era and revision that a position of routes can hold.
+MAX_ERA = (1 << 16) - 2
+MAX_REVISION = (1 << 48) - 1
 
 
 class StoreCallError(Exception):
@@ -97,7 +101,12 @@
                 raise StoreCallError(0, 'the era changed between two pages')
             if not page.get('has_more') or not raw_items:
                 return Listing(revision, tuple(items), era)
-            query['after'] = str(raw_items[-1].get('key', ''))
+            last_key = raw_items[-1].get('key')
+            if not isinstance(last_key, str) or last_key <= query.get(
+                'after', ''
+            ):
+                raise StoreCallError(0, 'a page does not end with a later key')
+            query['after'] = last_key
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Listing:
         """Return the changes under a prefix after a revision.
@@ -167,8 +176,8 @@
             response.status, response.body[:200].decode('utf-8', 'replace')
         )
     try:
-        answer = msgspec.json.decode(response.body)
-    except msgspec.MsgspecError as error:
+        answer = decode_json(response.body)
+    except ValueError as error:
         raise StoreCallError(0, f'answer is not JSON: {error}') from error
     if not isinstance(answer, dict):
         raise StoreCallError(0, 'answer is not an object')
@@ -181,7 +190,9 @@
     The store may count from 0.
     """
     text = response.header(ERA_HEADER) or ''
-    return int(text) + 1 if text.isascii() and text.isdecimal() else 0
+    is_number = text.isascii() and text.isdecimal() and len(text) < 10
+    era = int(text) + 1 if is_number else 0
+    return era if era <= MAX_ERA else 0
 
 
 def _list_of(answer: dict[str, Any], field: str) -> list[dict]:
@@ -193,19 +204,19 @@
 
 def _revision_of(answer: dict[str, Any], field: str) -> int:
     value = answer.get(field)
-    if not isinstance(value, int):
+    if not is_count(value, MAX_REVISION):
         raise StoreCallError(0, f'answer has no valid {field}')
     return value
 
 
 def _decode_item(raw: dict) -> Item | None:
     key, revision = raw.get('key'), raw.get('revision')
-    if not isinstance(key, str) or not isinstance(revision, int):
+    if not isinstance(key, str) or not is_count(revision, MAX_REVISION):
         return None
     if raw.get('removed'):
         return Item(key, None, revision)
     try:
         value = b64decode(raw.get('value') or '', validate=True)
-    except (TypeError, binascii.Error):
+    except (TypeError, ValueError):
         return None
     return Item(key, value, revision)
--- a/ibispitch/requests/core.py
+++ b/ibispitch/requests/core.py
@@ -11,6 +11,7 @@
 from ibispitch.admission.types import Admission
 from ibispitch.admission.types import Retries
 from ibispitch.admission.types import RunOutcome
+from ibispitch.decoding import decode_msgpack
 from ibispitch.ids import AgentId
 from ibispitch.ids import FLOW_ID_BYTES
 from ibispitch.ids import FlowId
@@ -461,9 +462,9 @@
         Its observations are registered at the upstream of this agent. A
         second copy of an export is ignored.
 
-        :raises msgspec.DecodeError: if the data is not an exported flow.
+        :raises ValueError: if the data is not an exported flow.
         """
-        export = msgspec.msgpack.decode(data, type=FlowExport)
+        export = decode_msgpack(data, FlowExport)
         if export.export_id in self._adopted_exports:
             return []
         self._adopted_exports[export.export_id] = now + EXPORT_LIFETIME_S
@@ -597,9 +598,9 @@
         It calls ``record_start`` of admission for each run in progress and
         ``decide`` for each waiting one.
 
-        :raises msgspec.DecodeError: if the data is not an exported state.
+        :raises ValueError: if the data is not an exported state.
         """
-        snapshot = msgspec.msgpack.decode(data, type=Snapshot)
+        snapshot = decode_msgpack(data, Snapshot)
         keys = list((snapshot.echo.keys | self._echo.state.keys).items())
         snapshot.echo.keys = dict(keys[-MAX_INCARNATIONS:])
         self._echo.state = snapshot.echo
--- a/ibispitch/routes/model.py
+++ b/ibispitch/routes/model.py
@@ -5,11 +5,19 @@
 """
 
 from collections import defaultdict
+from typing import Annotated
 import zlib
 
 import msgspec
+from msgspec import Meta
 
+from ibispitch.decoding import Count
+from ibispitch.decoding import decode_msgpack
+from ibispitch.decoding import Number
+from ibispitch.decoding import Quantity
+from ibispitch.decoding import Whole
 from ibispitch.forwarding.packets import Destination
+from ibispitch.forwarding.packets import DESTINATION_BYTES
 from ibispitch.forwarding.packets import destination_of
 from ibispitch.forwarding.packets import FlowKey
 from ibispitch.ids import DatacentreName
@@ -17,12 +25,18 @@
 from ibispitch.routes.kinds import KindName
 from ibispitch.routes.position import TablePosition
 
+#: Maximum size of an encoded table, before and after compression. It is far
+#: above that of the largest configuration that the store accepts (1 MB).
+MAX_TABLE_BYTES = 8 << 20
+#: Largest weight of a share.
+MAX_WEIGHT = 1 << 20
+
 
 class Share(msgspec.Struct, frozen=True, array_like=True):
     """Share of a route's new flows that a service gets."""
 
     service: ServiceName
-    weight: int
+    weight: Annotated[int, Meta(ge=1, le=MAX_WEIGHT)]
 
 
 class Route(msgspec.Struct, frozen=True, array_like=True):
@@ -36,12 +50,15 @@
     :param priority: 0 for the most urgent requests.
     """
 
-    destination: bytes
-    shares: tuple[Share, ...]
+    destination: Annotated[
+        bytes,
+        Meta(min_length=DESTINATION_BYTES, max_length=DESTINATION_BYTES),
+    ]
+    shares: Annotated[tuple[Share, ...], Meta(min_length=1)]
     kind: KindName
-    objective_s: float
-    timeout_s: float
-    priority: int
+    objective_s: Quantity
+    timeout_s: Quantity
+    priority: Whole
 
     def service_for(self, flow: FlowKey) -> ServiceName:
         """Return the service of a flow; copies of a flow get the same."""
@@ -67,8 +84,8 @@
     """
 
     name: ServiceName
-    cold_start_s: float
-    cold_openings_per_s: float
+    cold_start_s: Number
+    cold_openings_per_s: Number
     health_path: str
 
 
@@ -85,13 +102,13 @@
         came back from a copy in which they are not.
     """
 
-    revision: int
-    version: int
+    revision: Count
+    version: Count
     routes: tuple[Route, ...]
     services: tuple[ServiceLimits, ...]
-    idle_timeout_s: float
+    idle_timeout_s: Number
     out: frozenset[DatacentreName]
-    era: int = 0
+    era: Count = 0
     held_out: frozenset[DatacentreName] = frozenset()
 
     @property
@@ -160,7 +177,9 @@
 
     :raises ValueError: if the data is not a table.
     """
+    decompressor = zlib.decompressobj()
     try:
-        return msgspec.msgpack.decode(zlib.decompress(data), type=RouteTable)
-    except (zlib.error, msgspec.MsgspecError) as error:
+        content = decompressor.decompress(data, MAX_TABLE_BYTES)
+        return decode_msgpack(content, RouteTable)
+    except (zlib.error, ValueError) as error:
         raise ValueError(f'not a route table: {error}') from error
--- a/ibispitch/routes/transfer.py
+++ b/ibispitch/routes/transfer.py
@@ -10,14 +10,13 @@
 from ibispitch.ids import Address
 from ibispitch.routes.model import decode_table
 from ibispitch.routes.model import encode_table
+from ibispitch.routes.model import MAX_TABLE_BYTES
 from ibispitch.routes.model import RouteTable
 
 #: Time-out of a transfer. Connections between hosts can stop without an
 #: error.
 TRANSFER_TIMEOUT_S = 1.0
 _LENGTH_BYTES = 4
-#: Far above the largest configuration that the store accepts (1 MB).
-MAX_TABLE_BYTES = 8 << 20
 
 
 async def serve_table(
--- a/ibispitch/store/client.py
+++ b/ibispitch/store/client.py
@@ -12,6 +12,7 @@
 
 import aiohttp
 
+from ibispitch.decoding import decode_json
 from ibispitch.store import messages
 from ibispitch.store.errors import StoreError
 from ibispitch.store.errors import StoreFault
@@ -45,6 +46,7 @@
     TypeError,
     ValueError,
     AttributeError,
+    OverflowError,
 )
 
 
@@ -388,7 +390,7 @@
 
 def _parse(text: str | bytes, parse: Callable[[dict], T], is_write: bool) -> T:
     try:
-        return parse(json.loads(text))
+        return parse(decode_json(text))
     except ANSWER_PARSE_ERRORS as error:
         raise StoreError(
             StoreFault.MALFORMED,
@@ -406,7 +408,7 @@
     call was cancelled on the way.
     """
     try:
-        answer = json.loads(text)
+        answer = decode_json(text)
         code, detail = answer.get('code', 0), str(answer['message'])
     except ANSWER_PARSE_ERRORS:
         code, detail = 0, text
--- a/ibispitch/store/messages.py
+++ b/ibispitch/store/messages.py
@@ -148,6 +148,21 @@
     return int(answer['header']['revision'])
 
 
+def has_text_key(raw: dict) -> bool:
+    """Return whether the key of a ``kv`` object is text.
+
+    Another writer may use any bytes. Such a key is none of this product.
+
+    >>> [has_text_key({'key': key}) for key in ('YQ==', '/w==')]
+    [True, False]
+    """
+    try:
+        b64decode(raw['key'], validate=True).decode()
+    except UnicodeDecodeError:
+        return False
+    return True
+
+
 def parse_key_value(raw: dict) -> KeyValue:
     """Parse a ``kv`` object.
 
@@ -164,7 +179,11 @@
 
 def parse_range_result(answer: dict) -> RangeResult:
     """Parse the answer to a range request."""
-    items = tuple(parse_key_value(raw) for raw in answer.get('kvs', ()))
+    items = tuple(
+        parse_key_value(raw)
+        for raw in answer.get('kvs', ())
+        if has_text_key(raw)
+    )
     return RangeResult(parse_revision(answer), items)
 
 
@@ -193,5 +212,9 @@
 
 def parse_watch_batch(result: dict) -> WatchBatch:
     """Parse a report of a watch."""
-    events = tuple(parse_watch_event(raw) for raw in result.get('events', ()))
+    events = tuple(
+        parse_watch_event(raw)
+        for raw in result.get('events', ())
+        if has_text_key(raw['kv'])
+    )
     return WatchBatch(parse_revision(result), events)
--- a/ibispitch/story.py
+++ b/ibispitch/story.py
@@ -5,10 +5,11 @@
 """
 
 from collections.abc import Iterable
-import json
 from typing import Any
 from typing import NamedTuple
 
+from ibispitch.decoding import decode_json
+
 #: Time before and after the lines of a flow in which changes of its agent and
 #: of the logging processes are selected as well.
 CONTEXT_S = 5.0
@@ -50,14 +51,16 @@
         if start < 0:
             continue
         try:
-            raw = json.loads(text[start:])
+            raw = decode_json(text[start:])
             line = Line(
                 float(raw.pop('time')),
                 str(raw.pop('process')),
                 str(raw.pop('event')),
                 raw,
             )
-        except (ValueError, KeyError, TypeError, AttributeError):
+        except (
+            ValueError, KeyError, TypeError, AttributeError, OverflowError,
+        ):  # fmt: skip
             continue
         line.inputs.pop('at', None)
         lines.append(line)
--- a/testbed/documents.py
+++ b/testbed/documents.py
@@ -11,3 +11,12 @@
     b'[[]]'
     """
     return b'[' * depth + b']' * depth
+
+
+def nested_msgpack(depth: int = 100_000) -> bytes:
+    r"""Return a msgpack document of nested lists.
+
+    >>> nested_msgpack(2)
+    b'\x91\x91\x90'
+    """
+    return depth * b'\x91' + b'\x90'
