Order the processes of a host without the time of day

Cause: statuses were ordered by the time of day at the start of a process.

Ruled out: a generation learnt from the fleet, since a process that starts alone, or with a balancer that missed its predecessor, learns a wrong one and needs it before its first status.

Change: each receiver remembers the processes of a host that were replaced. An unseen identifier is a new process; messages of former ones are late, unless they go on for a second while the present one is silent. A late end of a former balancer no longer removes its successor. No message has changed.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -18,6 +18,7 @@
 from ibispitch.fleet.messages import AgentStatus
 from ibispitch.fleet.messages import BalancerStatus
 from ibispitch.fleet.messages import unpack_ips
+from ibispitch.fleet.order import ProcessOrder
 from ibispitch.fleet.rounds import FAR_ROUNDS
 from ibispitch.fleet.rounds import STATUS_INTERVAL_S
 from ibispitch.forwarding.packets import Destination
@@ -71,6 +72,7 @@
         'ip',
         'is_reported',
         'is_unresponsive',
+        'order',
         'report_interval_s',
         'silent_since',
         'status',
@@ -79,6 +81,7 @@
     def __init__(self, ip: str, status: AgentStatus, now: float):
         self.ip = ip
         self.status = status
+        self.order = ProcessOrder(status.started_ms, status.number, now)
         self.heard_at = now
         #: New flows that were forwarded to it since its last status.
         self.flows_since_status = 0
@@ -123,11 +126,13 @@
 class BalancerView:
     """State of a balancer, from its last status."""
 
-    __slots__ = ('heard_at', 'ip', 'known_at', 'status')
+    __slots__ = ('heard_at', 'ip', 'known_at', 'order', 'status')
 
-    def __init__(self, ip: str, status: BalancerStatus | None, now: float):
+    def __init__(self, ip: str, now: float):
         self.ip = ip
-        self.status = status
+        self.status: BalancerStatus | None = None
+        #: ``None`` until its first status.
+        self.order: ProcessOrder | None = None
         self.heard_at = now
         #: Time of its last status or its last mention by another balancer.
         self.known_at = now
@@ -139,10 +144,6 @@
     return RESTART_TIMEOUT_S if is_back_soon else LOST_S
 
 
-def _is_not_newer(new, old) -> bool:
-    return (new.started_ms, new.number) <= (old.started_ms, old.number)
-
-
 class Fleet:
     """Known balancers and agents, by their IP addresses."""
 
@@ -196,7 +197,7 @@
             self.last_new_agent_at = now
             return None
         former = view.status
-        if _is_not_newer(status, former):
+        if not view.order.accept(status.started_ms, status.number, now):
             return status
         if former.service != status.service:
             self._ips_by_service[former.service].pop(ip, None)
@@ -293,12 +294,17 @@
                 self._unheard_agents[agent] = now
         view = self.balancers_by_ip.get(ip)
         if status.is_leaving:
-            self.balancers_by_ip.pop(ip, None)
+            # A former process of the host may have left long ago.
+            order = view.order if view else None
+            if order is None or order.is_present(status.started_ms):
+                self.balancers_by_ip.pop(ip, None)
             return False
         if view is None:
-            view = self.balancers_by_ip[ip] = BalancerView(ip, None, now)
+            view = self.balancers_by_ip[ip] = BalancerView(ip, now)
         former = view.status
-        if former is not None and _is_not_newer(status, former):
+        if view.order is None:
+            view.order = ProcessOrder(status.started_ms, status.number, now)
+        elif not view.order.accept(status.started_ms, status.number, now):
             return False
         view.status = status
         view.heard_at = view.known_at = now
@@ -313,7 +319,7 @@
             return
         view = self.balancers_by_ip.get(ip)
         if view is None:
-            view = self.balancers_by_ip[ip] = BalancerView(ip, None, now)
+            view = self.balancers_by_ip[ip] = BalancerView(ip, now)
             self._added_balancers.append(ip)
         view.known_at = now
 
