Let the upstream decide on flows of another incarnation

Cause: the first heartbeat of a process counted as that of the live upstream, and another incarnation than that of the restored flows ended them. The same conclusion stood in two more places: an agent that doesn't know all flows denied those that were placed for another incarnation, and a balancer took them for lost once such an agent was silent for a second. A `born` that steps back hid a live upstream for ever.

Ruled out: comparing the two `born`, since the clock of an upstream may step between two starts.

Change: another incarnation makes flows unconfirmed. Only an agent that knows all flows denies one for its incarnation; balancers wait for the agent. A heartbeat that seems older counts if those of its process go on for a second while there are no others.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -506,10 +506,11 @@
     def has_lost_flows(self, ip: str, incarnation: int, now: float) -> bool:
         """Return whether the flows of an upstream are certainly lost.
 
-        They are lost if the agent reports that the upstream has ended or that
-        it has another one. They also count as lost if the agent has sent no
-        status for a long time while most other agents have a recent one:
-        then this process is not the one that is cut off.
+        They are lost if the agent reports that the upstream has ended. They
+        also count as lost if the agent has sent no status for a long time
+        while most other agents have a recent one: then this process is not
+        the one that is cut off. If the agent reports another incarnation,
+        only the agent can tell whose flow it is.
 
         :param incarnation: the upstream, 0 if it is not known which one of
             the agent's upstreams it was.
@@ -518,9 +519,12 @@
         if view is None:
             return False
         status = view.status
-        if incarnation and status.incarnation not in (0, incarnation):
-            return True
-        if incarnation and status.state is AgentState.ENDED:
+        has_ended = status.state is AgentState.ENDED
+        if (
+            incarnation
+            and has_ended
+            and status.incarnation in (0, incarnation)
+        ):
             return True
         return now > self._lost_at(view) and self._has_most_statuses(now)
 
@@ -547,24 +551,6 @@
         silence = now - view.heard_at
         return silence < max(RESTART_TIMEOUT_S, self.lost_after_s(view))
 
-    def has_other_upstream(
-        self, ip: str, incarnation: int, now: float
-    ) -> bool:
-        """Return whether an agent with a recent status has a new upstream.
-
-        Flows that were opened between the start of the new upstream and its
-        first heartbeat belong to the new one; only the agent knows them.
-
-        :param incarnation: the upstream to which a flow was forwarded.
-        """
-        view = self.agents_by_ip.get(ip)
-        return (
-            view is not None
-            and view.status.incarnation not in (0, incarnation)
-            and view.status.state is not AgentState.ENDED
-            and self.has_recent_status(view, now)
-        )
-
     def _has_most_statuses(self, now: float) -> bool:
         views = self.agents_by_ip.values()
         recent = [view for view in views if self._is_recent(view, now)]
--- a/ibispitch/fleet/order.py
+++ b/ibispitch/fleet/order.py
@@ -28,6 +28,36 @@
     since: float
 
 
+class Continuation:
+    """Tells whether a process that seems to be replaced goes on sending."""
+
+    __slots__ = ('_candidate',)
+
+    def __init__(self):
+        self._candidate: _Candidate | None = None
+
+    def record(self, process: int, number: int, now: float) -> bool:
+        """Record a message that seems to be late.
+
+        :returns: whether the process has sent messages with rising numbers
+            for :data:`CONTINUES_S`, so that they are not late.
+        """
+        candidate = self._candidate
+        if (
+            candidate is None
+            or candidate.process != process
+            or number <= candidate.number
+        ):
+            self._candidate = _Candidate(process, number, now)
+            return False
+        self._candidate = candidate._replace(number=number)
+        return now - candidate.since >= CONTINUES_S
+
+    def end(self) -> None:
+        """Record a message of the present process."""
+        self._candidate = None
+
+
 class ProcessOrder:
     """Order of the processes of one host.
 
@@ -36,7 +66,9 @@
     :param now: time of the message in seconds.
     """
 
-    __slots__ = ('_candidate', '_former', '_heard_at', '_number', '_process')
+    __slots__ = (
+        '_continuation', '_former', '_heard_at', '_number', '_process',
+    )  # fmt: skip
 
     def __init__(self, process: int, number: int, now: float):
         self._process = process
@@ -44,7 +76,7 @@
         self._heard_at = now
         #: A dictionary as an ordered set.
         self._former: dict[int, None] = {}
-        self._candidate: _Candidate | None = None
+        self._continuation = Continuation()
 
     def is_present(self, process: int) -> bool:
         """Return whether a process is the present one."""
@@ -69,20 +101,7 @@
                 return False
             self._set_present(process, number, now)
             return True
-        return self._continue(process, number, now)
-
-    def _continue(self, process: int, number: int, now: float) -> bool:
-        """Record a message that seems to be late."""
-        candidate = self._candidate
-        if (
-            candidate is None
-            or candidate.process != process
-            or number <= candidate.number
-        ):
-            self._candidate = _Candidate(process, number, now)
-            return False
-        if now - candidate.since < CONTINUES_S:
-            self._candidate = candidate._replace(number=number)
+        if not self._continuation.record(process, number, now):
             return False
         self._set_present(process, number, now)
         return True
@@ -96,4 +115,4 @@
         self._process = process
         self._number = number
         self._heard_at = now
-        self._candidate = None
+        self._continuation.end()
--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -152,8 +152,9 @@
         if self._restored_incarnation == heartbeat.started_ms:
             self._knows_all_flows = True
         elif self._restored_incarnation:
-            # The restored flows belong to an upstream that has ended.
-            self._forget_all_flows(now)
+            # This may be a late heartbeat of a former upstream, or the
+            # restored flows are those of one.
+            self._doubt_flows(now)
         self._restored_incarnation = 0
         self._check_predecessor()
         is_changed = (
@@ -297,8 +298,12 @@
             0,
             current,
         )
+        # A process that does not know all flows can't tell that this one has
+        # ended: the present upstream may have accepted it as well.
+        may_deny = packet.is_opening or self._knows_all_flows
         if (
             is_for_former_upstream
+            and may_deny
             and packet.flow not in self.flows.state_by_flow
         ):
             self._return_packet(
--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -154,11 +154,7 @@
         owner = self._table.get(packet.flow)
         if owner is None:
             self.searches.search(packet, now)
-        elif self._fleet.has_lost_flows(
-            owner.ip, owner.incarnation, now
-        ) and not self._fleet.has_other_upstream(
-            owner.ip, owner.incarnation, now
-        ):
+        elif self._fleet.has_lost_flows(owner.ip, owner.incarnation, now):
             self._handle_ended(owner, packet, 'upstream ended', now)
         else:
             self.forward(owner, packet)
--- a/ibispitch/gate/core.py
+++ b/ibispitch/gate/core.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from ibispitch.fleet.messages import AgentState
+from ibispitch.fleet.order import Continuation
 from ibispitch.forwarding.frames import Reason
 from ibispitch.forwarding.packets import FlowKey
 from ibispitch.ids import DatacentreName
@@ -104,6 +105,7 @@
         self._cold_limits = cold
         self.heartbeat: Heartbeat | None = None
         self._heartbeat_at = 0.0
+        self._continuation = Continuation()
         self._cold_until = 0.0
         self._has_ended = False
         self._is_datacentre_out = False
@@ -126,15 +128,22 @@
     def receive_heartbeat(self, heartbeat: Heartbeat, now: float) -> bool:
         """Process a heartbeat.
 
-        :returns: whether it is newer than the last one. A heartbeat of an
-            earlier process, or without a higher sequence number, is ignored.
+        :returns: whether it is newer than the last one. A heartbeat that
+            seems to be older is late, unless those of its process go on while
+            there are no others: the clock of the upstream may have stepped
+            back between two starts.
         """
         former = self.heartbeat
-        if former is not None and (
-            (heartbeat.started_ms, heartbeat.sequence)
+        if (
+            former is not None
+            and (heartbeat.started_ms, heartbeat.sequence)
             <= (former.started_ms, former.sequence)
+            and not self._continuation.record(
+                heartbeat.started_ms, heartbeat.sequence, now
+            )
         ):
             return False
+        self._continuation.end()
         self.heartbeat = heartbeat
         self._heartbeat_at = now
         self._has_ended = False
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -74,6 +74,37 @@
     assert gate.state(0.2) is AgentState.READY
 
 
+def test_upstream_whose_clock_stepped_back(gate):
+    """Guards against a live upstream that counts as silent for ever.
+
+    Its clock had stepped back before its start, so that its predecessor
+    seemed to be the later one.
+    """
+    gate.receive_heartbeat(HEARTBEAT._replace(started_ms=9000), 0.0)
+    results = [
+        gate.receive_heartbeat(
+            HEARTBEAT._replace(started_ms=5000, sequence=number),
+            1.2 * number,
+        )
+        for number in range(1, 5)
+    ]
+    assert results == [False, True, True, True]
+    assert gate.incarnation == 5000
+    assert gate.state(4.8) is AgentState.READY
+
+
+def test_late_heartbeats_while_the_upstream_lives(gate):
+    """Guards against late heartbeats that replace the live upstream."""
+    for number in range(1, 9):
+        at = 1.2 * number
+        live = HEARTBEAT._replace(started_ms=9000, sequence=number)
+        assert gate.receive_heartbeat(live, at)
+        late = HEARTBEAT._replace(started_ms=5000, sequence=number)
+        assert not gate.receive_heartbeat(late, at + 0.5)
+        assert not gate.receive_heartbeat(live, at + 0.6)
+    assert gate.incarnation == 9000
+
+
 def test_same_name_after_a_restart(gate):
     """A restarted upstream of the same name is a new incarnation."""
     gate.receive_heartbeat(HEARTBEAT._replace(sequence=50), 0.0)
