Treat saved flows as a hint, not as all flows of an upstream

Cause: the list counted as complete, and only the balancer that kept it judged whether another process had run since.

Ruled out: asking all balancers, since the one that knows better may be down or cut off; the number of the upstream's heartbeat in the list, since it rises whether or not an agent answers.

Change: restored flows are claimed, others are unknown and tried at the upstream. An agent knows all flows after the idle time-out and four seconds. Before that it saves its flows in a message that the version before skips.

--- a/ibispitch/checkpoint/messages.py
+++ b/ibispitch/checkpoint/messages.py
@@ -17,6 +17,9 @@
 class CheckpointPart(msgspec.Struct, frozen=True, array_like=True, tag=3):
     """One part of the saved flows of an upstream.
 
+    The sender knew all flows. The version before relies on that, and denies
+    flows that are not listed.
+
     :param saved_by: start of the process that saved them, Unix time.
     :param incarnation: the upstream that holds them.
     :param part: number of this message, from 0.
@@ -36,6 +39,13 @@
     ]
 
 
+class PartialCheckpointPart(CheckpointPart, frozen=True, tag=6):
+    """One part of flows that need not be all flows of the upstream.
+
+    The version before does not read it.
+    """
+
+
 class CheckpointRequest(msgspec.Struct, frozen=True, array_like=True, tag=4):
     """Request of a restarted agent for its saved flows.
 
@@ -46,13 +56,17 @@
 
 
 def split_flows(
-    saved_by: int, incarnation: int, flows: list[FlowKey]
+    saved_by: int,
+    incarnation: int,
+    flows: list[FlowKey],
+    are_all: bool = True,
 ) -> list[CheckpointPart]:
     """Return the messages that carry the flows of an upstream.
 
     :param saved_by: start of this process, Unix time.
     :param incarnation: the upstream that holds the flows.
     :param flows: its flows.
+    :param are_all: whether these are all flows of the upstream.
 
     >>> [len(part.flows) for part in split_flows(7, 1, [FlowKey(b'f')] * 81)]
     [80, 1]
@@ -63,7 +77,8 @@
         tuple(flows[start : start + FLOWS_PER_PART])
         for start in range(0, max(1, len(flows)), FLOWS_PER_PART)
     ]
+    part_type = CheckpointPart if are_all else PartialCheckpointPart
     return [
-        CheckpointPart(saved_by, incarnation, number, len(chunks), chunk)
+        part_type(saved_by, incarnation, number, len(chunks), chunk)
         for number, chunk in enumerate(chunks)
     ]
--- a/ibispitch/fleet/messages.py
+++ b/ibispitch/fleet/messages.py
@@ -1,7 +1,7 @@
 """Status messages of balancers and agents.
 
 Each is a msgpack array in a datagram. It begins with the number of its type:
-1, 2 and 5 here, 3 and 4 in ``ibispitch.checkpoint.messages``.
+1, 2 and 5 here, 3, 4 and 6 in ``ibispitch.checkpoint.messages``.
 """
 
 from collections.abc import Iterable
@@ -15,6 +15,7 @@
 
 from ibispitch.checkpoint.messages import CheckpointPart
 from ibispitch.checkpoint.messages import CheckpointRequest
+from ibispitch.checkpoint.messages import PartialCheckpointPart
 from ibispitch.decoding import Count
 from ibispitch.decoding import decode_with
 from ibispitch.decoding import Number
@@ -176,7 +177,13 @@
     entries: bytes
 
 
-Message = Status | CheckpointPart | CheckpointRequest | DatacentreReport
+Message = (
+    Status
+    | CheckpointPart
+    | PartialCheckpointPart
+    | CheckpointRequest
+    | DatacentreReport
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
@@ -191,6 +198,7 @@
     3: 'checkpoint_part',
     4: 'checkpoint_request',
     5: 'datacentre_report',
+    6: 'checkpoint_part',
 }
 
 #: Maximum size of the entries of a report after decompression. A hundred
--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -39,6 +39,9 @@
 from ibispitch.settings.overload import OverloadSettings
 from ibispitch.waiting.core import first_copy_sent_at
 
+#: Time beyond the idle time-out after which a process has seen a packet of
+#: each flow that is not idle: packets of a frozen host may be late by seconds.
+IDLE_MARGIN_S = 4.0
 #: Time within which the upstream should answer an opening. It runs on the
 #: same host, and the caller repeats an opening after 200 ms.
 OPENING_ANSWER_S = 0.1
@@ -149,9 +152,7 @@
         if former not in (0, heartbeat.started_ms):
             self._doubt_flows(now)
             self._tracker.outcomes = Outcomes()
-        if self._restored_incarnation == heartbeat.started_ms:
-            self._knows_all_flows = True
-        elif self._restored_incarnation:
+        if self._restored_incarnation not in (0, heartbeat.started_ms):
             # This may be a late heartbeat of a former upstream, or the
             # restored flows are those of one.
             self._doubt_flows(now)
@@ -244,14 +245,19 @@
             for flow, state in self.flows.state_by_flow.items()
             if not state.is_unconfirmed
         ]
-        if not self._knows_all_flows or not self.gate.incarnation:
+        if not self.gate.incarnation:
             return []
-        return split_flows(started_ms, self.gate.incarnation, flows)
+        return split_flows(
+            started_ms, self.gate.incarnation, flows, self._knows_all_flows
+        )
 
     def restore(
         self, incarnation: int, flows: list[bytes], now: float
     ) -> None:
-        """Restore the flows that the previous process saved.
+        """Restore the flows that an earlier process saved.
+
+        Another process may have run in between, so that they need not be all
+        flows.
 
         :param incarnation: the upstream that held them.
         """
@@ -267,7 +273,6 @@
             elif state.is_unconfirmed:
                 self._confirm_flow(FlowKey(flow), state, now)
         self._restored_incarnation = incarnation
-        self._knows_all_flows = self.gate.incarnation == incarnation
         self._log.change(
             'flows.restored', now, incarnation=incarnation, flows=len(flows)
         )
@@ -654,6 +659,14 @@
         self._tracker.record_overdue(now)
         idle_s = self.routes.table.idle_timeout_s if self.routes else 60.0
         self.flows.sweep(idle_s, now)
+        if (
+            not self._knows_all_flows
+            and self.routes is not None
+            and now - self._started_at > idle_s + IDLE_MARGIN_S
+        ):
+            # Each flow that is not idle has had a packet since the start.
+            self._knows_all_flows = True
+            self._log.change('flows.all_known', now, flows=self.flow_count)
 
     @property
     def flow_count(self) -> int:
