Test that the last release and this version run side by side

Cause: hosts are replaced one after the other, and nothing showed that both versions read each other's messages, saved flows, tables and stored list.

--- a/testbed/flow_processes.py
+++ b/testbed/flow_processes.py
@@ -65,6 +65,9 @@
         self.upstream: FlowUpstream | None = None
         #: Relay between this process and the store.
         self.relay: TcpRelay | None = None
+        #: Folder with the packages that the process runs, ``None`` for those
+        #: of this version.
+        self.packages: Path | None = None
         self.log_path: Path | None = None
         #: Number of starts, without those that were stopped before the program
         #: ran.
@@ -180,7 +183,7 @@
             host.process = await asyncio.create_subprocess_exec(
                 sys.executable, '-m', 'ibispitch.platform', host.role,
                 env=os.environ | {'IBISPITCH_BOOT': str(path)},
-                stdout=log, stderr=log,
+                cwd=host.packages, stdout=log, stderr=log,
             )  # fmt: skip
 
     def settings(self, host: ProcessHost, seeds: int = 3) -> str:
