Require young agents before a loss of all power is assumed

Cause: a balancer that has just started, and knows no full list of agents, took cold upstreams for proof that all hosts had lost power, and reset unknown flows after 0.4 s instead of 3.5 s.

Change: the agents must have sent few statuses as well when the first one arrived.

Result: the new case of test_balancer_without_a_list_of_agents_resets_nothing failed before and passes now, as do test_large_fleet and test_outage.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -54,6 +54,9 @@
 #: in a fleet so large that this takes longer than the times above. It is more
 #: than :data:`SUSPECT_INTERVALS`.
 LOST_INTERVALS = 3
+#: Number of statuses up to which an agent has started lately: it sends one in
+#: each status interval at least, so that it reaches the number in 26 s.
+MAX_YOUNG_NUMBER = 64
 #: Maximum number of destinations whose flow length is remembered.
 MAX_DESTINATIONS = 4096
 #: Maximum number of new or silent processes that get a message at once.
@@ -67,6 +70,7 @@
     """
 
     __slots__ = (
+        'first_number',
         'flows_since_status',
         'heard_at',
         'ip',
@@ -82,6 +86,8 @@
         self.ip = ip
         self.status = status
         self.order = ProcessOrder(status.started_ms, status.number, now)
+        #: Number of the first status of its present process here.
+        self.first_number = status.number
         self.heard_at = now
         #: New flows that were forwarded to it since its last status.
         self.flows_since_status = 0
@@ -202,6 +208,8 @@
         if former.service != status.service:
             self._ips_by_service[former.service].pop(ip, None)
             self._ips_by_service.setdefault(status.service, {})[ip] = None
+        if former.started_ms != status.started_ms:
+            view.first_number = status.number
         view.status = status
         view.heard_at = now
         view.flows_since_status = 0
@@ -360,17 +368,24 @@
         }
         return bool(self._unheard_agents)
 
-    def has_only_cold_upstreams(self) -> bool:
-        """Return whether all known upstreams are cold.
+    def has_only_restarted_hosts(self) -> bool:
+        """Return whether all known hosts of upstreams seem to have restarted.
 
-        Agents without an upstream, or whose upstream has ended, don't count.
+        Their upstreams are cold, and their agents had sent few statuses when
+        the first one arrived here. Cold upstreams alone don't show it, since
+        an upstream turns cold without a restart as well. Agents without an
+        upstream, or whose upstream has ended, don't count.
         """
-        left_s = [
-            view.status.cold_left_s
+        views = [
+            view
             for view in self.agents_by_ip.values()
             if view.status.state is not AgentState.ENDED
         ]
-        return bool(left_s) and min(left_s) > 0.0
+        return bool(views) and all(
+            view.status.cold_left_s > 0.0
+            and view.first_number <= MAX_YOUNG_NUMBER
+            for view in views
+        )
 
     def is_changing(self, now: float) -> bool:
         """Return whether others may know less of the fleet than this process.
--- a/ibispitch/fleet/known.py
+++ b/ibispitch/fleet/known.py
@@ -34,11 +34,13 @@
         """Return whether this process has run long enough to know all agents.
 
         Processes that were killed together restart at different times. If
-        all upstreams have just started too, an agent that has not restarted
-        yet cannot have a flow, so the shorter time is enough.
+        all known hosts have just restarted, all have lost power: an agent
+        that has not restarted yet is not likely to have a flow, so the
+        shorter time is enough.
         """
         since_start = now - self._started_at
-        if self._fleet.has_agent_list or self._fleet.has_only_cold_upstreams():
+        fleet = self._fleet
+        if fleet.has_agent_list or fleet.has_only_restarted_hosts():
             return since_start >= FLEET_KNOWN_S
         return since_start >= FLEET_KNOWN_WITHOUT_LIST_S
 
--- a/tests/forwarding/test_balancer_core.py
+++ b/tests/forwarding/test_balancer_core.py
@@ -185,12 +185,18 @@
     )
 
 
-def test_balancer_without_a_list_of_agents_resets_nothing(fleet, outbox):
+@pytest.mark.parametrize('cold_left_s', [0.0, 8.0])
+def test_balancer_without_a_list_of_agents_resets_nothing(outbox, cold_left_s):
     """A balancer with outdated seeds must not reset flows.
 
     It received messages from nearby agents at once, but from other balancers
-    only after 3 s, when its settings had been corrected.
+    only after 3 s, when its settings had been corrected. That the upstreams
+    nearby have turned cold says nothing of those that it doesn't know yet.
     """
+    fleet = Fleet('10.1.0.1')
+    fleet.record_agent_status(
+        FIRST, agent(number=500, cold_left_s=cold_left_s), 0.0
+    )
     core = start(fleet, outbox)
     fleet.add_balancer('10.1.0.2', 0.0)
     core.receive(REQUEST, 0.01)
@@ -199,7 +205,8 @@
         now = 0.02 * tick
         if tick % 20 == 0:
             core.receive(REQUEST, now)
-            fleet.record_agent_status(FIRST, agent(number=tick + 2), now)
+            status = agent(number=tick + 501, cold_left_s=cold_left_s)
+            fleet.record_agent_status(FIRST, status, now)
         core.tick(now)
         for ip, _ in outbox.frames:
             core.searches.receive_answers(
