Count an upstream as cold while its incarnation is in doubt

The agent believed a heartbeat of another incarnation: a cold upstream whose clock was behind seemed to be a former one until its second heartbeat, and a late heartbeat of a warm former one replaced the cold present one.

Change: a heartbeat that seems older and says cold, and a warm incarnation in the place of another, make the upstream count as cold until its next heartbeat.

--- a/ibispitch/gate/core.py
+++ b/ibispitch/gate/core.py
@@ -142,12 +142,21 @@
                 heartbeat.started_ms, heartbeat.sequence, now
             )
         ):
+            if heartbeat.started_ms != former.started_ms:
+                # If this upstream is the present one after all, it is cold.
+                self._is_suspect |= heartbeat.cold_left_s > 0.0
             return False
         self._continuation.end()
         self.heartbeat = heartbeat
         self._heartbeat_at = now
         self._has_ended = False
-        self._is_suspect = False
+        # An upstream that has just started is cold. A warm one in the place
+        # of another may be a late heartbeat while the present one is cold.
+        self._is_suspect = (
+            former is not None
+            and former.started_ms != heartbeat.started_ms
+            and heartbeat.cold_left_s <= 0.0
+        )
         if heartbeat.cold_left_s > 0.0:
             self._cold_until = now + heartbeat.cold_left_s + COLD_ROUNDING_S
         else:
@@ -190,7 +199,7 @@
         """Record that the upstream has not answered an opening.
 
         It may have been replaced by another one, so it counts as cold until
-        the next heartbeat.
+        its next heartbeat.
         """
         self._is_suspect = True
 
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -93,6 +93,35 @@
     assert gate.state(4.8) is AgentState.READY
 
 
+def test_cold_upstream_whose_clock_stepped_back(gate):
+    """Guards against too many flows for an upstream that seems to be former.
+
+    Until its second heartbeat it was taken for its warm predecessor
+    (testbed.flow_days with identity faults, seeds 13, 14 and 31).
+    """
+    gate.receive_heartbeat(HEARTBEAT._replace(started_ms=9000), 0.0)
+    assert gate.cold_openings(index(), 0.1) is None
+    cold = HEARTBEAT._replace(started_ms=5000, cold_left_s=1.9)
+    assert not gate.receive_heartbeat(cold, 0.2)
+    assert gate.cold_openings(index(), 0.3) == gate.cold_limit(index())
+    # The next heartbeat of the live upstream ends the doubt.
+    gate.receive_heartbeat(
+        HEARTBEAT._replace(started_ms=9000, sequence=2), 1.2
+    )
+    assert gate.cold_openings(index(), 1.3) is None
+
+
+def test_warm_upstream_in_the_place_of_another(gate):
+    """Guards against a late heartbeat that hides that the upstream is cold."""
+    cold = HEARTBEAT._replace(started_ms=5000, cold_left_s=1.9)
+    gate.receive_heartbeat(cold, 0.0)
+    late = HEARTBEAT._replace(started_ms=9000)
+    assert gate.receive_heartbeat(late, 0.5)
+    assert gate.cold_openings(index(), 0.6) == gate.cold_limit(index())
+    assert gate.receive_heartbeat(late._replace(sequence=2), 1.7)
+    assert gate.cold_openings(index(), 1.8) is None
+
+
 def test_late_heartbeats_while_the_upstream_lives(gate):
     """Guards against late heartbeats that replace the live upstream."""
     for number in range(1, 9):
