Save unconfirmed flows, and refuse idle time-outs that are not positive

Cause, found while reading the diff: after another incarnation an agent that knows all flows left its unconfirmed ones out of the saved list, which the last release takes for all flows, so that it would deny live ones.

Change: flows that the upstream is known to have held are saved, and the list counts as all flows only if none was merely tried. An idle time-out has to be positive, else the default applies.

--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -150,12 +150,12 @@
         if not self.gate.receive_heartbeat(heartbeat, now):
             return False
         if former not in (0, heartbeat.started_ms):
-            self._doubt_flows(now)
+            self._unconfirm_flows(now)
             self._tracker.outcomes = Outcomes()
         if self._restored_incarnation not in (0, heartbeat.started_ms):
             # This may be a late heartbeat of a former upstream, or the
             # restored flows are those of one.
-            self._doubt_flows(now)
+            self._unconfirm_flows(now)
         self._restored_incarnation = 0
         self._check_predecessor()
         is_changed = (
@@ -199,7 +199,7 @@
             self._restored_incarnation = 0
             self._forget_all_flows(now)
 
-    def _doubt_flows(self, now: float) -> None:
+    def _unconfirm_flows(self, now: float) -> None:
         """Let the upstream decide on each flow whether it holds it.
 
         The first heartbeat of a new incarnation may come after flows that it
@@ -240,16 +240,17 @@
         self.requests.pass_all(self._capacity(now), now)
         self.gate.close()
         self.openings.return_all(Reason.CLOSED)
+        if not self.gate.incarnation:
+            return []
+        state_by_flow = self.flows.state_by_flow
         flows = [
             flow
-            for flow, state in self.flows.state_by_flow.items()
-            if not state.is_unconfirmed
+            for flow, state in state_by_flow.items()
+            if not state.is_only_tried
         ]
-        if not self.gate.incarnation:
-            return []
-        return split_flows(
-            started_ms, self.gate.incarnation, flows, self._knows_all_flows
-        )
+        # A flow that was only tried may be one of the upstream as well.
+        are_all = self._knows_all_flows and len(flows) == len(state_by_flow)
+        return split_flows(started_ms, self.gate.incarnation, flows, are_all)
 
     def restore(
         self, incarnation: int, flows: list[bytes], now: float
--- a/ibispitch/platform/routes.py
+++ b/ibispitch/platform/routes.py
@@ -213,8 +213,7 @@
     if not isinstance(limits, dict):
         return DEFAULT_IDLE_TIMEOUT_S
     reader = _FieldReader({'name': 'limits'} | limits, problems)
-    default_ms = DEFAULT_IDLE_TIMEOUT_S * 1000
-    return reader.number('idle_timeout_ms', default_ms) / 1000
+    return _positive(reader, 'idle_timeout_ms', DEFAULT_IDLE_TIMEOUT_S)
 
 
 def _decode_route(reader: _FieldReader) -> Route:
--- a/tests/forwarding/test_agent_core.py
+++ b/tests/forwarding/test_agent_core.py
@@ -579,6 +579,19 @@
     assert {type(part) for part in parts} == {PartialCheckpointPart}
 
 
+def test_saved_flows_after_another_incarnation(core):
+    """Guards against a live flow that is missing in a list of all flows.
+
+    The new upstream accepted it before its first heartbeat. The last release
+    denies what such a list lacks.
+    """
+    open_flow(core)
+    core.receive_heartbeat(heartbeat(2000, cold_left_s=1.9), 1.0)
+    [part] = core.stop(1, 1.1)
+    assert type(part) is CheckpointPart
+    assert part.flows == (FLOW_OF_CALLER,)
+
+
 def test_flows_are_known_after_the_idle_timeout(outbox):
     """Guards against an agent that never knows all flows again."""
     core = make_core(outbox, knows_all_flows=False)
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -33,6 +33,7 @@
 from ibispitch.membership.records import MemberState
 from ibispitch.platform.http import Response
 from ibispitch.platform.routes import decode_configuration
+from ibispitch.platform.routes import DEFAULT_IDLE_TIMEOUT_S
 from ibispitch.platform.settings import parse_settings
 from ibispitch.platform.settings import SettingsError
 from ibispitch.platform.store import MetadataStore
@@ -113,6 +114,16 @@
         assert decode_table(encode_table(table)) == table
 
 
+@pytest.mark.parametrize('odd', [-15000, 0, BIG, 'long', None])
+def test_odd_idle_timeout(odd):
+    """Guards against flows that are all idle, and forgotten at once."""
+    limits = {'idle_timeout_ms': odd}
+    table = decode_configuration(
+        encode(CONFIGURATION | {'limits': limits}), lambda *_: None
+    )
+    assert table.idle_timeout_s == DEFAULT_IDLE_TIMEOUT_S
+
+
 @pytest.mark.parametrize('odd', ODD, ids=str)
 @pytest.mark.parametrize('field', CONFIGURATION)
 def test_odd_part_of_a_configuration(field, odd):
