Name an ended upstream as the cause of the reset of its flows

Cause: since the present upstream hands back packets of flows that ended with a former one, and the reset was logged as `flow ended`; operators could no longer see that the upstream had ended.

--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -625,7 +625,9 @@
         elif state.is_answered and _acknowledges_upstream(
             state, packet.acknowledged
         ):
-            reason = Reason.ENDED
+            # An unconfirmed flow ended with a former incarnation.
+            has_other = state.is_unconfirmed
+            reason = Reason.OTHER_UPSTREAM if has_other else Reason.ENDED
         else:
             reason = Reason.NOT_OWNED
             self._record_denial(flow)
