Look at the fleet once for each message of answers

Change: once for a message, and only if it has such an answer. The two methods of Fleet share the list of agents with an upstream. Behaviour is the same.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -376,12 +376,15 @@
         an upstream turns cold without a restart as well. Agents without an
         upstream, or whose upstream has ended, don't count.
         """
-        views = [
+        views = self._views_with_upstream()
+        return bool(views) and all(map(self._seems_restarted, views))
+
+    def _views_with_upstream(self) -> list[AgentView]:
+        return [
             view
             for view in self.agents_by_ip.values()
             if view.status.state is not AgentState.ENDED
         ]
-        return bool(views) and all(map(self._seems_restarted, views))
 
     @staticmethod
     def _seems_restarted(view: AgentView) -> bool:
@@ -399,11 +402,7 @@
         view = self.agents_by_ip.get(ip)
         if view is None or not view.status.incarnation:
             return False
-        views = [
-            other
-            for other in self.agents_by_ip.values()
-            if other.status.state is not AgentState.ENDED
-        ]
+        views = self._views_with_upstream()
         known = [other for other in views if other.status.incarnation]
         return 2 * len(known) > len(views) and all(
             map(self._seems_restarted, known)
--- a/ibispitch/locating/core.py
+++ b/ibispitch/locating/core.py
@@ -324,16 +324,26 @@
 
         :returns: the next steps.
         """
+        # Once for the message, since it looks at all agents. After a loss of
+        # all power each flow would otherwise be tried everywhere.
+        has_lost_power = any(
+            answer.verdict is Verdict.RESTARTED for answer in message.answers
+        ) and self._fleet.has_lost_power(ip)
         return [
             step
             for answer in message.answers
             for step in self._process_answer(
-                ip, answer, message.incarnation, now
+                ip, answer, message.incarnation, has_lost_power, now
             )
         ]
 
     def _process_answer(
-        self, ip: str, answer: Answer, incarnation: int, now: float
+        self,
+        ip: str,
+        answer: Answer,
+        incarnation: int,
+        has_lost_power: bool,
+        now: float,
     ) -> list[Step]:
         search = self._search_by_flow.get(answer.flow)
         if search is None and answer.verdict is Verdict.OWNED:
@@ -346,11 +356,7 @@
             return [Found(ip, incarnation, tuple(search.packets))]
         if answer.verdict is Verdict.UNKNOWN:
             search.unknown.append(ip)
-        elif (
-            answer.verdict is Verdict.RESTARTED
-            and not self._fleet.has_lost_power(ip)
-        ):
-            # After a loss of all power each flow would be tried everywhere.
+        elif answer.verdict is Verdict.RESTARTED and not has_lost_power:
             search.restarted.append(ip)
         return [] if search.is_waiting else self._conclude(search, now)
 
