Name the evidence of a reset in its log line, and count resets by reason

The line now has the reason, the last known state of the agent and its age; 'no agent has the flow' has the number of agents that denied it and from what the balancer concluded that it knows all. ibispitch_reset_flows_total counts by reason.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+import enum
 from itertools import islice
 import math
 
@@ -63,6 +64,15 @@
 MAX_ADDRESSED_AT_ONCE = 64
 
 
+class Loss(enum.Enum):
+    """Why the flows of an upstream count as lost; the text is logged."""
+
+    #: Its agent has reported that it has ended.
+    UPSTREAM_ENDED = 'upstream ended'
+    #: Its agent has sent no status for a long time.
+    AGENT_SILENT = 'agent silent'
+
+
 class AgentView:
     """State of an agent, from its last status.
 
@@ -539,8 +549,8 @@
             for view in self.balancers_by_ip.values()
         )
 
-    def has_lost_flows(self, ip: str, incarnation: int, now: float) -> bool:
-        """Return whether the flows of an upstream are certainly lost.
+    def find_loss(self, ip: str, incarnation: int, now: float) -> Loss | None:
+        """Return why the flows of an upstream count as lost.
 
         They are lost if the agent reports that the upstream has ended. They
         also count as lost if the agent has sent no status for a long time
@@ -550,10 +560,11 @@
 
         :param incarnation: the upstream, 0 if it is not known which one of
             the agent's upstreams it was.
+        :returns: ``None`` if they may be open.
         """
         view = self.agents_by_ip.get(ip)
         if view is None:
-            return False
+            return None
         status = view.status
         has_ended = status.state is AgentState.ENDED
         if (
@@ -561,8 +572,10 @@
             and has_ended
             and status.incarnation in (0, incarnation)
         ):
-            return True
-        return now > self._lost_at(view) and self._has_most_statuses(now)
+            return Loss.UPSTREAM_ENDED
+        if now > self._lost_at(view) and self._has_most_statuses(now):
+            return Loss.AGENT_SILENT
+        return None
 
     @staticmethod
     def lost_after_s(view: AgentView) -> float:
--- a/ibispitch/fleet/known.py
+++ b/ibispitch/fleet/known.py
@@ -4,6 +4,8 @@
 and reset the flow.
 """
 
+import enum
+
 from ibispitch.fleet.core import Fleet
 
 #: Time after its start from which a balancer knows all agents and may
@@ -19,6 +21,17 @@
 NEW_AGENTS_S = 0.25
 
 
+class Evidence(enum.Enum):
+    """From what a balancer concludes that it knows all agents."""
+
+    #: A balancer that knows the fleet has listed them.
+    LIST = 'list'
+    #: All known hosts seem to have lost power, so no other agent has a flow.
+    RESTARTED_HOSTS = 'restarted hosts'
+    #: The others have had the time to send a status.
+    TIME = 'time'
+
+
 class KnownFleet:
     """What a process knows of the fleet since its start.
 
@@ -39,10 +52,18 @@
         shorter time is enough.
         """
         since_start = now - self._started_at
-        fleet = self._fleet
-        if fleet.has_agent_list or fleet.has_only_restarted_hosts():
-            return since_start >= FLEET_KNOWN_S
-        return since_start >= FLEET_KNOWN_WITHOUT_LIST_S
+        if self.evidence is Evidence.TIME:
+            return since_start >= FLEET_KNOWN_WITHOUT_LIST_S
+        return since_start >= FLEET_KNOWN_S
+
+    @property
+    def evidence(self) -> Evidence:
+        """What shows that all agents are known, once the time has passed."""
+        if self._fleet.has_agent_list:
+            return Evidence.LIST
+        if self._fleet.has_only_restarted_hosts():
+            return Evidence.RESTARTED_HOSTS
+        return Evidence.TIME
 
     def is_complete(self, now: float) -> bool:
         """Return whether all agents are known and no new ones appear."""
--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -130,6 +130,8 @@
         self._ended_attempts = EndedAttempts()
         #: Openings recognised as a further attempt, by service.
         self.further_attempts: Counter[ServiceName] = Counter()
+        #: Resets of flows that may be open, by reason.
+        self.reset_flows: Counter[str] = Counter()
         #: Refused openings by service, kind and reason.
         self.refused: Counter[tuple[str, str, str]] = Counter()
         self._summaries = ServiceSummaries(fleet)
@@ -154,10 +156,12 @@
         owner = self._table.get(packet.flow)
         if owner is None:
             self.searches.search(packet, now)
-        elif self._fleet.has_lost_flows(owner.ip, owner.incarnation, now):
-            self._handle_ended(owner, packet, 'upstream ended', now)
-        else:
+            return
+        loss = self._fleet.find_loss(owner.ip, owner.incarnation, now)
+        if loss is None:
             self.forward(owner, packet)
+        else:
+            self._handle_ended(owner, packet, loss.value, now)
 
     def receive_returned_packet(
         self, ip: str, returned: frames.Return, now: float
@@ -537,7 +541,13 @@
         open at another upstream.
         """
         if owner is not None and owner.is_only_recipient:
-            self.reset(packet, why, now, agent=owner.ip)
+            view = self._fleet.agents_by_ip.get(owner.ip)
+            self.reset(
+                packet, why, now, agent=owner.ip,
+                incarnation=owner.incarnation,
+                state=view.status.state.name if view else None,
+                age_ms=round(1000 * (now - view.heard_at)) if view else None,
+            )  # fmt: skip
             return
         self._table.pop(packet.flow)
         self.searches.search(packet, now)
@@ -580,6 +590,8 @@
         flow = packet.flow
         if packet.is_opening:
             inputs |= self._count_refusal(flow, why)
+        else:
+            self.reset_flows[why] += 1
         self._table.pop(flow)
         self._queue.remove(flow)
         self._outbox.to_caller(
--- a/ibispitch/forwarding/searches.py
+++ b/ibispitch/forwarding/searches.py
@@ -1,6 +1,7 @@
 """Searches for the owners of open flows that a balancer does not know."""
 
 from collections import defaultdict
+from typing import Any
 from typing import Protocol
 
 from ibispitch.decisionlog import DecisionLog
@@ -35,8 +36,13 @@
     def forward(self, owner: Owner, packet: Packet) -> None:
         """Forward a packet to the owner of its flow."""
 
-    def reset(self, packet: Packet, why: str, now: float) -> None:
-        """Reset the flow of a packet."""
+    def reset(
+        self, packet: Packet, why: str, now: float, **inputs: Any
+    ) -> None:
+        """Reset the flow of a packet.
+
+        :param inputs: further fields of the log line.
+        """
 
     def record_attempt(self, flow: FlowKey, attempt: Attempt) -> None:
         """Record a caller's attempt that ends with the flow."""
@@ -176,8 +182,8 @@
                         self._sink.forward(owner, packet)
                 case locating.TryAgent(ip, packet):
                     self._try_agent(ip, packet, now)
-                case locating.NotFound(packet):
-                    self._handle_not_found(packet, now)
+                case locating.NotFound(packet, denied):
+                    self._handle_not_found(packet, denied, now)
                 case locating.Unanswered(flow, missing):
                     self._log.failure(
                         'flow.not_found', flow, now, missing=list(missing)
@@ -201,12 +207,17 @@
         )
         self._log.decision('flow.tried', packet.flow, now, agent=ip)
 
-    def _handle_not_found(self, packet: Packet, now: float) -> None:
+    def _handle_not_found(
+        self, packet: Packet, denied: int, now: float
+    ) -> None:
         if self._known_fleet.is_complete(
             now
         ) and not self._fleet.has_unheard_agents(now):
             self._record_lost_request(packet, now)
-            self._sink.reset(packet, 'no agent has the flow', now)
+            self._sink.reset(
+                packet, 'no agent has the flow', now, agents=denied,
+                known_by=self._known_fleet.evidence.value,
+            )  # fmt: skip
             return
         self._locator.search_later(
             [packet],
--- a/ibispitch/locating/core.py
+++ b/ibispitch/locating/core.py
@@ -94,9 +94,13 @@
 
 
 class NotFound(NamedTuple):
-    """Result of a search that all agents answered, none as the owner."""
+    """Result of a search that all agents answered, none as the owner.
+
+    :param denied: number of these agents.
+    """
 
     packet: Packet
+    denied: int
 
 
 class Unanswered(NamedTuple):
@@ -453,7 +457,7 @@
             return self._try_agents(search, packet, not unasked, now)
         if missing or not search.asked:
             return self._schedule_retry(search, missing, now)
-        return [NotFound(packet)]
+        return [NotFound(packet, len(search.denied))]
 
     def _is_likely_near(self, search: _Search, now: float) -> bool:
         """Return whether the owner is likely one of the asked agents.
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -248,6 +248,12 @@
             ('service',),
             {(key,): n for key, n in self._core.further_attempts.items()},
         )
+        yield Counts(
+            'reset_flows',
+            'Resets of flows that may have been open, by reason',
+            ('reason',),
+            {(key,): n for key, n in self._core.reset_flows.items()},
+        )
         yield Counts(
             'refused_openings',
             'Openings that were refused or not placed, by reason',
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -87,21 +87,21 @@
     """
     fleet.record_agent_status('10.0.1.1', agent(2, incarnation=2000), 1.0)
     for incarnation in (1000, 2000):
-        assert not fleet.has_lost_flows('10.0.1.1', incarnation, 1.0)
+        assert not fleet.find_loss('10.0.1.1', incarnation, 1.0)
     now = 1.0 + LOST_S - 0.1
     record_other_agents(fleet, now)
-    assert not fleet.has_lost_flows('10.0.1.1', 1000, now)
+    assert not fleet.find_loss('10.0.1.1', 1000, now)
     now = 1.0 + LOST_S + 0.1
     record_other_agents(fleet, now)
-    assert fleet.has_lost_flows('10.0.1.1', 1000, now)
+    assert fleet.find_loss('10.0.1.1', 1000, now)
 
 
 def test_flows_of_ended_upstream_are_lost(fleet):
     """Guards against callers that wait for an upstream that is gone."""
     ended = agent(3, incarnation=2000, state=AgentState.ENDED)
     fleet.record_agent_status('10.0.1.1', ended, 1.1)
-    assert fleet.has_lost_flows('10.0.1.1', 2000, 1.1)
-    assert not fleet.has_lost_flows('10.0.1.1', 1000, 1.1)
+    assert fleet.find_loss('10.0.1.1', 2000, 1.1)
+    assert not fleet.find_loss('10.0.1.1', 1000, 1.1)
 
 
 def test_flows_of_unknown_upstream_are_not_lost(fleet):
@@ -110,17 +110,17 @@
     An agent that had just restarted reported a flow without the incarnation
     of its upstream. The flow was reset when the incarnation became known.
     """
-    assert not fleet.has_lost_flows('10.0.1.1', 0, 0.1)
+    assert not fleet.find_loss('10.0.1.1', 0, 0.1)
     fleet.record_agent_status('10.0.1.1', agent(3, incarnation=0), 1.0)
-    assert not fleet.has_lost_flows('10.0.1.1', 1000, 1.0)
+    assert not fleet.find_loss('10.0.1.1', 1000, 1.0)
 
 
 def test_silent_agent_is_lost_only_if_others_are_not(fleet):
     """Guards against resets by a balancer that is itself cut off."""
     now = LOST_S + 0.1
-    assert not fleet.has_lost_flows('10.0.1.1', 1000, now)
+    assert not fleet.find_loss('10.0.1.1', 1000, now)
     record_other_agents(fleet, now)
-    assert fleet.has_lost_flows('10.0.1.1', 1000, now)
+    assert fleet.find_loss('10.0.1.1', 1000, now)
 
 
 def test_restarting_agent_is_waited_for(fleet):
@@ -129,9 +129,9 @@
         '10.0.1.1', agent(2, state=AgentState.RESTARTING), 0.0
     )
     record_other_agents(fleet, LOST_S + 1.0)
-    assert not fleet.has_lost_flows('10.0.1.1', 1000, LOST_S + 1.0)
+    assert not fleet.find_loss('10.0.1.1', 1000, LOST_S + 1.0)
     record_other_agents(fleet, RESTART_TIMEOUT_S + 0.1)
-    assert fleet.has_lost_flows('10.0.1.1', 1000, RESTART_TIMEOUT_S + 0.1)
+    assert fleet.find_loss('10.0.1.1', 1000, RESTART_TIMEOUT_S + 0.1)
 
 
 def test_agents_that_others_list_are_unheard(fleet):
@@ -198,8 +198,8 @@
             f'10.0.1.{number}', agent(number=2, interval_s=30.0), 80.0
         )
     assert fleet.forget(80.0) == []
-    assert not fleet.has_lost_flows('10.0.1.1', 1000, 80.0)
-    assert fleet.has_lost_flows('10.0.1.1', 1000, 91.0)
+    assert not fleet.find_loss('10.0.1.1', 1000, 80.0)
+    assert fleet.find_loss('10.0.1.1', 1000, 91.0)
 
 
 def test_mentioned_balancers_are_not_forgotten(fleet):
--- a/tests/fleet/test_reports.py
+++ b/tests/fleet/test_reports.py
@@ -229,11 +229,11 @@
     assert not far_fleet.has_recent_status(view, 9.7)
     others = [far_fleet.agents_by_ip[ip] for ip in centre.agent_ips[1:]]
     assert all(far_fleet.has_recent_status(other, 9.7) for other in others)
-    assert not far_fleet.has_lost_flows(gone, 1000, 1.2 + LOST_S - 0.1)
-    assert far_fleet.has_lost_flows(gone, 1000, 1.2 + LOST_S + 0.1)
+    assert not far_fleet.find_loss(gone, 1000, 1.2 + LOST_S - 0.1)
+    assert far_fleet.find_loss(gone, 1000, 1.2 + LOST_S + 0.1)
     far_fleet.record_agent_status(gone, agent(9, interval_s=30.0), 9.8)
     assert far_fleet.has_recent_status(view, 9.8)
-    assert not far_fleet.has_lost_flows(gone, 1000, 9.8)
+    assert not far_fleet.find_loss(gone, 1000, 9.8)
 
 
 def test_restarting_agent_is_not_lost_early(far_fleet):
@@ -243,7 +243,7 @@
     for number in (2, 3):
         far_fleet.record_agent_status(f'10.1.1.{number}', agent(9), 7.0)
     far_fleet.record_report('accra', ['10.1.1.1'], 1.5)
-    assert not far_fleet.has_lost_flows('10.1.1.1', 1000, 7.0)
+    assert not far_fleet.find_loss('10.1.1.1', 1000, 7.0)
 
 
 def test_agent_that_answers_here_is_not_silent(far_fleet):
--- a/tests/locating/test_locator.py
+++ b/tests/locating/test_locator.py
@@ -40,6 +40,8 @@
 PACKET = Packet(b'raw', FLOW, ACK, 1, 2, 0)
 SERVICE_AGENTS = [f'10.0.1.{n}' for n in range(1, 6)]
 OTHER_AGENTS = ['10.0.2.1', '10.0.2.2']
+#: Agents that deny the flow when it is not found.
+ALL_AGENTS = len(SERVICE_AGENTS) + len(OTHER_AGENTS)
 
 
 @pytest.fixture
@@ -98,7 +100,7 @@
     locator.search(PACKET, 'counter', 0.0)
     send_answers(locator, SERVICE_AGENTS, Verdict.NOT_OWNED)
     assert send_answers(locator, OTHER_AGENTS, Verdict.NOT_OWNED) == [
-        NotFound(PACKET)
+        NotFound(PACKET, ALL_AGENTS)
     ]
 
 
@@ -130,7 +132,7 @@
     assert asked.ips == (SERVICE_AGENTS[0],)
     assert send_answers(
         locator, SERVICE_AGENTS[:1], Verdict.NOT_OWNED, 0.21
-    ) == [NotFound(PACKET)]
+    ) == [NotFound(PACKET, ALL_AGENTS)]
 
 
 def test_flow_is_found_when_its_agent_starts(locator, fleet):
@@ -386,7 +388,9 @@
     now = ANSWER_TIMEOUT_S + 0.01
     assert locator.expire(now) == [AskOwner(FLOW, 2, tuple(OTHER_AGENTS))]
     assert send_answers(locator, OTHER_AGENTS, Verdict.NOT_OWNED, now) == []
-    assert locator.expire(now + ANSWER_TIMEOUT_S) == [NotFound(PACKET)]
+    assert locator.expire(now + ANSWER_TIMEOUT_S) == [
+        NotFound(PACKET, ALL_AGENTS)
+    ]
 
 
 def start_trials(locator):
@@ -530,7 +534,7 @@
     now = 0.05
     (asked,) = send_answers(locator, FAR_AGENTS, Verdict.NOT_OWNED, now)
     steps = send_answers(locator, asked.ips, Verdict.NOT_OWNED, now)
-    assert steps == [NotFound(PACKET)]
+    assert steps == [NotFound(PACKET, ALL_AGENTS + len(FAR_AGENTS))]
 
 
 def test_unknown_name_is_ignored(wide_locator):
--- a/tests/platform/test_reports.py
+++ b/tests/platform/test_reports.py
@@ -124,7 +124,7 @@
             lost = [
                 view
                 for host, view in views(network, others)
-                if host.node.fleet.has_lost_flows(
+                if host.node.fleet.find_loss(
                     view.ip, view.status.incarnation, host.clock()
                 )
             ]
