Play long absences in the soak, and test them with real processes

Agents that are away for longer than a restart takes were played nowhere: the soak and the bench have them back after about a second.

--- a/testbed/flow_processes.py
+++ b/testbed/flow_processes.py
@@ -63,6 +63,8 @@
         self.process: asyncio.subprocess.Process | None = None
         self.is_ready = False
         self.upstream: FlowUpstream | None = None
+        #: Sockets of the upstream, closed when it ends.
+        self.upstream_stack: AsyncExitStack | None = None
         #: Relay between this process and the store.
         self.relay: TcpRelay | None = None
         #: Folder with the packages that the process runs, ``None`` for those
@@ -206,8 +208,10 @@
         await asyncio.sleep(down_s)
         await self._start(host)
 
-    async def restart(self, host: ProcessHost) -> None:
-        """Stop a process as planned and start it again.
+    async def restart(
+        self, host: ProcessHost, down_s: float = RESTART_DELAY_S
+    ) -> None:
+        """Stop a process as planned and start it again after a delay.
 
         :raises TimeoutError: if it does not end in time.
         """
@@ -222,7 +226,7 @@
             host.starts -= 1
         elif code:
             host.exits.append(code)
-        await asyncio.sleep(RESTART_DELAY_S)
+        await asyncio.sleep(down_s)
         await self._start(host)
 
     @staticmethod
@@ -269,6 +273,7 @@
         An earlier upstream of the host must have ended.
         """
         stack = await self._stack.enter_async_context(AsyncExitStack())
+        host.upstream_stack = stack
         upstream: FlowUpstream | None = None
         address = Address(host.ip, UPSTREAM_PORT)
         socket = DatagramSocket(lambda raw, _: upstream.receive(raw), address)
@@ -291,7 +296,7 @@
 
     async def _send_heartbeats(self, host, upstream, stack) -> None:
         while upstream.is_alive:
-            if not upstream.is_frozen:
+            if not (upstream.is_frozen or upstream.has_left):
                 body = heartbeat_of(host, upstream)
                 path = f'/v1/instances/{upstream.name}'
                 control = Address(host.ip, HEARTBEAT_PORT)
@@ -302,16 +307,24 @@
     async def replace_upstream(self, host, cold_s: float) -> None:
         """Crash the upstream of a host and start another one there."""
         host.upstream.crash()
+        await host.upstream_stack.aclose()
         await asyncio.sleep(2 * HEARTBEAT_INTERVAL_S + CALL_TIMEOUT_S)
         await self.start_upstream(host, cold_s)
 
-    async def drain_upstream(self, host, drain_s: float) -> None:
-        """Drain and deregister an upstream, then start another one there."""
+    async def drain_upstream(
+        self, host, drain_s: float, exit_s: float = 0.0
+    ) -> None:
+        """Drain and deregister an upstream, then start another one there.
+
+        :param exit_s: time from its deregistration to its end.
+        """
         upstream = host.upstream
         upstream.is_draining = True
         await asyncio.sleep(drain_s)
         path = f'/v1/instances/{upstream.name}'
+        upstream.has_left = True
         await call(Address(host.ip, HEARTBEAT_PORT), 'DELETE', path)
+        await asyncio.sleep(exit_s)
         await self.replace_upstream(host, 0.0)
 
     # Routers and callers.
--- a/testbed/flow_upstream.py
+++ b/testbed/flow_upstream.py
@@ -33,6 +33,15 @@
     destination: Address
 
 
+class HeldFlow:
+    """When an upstream held a flow, and when its packets arrived there."""
+
+    def __init__(self, since: float):
+        self.since = since
+        self.until: float | None = None
+        self.received_at: list[float] = []
+
+
 class _Flow:
     def __init__(self, sequence: int, caller_next_sequence: int):
         self.next_sequence = sequence
@@ -81,6 +90,8 @@
         self._running = 0
         self._waiting: deque = deque()
         self.is_draining = False
+        #: Whether it has announced its end and sends no more heartbeats.
+        self.has_left = False
         self.is_alive = True
         #: Whether it neither receives nor answers.
         self.is_frozen = False
@@ -89,6 +100,7 @@
         self.runs: list[bytes] = []
         self.damaged_packets = 0
         self.bounced_by_caller: dict[Address, list[float]] = {}
+        self.held_by_caller: dict[Address, HeldFlow] = {}
 
     # Heartbeats.
 
@@ -114,9 +126,8 @@
     def crash(self) -> None:
         """End without notice; flows and requests are lost."""
         self.is_alive = False
-        for flow in self._flow_by_caller.values():
-            self._stop_retransmitting(flow)
-        self._flow_by_caller.clear()
+        for caller in list(self._flow_by_caller):
+            self._drop(caller)
 
     # Packets.
 
@@ -162,6 +173,9 @@
         if segment.flags & ACK and segment.acknowledged == flow.next_sequence:
             flow.is_open = True
             self._stop_retransmitting(flow)
+        now = self._loop.time()
+        held = self.held_by_caller.setdefault(segment.source, HeldFlow(now))
+        held.received_at.append(now)
         if segment.data and segment.sequence == flow.caller_next_sequence:
             flow.caller_next_sequence += len(segment.data)
             self._run_or_queue(segment, flow)
@@ -242,6 +256,8 @@
         flow = self._flow_by_caller.pop(caller, None)
         if flow is not None:
             self._stop_retransmitting(flow)
+        if caller in self.held_by_caller:
+            self.held_by_caller[caller].until = self._loop.time()
 
     def holds(self, caller: Address) -> bool:
         """Return whether this upstream has an open flow of a caller."""
--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -11,6 +11,8 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from contextlib import contextmanager
+import math
 from pathlib import Path
 import random
 import tempfile
@@ -49,8 +51,24 @@
 #: taken out (``evacuate_ms`` in the settings).
 EVACUATE_S = 5.0
 
+#: Callers whose feeds pause, in runs with absences: they send nothing while a
+#: process is away and go on afterwards.
+PAUSING_CALLERS = 24
+MAX_PAUSE_S = 8.0
+#: Longest time for which a process is away in runs with absences.
+MAX_ABSENCE_S = 12.0
+#: Packets of a flow at other upstreams, none at its own, within this time that
+#: count as misdirected (``reorder_ms`` in the settings).
+MISDIRECTED_PACKETS, REORDER_S = 3, 2.0
+#: Time after an unplanned fault of a host from which its flows must be found
+#: again (``stability_ms`` in the settings).
+STABILITY_S = 4.0
+
 FaultAction = Callable[['Soak'], Awaitable[None]]
 faults: dict[str, FaultAction] = {}
+#: Faults of runs with absences: processes that are away or stand still for
+#: longer than a restart takes, as on a busy machine.
+absences: dict[str, FaultAction] = {}
 
 
 def fault(action: FaultAction) -> FaultAction:
@@ -59,6 +77,12 @@
     return action
 
 
+def absence(action: FaultAction) -> FaultAction:
+    """Register a fault of runs with absences, as :func:`fault` does."""
+    absences[action.__name__] = action
+    return action
+
+
 class BrokenPromise(NamedTuple):
     """A broken promise and when it was noticed."""
 
@@ -74,12 +98,24 @@
     :param network: third byte of all addresses.
     :param seed: seed of faults and load.
     :param seconds: duration for which faults are started.
+    :param has_absences: whether half of the faults are those of
+        :data:`absences`, and some feeds pause.
     :ivar broken: the broken promises.
     :ivar injected: time in seconds and name of each injected fault.
     """
 
-    def __init__(self, folder: Path, network: int, seed: int, seconds: float):
+    def __init__(
+        self,
+        folder: Path,
+        network: int,
+        seed: int,
+        seconds: float,
+        has_absences: bool = False,
+    ):
         self.rng = random.Random(seed)
+        self._has_absences = has_absences
+        #: Host, begin and end of each unplanned fault of an agent.
+        self.disturbances: list[tuple[ProcessHost, float, float]] = []
         self.deployment = FlowProcesses(
             folder, network, BALANCERS, AGENTS, seed
         )
@@ -147,6 +183,12 @@
             self._loop.create_task(self._load(kind, is_long))
             for kind, is_long in ((FEED, True), (QUOTE, False), (SCAN, False))
         ]
+        if self._has_absences:
+            background += [
+                self._loop.create_task(self._pause_between(datacentre))
+                for datacentre in ('accra', 'kumasi')
+                for _ in range(PAUSING_CALLERS // 2)
+            ]
         background.append(self._loop.create_task(self._check_repeatedly()))
         await self._inject_faults()
         await asyncio.sleep(RECOVERY_S)
@@ -157,6 +199,7 @@
         ended_at = self._loop.time()
         await asyncio.sleep(FEED.deadline_s + CHECK_INTERVAL_S)
         self._check()
+        self._check_paths()
         unserved = [
             request
             for caller in self.callers
@@ -180,13 +223,15 @@
         await asyncio.gather(*running)
 
     def _choose_fault(self) -> str:
+        if self._has_absences and self.rng.random() < 0.5:
+            return self.rng.choice(sorted(absences))
         return self.rng.choice(sorted(faults))
 
     async def inject(self, name: str) -> None:
         """Inject a fault and wait for its end."""
         self.injected.append((round(self.now, 1), name))
         try:
-            await faults[name](self)
+            await (faults | absences)[name](self)
         except TimeoutError as error:
             self._record_broken('planned stops end', f'{name}: {error!r}')
 
@@ -201,6 +246,14 @@
             self.rng.choice(callers).ask()
             await asyncio.sleep(self.rng.expovariate(REQUESTS_PER_S))
 
+    async def _pause_between(self, datacentre: str) -> None:
+        """Let a caller use one flow with pauses between its requests."""
+        caller = self.deployment.add_caller(datacentre, FEED, is_long=True)
+        self.callers.append(caller)
+        while True:
+            caller.ask()
+            await asyncio.sleep(self.rng.uniform(0.5, MAX_PAUSE_S))
+
     # Promises.
 
     def _record_broken(self, promise: str, detail: str) -> None:
@@ -242,6 +295,44 @@
         for host, upstream in upstreams:
             self._check_upstream(host, upstream)
 
+    def _check_paths(self) -> None:
+        """Check that the packets of open flows reached their own upstream.
+
+        Packets at other upstreams are allowed while the agent of its own one
+        is away or was lately, unless it was stopped as planned.
+        """
+        upstreams = self.deployment.upstreams
+        for host, own in upstreams:
+            for caller, held in own.held_by_caller.items():
+                elsewhere = sorted(
+                    at
+                    for _, other in upstreams
+                    if other is not own
+                    for at in other.bounced_by_caller.get(caller, ())
+                )
+                self._check_path(host, caller, held, elsewhere)
+
+    def _check_path(self, host, caller, held, elsewhere) -> None:
+        until = math.inf if held.until is None else held.until
+        for index, at in enumerate(elsewhere[: 1 - MISDIRECTED_PACKETS]):
+            last = elsewhere[index + MISDIRECTED_PACKETS - 1]
+            window = at, at + REORDER_S
+            if (
+                held.since <= at
+                and last < window[1] < until
+                and not any(at <= own < window[1] for own in held.received_at)
+                and not any(
+                    other is host
+                    and begin < window[1]
+                    and at < end + STABILITY_S
+                    for other, begin, end in self.disturbances
+                )
+            ):
+                self._record_broken(
+                    'packets reach their upstream', f'{caller} of {host.name}'
+                )
+                return
+
     def _check_upstream(self, host: ProcessHost, upstream) -> None:
         if upstream.damaged_packets:
             self._record_broken('packets arrive whole', host.name)
@@ -288,8 +379,13 @@
 @fault
 async def kill_a_process(soak: Soak) -> None:
     """A crash."""
+
+    async def kill(host: ProcessHost) -> None:
+        with _disturbed(soak, host):
+            await soak.deployment.kill(host)
+
     host = soak.choose_host(soak.rng.choice(_host_groups(soak)))
-    await soak.apply_to(host, soak.deployment.kill)
+    await soak.apply_to(host, kill)
 
 
 @fault
@@ -297,7 +393,12 @@
     """A process that stands still and goes on."""
     host = soak.choose_host(soak.rng.choice(_host_groups(soak)))
     for_s = soak.rng.uniform(0.2, 3.0)
-    await soak.apply_to(host, lambda host: soak.deployment.pause(host, for_s))
+
+    async def pause(host: ProcessHost) -> None:
+        with _disturbed(soak, host):
+            await soak.deployment.pause(host, for_s)
+
+    await soak.apply_to(host, pause)
 
 
 @fault
@@ -402,6 +503,80 @@
     )
 
 
+@contextmanager
+def _disturbed(soak: Soak, *hosts: ProcessHost):
+    """Record an unplanned fault of hosts."""
+    begin = asyncio.get_running_loop().time()
+    try:
+        yield
+    finally:
+        end = asyncio.get_running_loop().time()
+        soak.disturbances += [(host, begin, end) for host in hosts]
+
+
+def _absence_s(soak: Soak) -> float:
+    return soak.rng.uniform(2.0, MAX_ABSENCE_S)
+
+
+@absence
+async def kill_an_agent_for_long(soak: Soak) -> None:
+    """A crash of an agent that starts late."""
+    for_s = _absence_s(soak)
+
+    async def kill(host: ProcessHost) -> None:
+        with _disturbed(soak, host):
+            await soak.deployment.kill(host, for_s)
+
+    await soak.apply_to(soak.choose_host(soak.deployment.agents[:4]), kill)
+
+
+@absence
+async def stop_an_agent_for_long(soak: Soak) -> None:
+    """A planned stop of an agent that starts late."""
+    for_s = _absence_s(soak)
+    await soak.apply_to(
+        soak.choose_host(soak.deployment.agents[:4]),
+        lambda host: soak.deployment.restart(host, for_s),
+    )
+
+
+@absence
+async def suspend_a_process_for_long(soak: Soak) -> None:
+    """A process that stands still for seconds and goes on."""
+    for_s = _absence_s(soak)
+
+    async def suspend(host: ProcessHost) -> None:
+        with _disturbed(soak, host):
+            await soak.deployment.pause(host, for_s)
+
+    host = soak.choose_host(soak.rng.choice(_host_groups(soak)))
+    await soak.apply_to(host, suspend)
+
+
+@absence
+async def kill_all_processes(soak: Soak) -> None:
+    """All processes crash, and start at different times."""
+    longest_s = _absence_s(soak)
+
+    async def kill(host: ProcessHost) -> None:
+        with _disturbed(soak, host):
+            await soak.deployment.kill(host, soak.rng.uniform(0.2, longest_s))
+
+    free = [h for h in soak.deployment.hosts if not soak.has_fault(h)]
+    await asyncio.gather(*(soak.apply_to(host, kill) for host in free))
+
+
+@absence
+async def upstream_exits_late(soak: Soak) -> None:
+    """An upstream that goes on for a moment after it has announced its end."""
+    host = soak.choose_host(soak.deployment.agents[:4])
+    exit_s = soak.rng.uniform(0.05, 1.0)
+    await soak.apply_to(
+        host,
+        lambda host: soak.deployment.drain_upstream(host, 1.0, exit_s),
+    )
+
+
 def _host_groups(soak: Soak) -> tuple[list[ProcessHost], list[ProcessHost]]:
     # Each data centre has only one intake upstream. Their agents get no such
     # faults, so that intake requests can be served at any time.
@@ -409,10 +584,14 @@
 
 
 async def soak_once(
-    folder: Path, network: int, seed: int, seconds: float
+    folder: Path,
+    network: int,
+    seed: int,
+    seconds: float,
+    has_absences: bool = False,
 ) -> Soak:
     """Run the soak with one seed and return it, with its broken promises."""
-    soak = Soak(folder, network, seed, seconds)
+    soak = Soak(folder, network, seed, seconds, has_absences)
     await soak.run()
     return soak
 
@@ -422,12 +601,17 @@
 @click.option('--seeds', type=int, default=1, help='Number of seeds.')
 @click.option('--seconds', type=float, default=20.0, help='Time of faults.')
 @click.option('--network', type=int, default=60, help='Addresses 127.0.N.*.')
-def main(seed: int, seeds: int, seconds: float, network: int) -> None:
+@click.option('--absences', is_flag=True, help='Add long absences.')
+def main(
+    seed: int, seeds: int, seconds: float, network: int, absences: bool
+) -> None:
     """Run the soak; exits with 1 if a promise broke."""
     failed = []
     for number in range(seed, seed + seeds):
         folder = Path(tempfile.mkdtemp(prefix=f'ibispitch-soak-{number}-'))
-        soak = asyncio.run(soak_once(folder, network, number, seconds))
+        soak = asyncio.run(
+            soak_once(folder, network, number, seconds, absences)
+        )
         counts = {outcome.value: 0 for outcome in Outcome}
         for caller in soak.deployment.callers:
             for request in caller.requests:
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -9,7 +9,9 @@
 from testbed.flow_callers import Flow
 from testbed.flow_callers import Request
 from testbed.flow_upstream import FlowUpstream
+from testbed.flow_upstream import HeldFlow
 from testbed.flow_upstream import Opened
+from testbed.soak import absences
 from testbed.soak import EVACUATE_S
 from testbed.soak import QUOTE
 from testbed.soak import SCAN
@@ -17,6 +19,7 @@
 from testbed.soak import soak_once
 
 SEED = 5
+ABSENCES_SEED = 2000
 SECONDS = 6.0
 
 
@@ -30,6 +33,39 @@
     assert len(requests) > 300
 
 
+@pytest.mark.process
+async def test_short_soak_with_absences(tmp_path):
+    """Guards against resets of flows whose agent is away for long."""
+    soak = await soak_once(
+        tmp_path, 42, ABSENCES_SEED, SECONDS, has_absences=True
+    )
+    assert soak.broken == []
+    assert {name for _, name in soak.injected} & absences.keys()
+
+
+async def test_packets_at_other_upstreams_are_noticed(soak):
+    """Shows that the check of the paths of packets can fail."""
+    host, own = soak.deployment.upstreams[0]
+    other = FlowUpstream(
+        asyncio.get_running_loop(), lambda raw: None, soak.rng
+    )
+    soak.deployment.upstreams.append((soak.deployment.agents[1], other))
+    caller = Address('127.0.41.130', 1024)
+    held = own.held_by_caller[caller] = HeldFlow(100.0)
+    other.bounced_by_caller[caller] = [101.0, 101.2, 101.6]
+    held.received_at = [100.5, 102.0]
+    soak._check_paths()
+    assert soak.broken == []
+    held.received_at = [100.5, 103.2]
+    soak.disturbances = [(host, 90.0, 97.5)]
+    soak._check_paths()
+    assert soak.broken == []
+    soak.disturbances = [(host, 90.0, 96.5)]
+    soak._check_paths()
+    promises = [broken.promise for broken in soak.broken]
+    assert promises == ['packets reach their upstream']
+
+
 @pytest.fixture
 async def soak(tmp_path):
     soak = Soak(tmp_path, 41, SEED, SECONDS)
