Do not take the silence of an agent for the end of its upstream

Callers saw open flows reset while their agent was killed, suspended or starting late on a busy host, though the upstream went on and held them. The cause is one conclusion at four places: time without a status counts as an end. After 3.6 s (8 s after a planned stop) a known flow was reset; a search left such an agent out and found that nobody has the flow; a list of agents left it out after 8 s or 3 s; a balancer that had just started knew all agents after 3.5 s.

A balancer now probes the host of a silent agent with a connection to the peer port. A host that answers, even by refusing, runs, so that its flows are kept until their idle time-out. Only an agent whose host has answered two probes in a row with nothing counts as lost after 3.6 s as before, so that callers of a lost host are told as soon. Agents that are away prevent the result of a search; agents that only others know are listed and probed too; a balancer without a whole list waits for the idle time-out, but at the first start of a fleet, when no flow is older. Statuses append the number of agents: a list of a fleet above 128 agents is a sample and was taken for the whole.

Ruled out: no reset before the idle time-out at all (callers of a lost host wait for their deadline).

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -5,6 +5,12 @@
 :mod:`ibispitch.fleet.directory`. A process without a recent
 status gets no new flows after :data:`SUSPECT_INTERVALS` and is forgotten after
 :data:`FORGET_AFTER_S`.
+
+A silent agent says nothing of its upstream: it may be suspended, or start late
+on a busy host. Balancers therefore probe its host. A host that answers, even
+by refusing the connection, runs, and its upstream may hold its flows until
+their idle time-out. Only if the host does not answer either, they count as
+lost earlier.
 """
 
 from collections.abc import Iterable
@@ -18,6 +24,8 @@
 from ibispitch.fleet.messages import AgentState
 from ibispitch.fleet.messages import AgentStatus
 from ibispitch.fleet.messages import BalancerStatus
+from ibispitch.fleet.messages import IP_BYTES
+from ibispitch.fleet.messages import MAX_LISTED_PROCESSES
 from ibispitch.fleet.messages import unpack_ips
 from ibispitch.fleet.order import ProcessOrder
 from ibispitch.fleet.rounds import FAR_ROUNDS
@@ -38,12 +46,11 @@
 #: Time for which a mention of a process in a status of another one is valid,
 #: and for which a new balancer may be unknown to some processes.
 MENTION_VALID_S = SUSPECT_INTERVALS * STATUS_INTERVAL_S * FAR_ROUNDS
-#: Time without a status after which the flows of an agent count as lost,
-#: unless it announced a restart. It is longer than the restart of a killed
-#: process (about 1.5 s with the start of the interpreter). It is also longer
-#: than the time after which processes in other data centres have no recent
-#: status (3 s), so that a process that gets no messages does not take some of
-#: the others for lost.
+#: Time without a status after which the flows of an agent whose host does not
+#: answer count as lost, unless it announced a restart. It is longer than the
+#: time after which processes in other data centres have no recent status
+#: (3 s), so that a process that gets no messages does not take some of the
+#: others for lost.
 LOST_S = 3.6
 #: Time for which the flows of a restarting agent are kept: the longest grace
 #: time of a stop (6 s) and the start.
@@ -58,10 +65,25 @@
 #: Number of statuses up to which an agent has started lately: it sends one in
 #: each status interval at least, so that it reaches the number in 26 s.
 MAX_YOUNG_NUMBER = 64
+#: More agents than any fleet has.
+MAX_FLEET_AGENTS = 1 << 32
 #: Maximum number of destinations whose flow length is remembered.
 MAX_DESTINATIONS = 4096
 #: Maximum number of new or silent processes that get a message at once.
 MAX_ADDRESSED_AT_ONCE = 64
+#: Interval of the probes of a silent host.
+PROBE_INTERVAL_S = 0.7
+#: Successive probes without an answer after which a host counts as
+#: unreachable: one may be lost.
+MIN_UNANSWERED_PROBES = 2
+#: Multiple of the idle time-out for which an agent that only others know is
+#: remembered. They forget it after one time-out, but learn of it from each
+#: other at different times.
+UNHEARD_KEPT_TIMES = 4
+#: Maximum number of hosts that are probed at once.
+MAX_PROBED_AT_ONCE = 16
+#: Idle time-out of flows while no routes are known.
+DEFAULT_IDLE_TIMEOUT_S = FORGET_AFTER_S
 
 
 class Loss(enum.Enum):
@@ -69,10 +91,40 @@
 
     #: Its agent has reported that it has ended.
     UPSTREAM_ENDED = 'upstream ended'
-    #: Its agent has sent no status for a long time.
+    #: Its agent has sent no status for a long time, and its host answers no
+    #: probe.
+    HOST_UNREACHABLE = 'host unreachable'
+    #: Its agent has sent no status for the idle time-out.
     AGENT_SILENT = 'agent silent'
 
 
+class HostProbes:
+    """Probes of a host whose agent is silent."""
+
+    __slots__ = ('probed_at', 'unanswered')
+
+    def __init__(self):
+        self.probed_at = -math.inf
+        #: Successive probes without an answer.
+        self.unanswered = 0
+
+    @property
+    def is_unreachable(self) -> bool:
+        """Whether the host has answered none of the last probes."""
+        return self.unanswered >= MIN_UNANSWERED_PROBES
+
+
+class UnheardAgent:
+    """An agent that balancers list but that has sent no status."""
+
+    __slots__ = ('probes', 'since')
+
+    def __init__(self, now: float):
+        #: Time of the first mention.
+        self.since = now
+        self.probes = HostProbes()
+
+
 class AgentView:
     """State of an agent, from its last status.
 
@@ -82,11 +134,13 @@
     __slots__ = (
         'first_number',
         'flows_since_status',
+        'has_restarted',
         'heard_at',
         'ip',
         'is_reported',
         'is_unresponsive',
         'order',
+        'probes',
         'report_interval_s',
         'silent_since',
         'status',
@@ -111,6 +165,10 @@
         #: Time of the first report that names it as silent since its last
         #: status.
         self.silent_since: float | None = None
+        #: Whether a status has shown that its host may have lost power.
+        self.has_restarted = False
+        #: Probes of its host since its last status.
+        self.probes = HostProbes()
 
     @property
     def load(self) -> float:
@@ -160,6 +218,17 @@
     return RESTART_TIMEOUT_S if is_back_soon else LOST_S
 
 
+def _count_listed(status: BalancerStatus) -> int:
+    """Return the number of agents of the fleet that a balancer lists.
+
+    The version before does not send it with a sample.
+    """
+    if status.agent_count:
+        return status.agent_count
+    count = len(status.agents) // IP_BYTES
+    return count if count < MAX_LISTED_PROCESSES else MAX_FLEET_AGENTS
+
+
 class Fleet:
     """Known balancers and agents, by their IP addresses."""
 
@@ -169,9 +238,8 @@
         self.balancers_by_ip: dict[str, BalancerView] = {}
         #: A dictionary as an ordered set, in the order of the first status.
         self._ips_by_service: dict[ServiceName, dict[str, None]] = {}
-        #: Agents that balancers list but that have sent no status, with the
-        #: time of the last mention.
-        self._unheard_agents: dict[str, float] = {}
+        #: Agents that balancers list but that have sent no status.
+        self._unheard_agents: dict[str, UnheardAgent] = {}
         #: Time at which unknown agents were asked for their status.
         self._asked_at_by_agent: dict[str, float] = {}
         self._added_balancers: list[str] = []
@@ -182,8 +250,11 @@
         self.last_new_agent_at = -math.inf
         #: Time of the last status from a balancer that was not known.
         self._last_new_balancer_at = -math.inf
-        #: Whether a balancer that knows the whole fleet has listed the agents.
-        self.has_agent_list = False
+        #: Number of agents that a balancer which knows the whole fleet has
+        #: listed last, ``None`` if there was no such list.
+        self._listed_agents: int | None = None
+        #: Idle time-out of flows, from the routes.
+        self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         #: Time of the last report of each other data centre.
         self._reported_at_by_datacentre: dict[DatacentreName, float] = {}
 
@@ -211,6 +282,7 @@
             self._mark_reported(view, is_reported)
             self._ips_by_service.setdefault(status.service, {})[ip] = None
             self.last_new_agent_at = now
+            view.has_restarted = self._seems_restarted(view)
             return None
         former = view.status
         if not view.order.accept(status.started_ms, status.number, now):
@@ -221,10 +293,12 @@
         if former.started_ms != status.started_ms:
             view.first_number = status.number
         view.status = status
+        view.has_restarted |= self._seems_restarted(view)
         view.heard_at = now
         view.flows_since_status = 0
         view.is_unresponsive = False
         view.silent_since = None
+        view.probes.unanswered = 0
         self._mark_reported(view, is_reported)
         if not is_reported and (
             status.interval_s < view.report_interval_s
@@ -306,10 +380,10 @@
         for known in unpack_ips(status.balancers):
             self.add_balancer(known, now)
         if status.knows_fleet and status.agents:
-            self.has_agent_list = True
+            self._listed_agents = _count_listed(status)
         for agent in unpack_ips(status.agents):
             if agent not in self.agents_by_ip:
-                self._unheard_agents[agent] = now
+                self._unheard_agents.setdefault(agent, UnheardAgent(now))
         view = self.balancers_by_ip.get(ip)
         if status.is_leaving:
             # A former process of the host may have left long ago.
@@ -366,28 +440,47 @@
         self._asked_at_by_agent.update(dict.fromkeys(unknown, now))
         return unknown
 
+    @property
+    def has_agent_list(self) -> bool:
+        """Whether a balancer that knows the whole fleet has listed the agents.
+
+        The lists of a large fleet are samples, so that several may be needed.
+        """
+        return self._listed_agents is not None and self._listed_agents <= len(
+            self._unheard_agents
+        ) + len(self._views_with_upstream())
+
     def has_unheard_agents(self, now: float) -> bool:
         """Return whether others list agents that have sent no status here.
 
         The flows of such an agent cannot be distinguished from lost flows.
+        It counts until the idle time-out, unless its host is unreachable.
         """
-        self._unheard_agents = {
-            ip: at
-            for ip, at in self._unheard_agents.items()
-            if now - at < MENTION_VALID_S
-        }
-        return bool(self._unheard_agents)
+        return any(self._open_unheard(now))
+
+    def _open_unheard(self, now: float) -> Iterator[str]:
+        """Return unheard agents whose upstream may hold flows."""
+        return (
+            ip
+            for ip, unheard in self._unheard_agents.items()
+            if now - unheard.since < self.idle_timeout_s
+            and not unheard.probes.is_unreachable
+        )
+
+    def listed_agents(self, now: float) -> list[str]:
+        """Return the agents that a list for other processes contains."""
+        return [*self.recent_agents(now), *self._open_unheard(now)]
 
     def has_only_restarted_hosts(self) -> bool:
         """Return whether all known hosts of upstreams seem to have restarted.
 
-        Their upstreams are cold, and their agents had sent few statuses when
+        Their upstreams were cold, and their agents had sent few statuses when
         the first one arrived here. Cold upstreams alone don't show it, since
         an upstream turns cold without a restart as well. Agents without an
         upstream, or whose upstream has ended, don't count.
         """
         views = self._views_with_upstream()
-        return bool(views) and all(map(self._seems_restarted, views))
+        return bool(views) and all(view.has_restarted for view in views)
 
     def _views_with_upstream(self) -> list[AgentView]:
         return [
@@ -438,6 +531,47 @@
         )
         return list(islice(silent, MAX_ADDRESSED_AT_ONCE))
 
+    def hosts_to_probe(self, now: float) -> list[str]:
+        """Return silent agents whose host is to be probed now.
+
+        Each is returned once in :data:`PROBE_INTERVAL_S`.
+        """
+        probes_by_ip = {
+            view.ip: view.probes
+            for view in self.agents_by_ip.values()
+            if (
+                view.silent_since is not None
+                or now - view.heard_at > ASK_INTERVALS * view.status.interval_s
+            )
+            and view.status.state is not AgentState.ENDED
+        } | {
+            ip: self._unheard_agents[ip].probes
+            for ip in self._open_unheard(now)
+            if now - self._unheard_agents[ip].since > ASK_AGAIN_S
+        }
+        due = [
+            ip
+            for ip, probes in probes_by_ip.items()
+            if now - probes.probed_at >= PROBE_INTERVAL_S
+        ]
+        due.sort(key=lambda ip: probes_by_ip[ip].probed_at)
+        for ip in due[:MAX_PROBED_AT_ONCE]:
+            probes_by_ip[ip].probed_at = now
+        return due[:MAX_PROBED_AT_ONCE]
+
+    def record_probe(self, ip: str, is_answered: bool) -> bool:
+        """Record the result of a probe of an agent's host.
+
+        :returns: whether it changes what is known of the host.
+        """
+        known = self.agents_by_ip.get(ip) or self._unheard_agents.get(ip)
+        if known is None:
+            return False
+        probes = known.probes
+        was_unreachable = probes.is_unreachable
+        probes.unanswered = 0 if is_answered else probes.unanswered + 1
+        return probes.is_unreachable is not was_unreachable
+
     def recent_agents(self, now: float) -> list[str]:
         """Return the agents that are alive or may return.
 
@@ -446,10 +580,27 @@
         return [
             view.ip
             for view in self.agents_by_ip.values()
-            if self._is_recent(view, now)
-            and view.status.state is not AgentState.ENDED
+            if self._may_hold_flows(view, now)
+        ]
+
+    def absent_agents(self, now: float) -> list[AgentView]:
+        """Return the agents that need not be asked but may hold flows.
+
+        They have sent no status for so long that an answer is not expected.
+        """
+        return [
+            view
+            for view in self.agents_by_ip.values()
+            if now - view.heard_at >= self.lost_after_s(view)
+            and self._may_hold_flows(view, now)
         ]
 
+    def _may_hold_flows(self, view: AgentView, now: float) -> bool:
+        return (
+            view.status.state is not AgentState.ENDED
+            and self._silent_loss(view, now) is None
+        )
+
     def split_balancers(
         self, datacentre: DatacentreName
     ) -> tuple[list[str], list[str]]:
@@ -554,7 +705,8 @@
 
         They are lost if the agent reports that the upstream has ended. They
         also count as lost if the agent has sent no status for a long time
-        while most other agents have a recent one: then this process is not
+        and its host answers no probe, or none for the idle time-out, while
+        most other agents have a recent status: then this process is not
         the one that is cut off. If the agent reports another incarnation,
         only the agent can tell whose flow it is.
 
@@ -573,21 +725,30 @@
             and status.incarnation in (0, incarnation)
         ):
             return Loss.UPSTREAM_ENDED
-        if now > self._lost_at(view) and self._has_most_statuses(now):
+        loss = self._silent_loss(view, now)
+        return loss if loss and self._has_most_statuses(now) else None
+
+    def _silent_loss(self, view: AgentView, now: float) -> Loss | None:
+        """Return why the flows of a silent agent count as lost."""
+        if now <= self._lost_at(view):
+            return None
+        if view.probes.is_unreachable:
+            return Loss.HOST_UNREACHABLE
+        if now - view.heard_at > self.idle_timeout_s:
             return Loss.AGENT_SILENT
         return None
 
     @staticmethod
     def lost_after_s(view: AgentView) -> float:
-        """Return the time without a status after which an agent is lost."""
+        """Return the time without a status after which none is expected."""
         return max(
             _min_silence_s(view), LOST_INTERVALS * view.status.interval_s
         )
 
     def _lost_at(self, view: AgentView) -> float:
-        """Return the time at which an agent counts as lost.
+        """Return the time from which an agent may count as lost.
 
-        An agent that its data centre reports as silent counts as lost soon
+        An agent that its data centre reports as silent may be lost soon
         afterwards, however long the interval of its statuses.
         """
         lost_at = view.heard_at + self.lost_after_s(view)
@@ -626,6 +787,13 @@
             for ip, at in self._asked_at_by_agent.items()
             if now - at < MENTION_VALID_S
         }
+        # Others may list an agent for as long as it is remembered here, so
+        # that it must not count as a new one each time.
+        self._unheard_agents = {
+            ip: unheard
+            for ip, unheard in self._unheard_agents.items()
+            if now - unheard.since < UNHEARD_KEPT_TIMES * self.idle_timeout_s
+        }
         for view in silent:
             if isinstance(view, AgentView):
                 del self.agents_by_ip[view.ip]
@@ -634,7 +802,10 @@
                 del self.balancers_by_ip[view.ip]
         return [view.ip for view in silent]
 
-    @staticmethod
-    def _forget_after_s(view: AgentView | BalancerView) -> float:
+    def _forget_after_s(self, view: AgentView | BalancerView) -> float:
         interval_s = view.status.interval_s if view.status else 0.0
-        return max(FORGET_AFTER_S, (LOST_INTERVALS + 1) * interval_s)
+        return max(
+            FORGET_AFTER_S,
+            self.idle_timeout_s,
+            (LOST_INTERVALS + 1) * interval_s,
+        )
--- a/ibispitch/fleet/known.py
+++ b/ibispitch/fleet/known.py
@@ -11,10 +11,11 @@
 #: Time after its start from which a balancer knows all agents and may
 #: conclude that no agent has a flow: one round of status messages.
 FLEET_KNOWN_S = 0.4
-#: The same if no other balancer has sent the list of agents. Either all
-#: processes were killed and restart within 2 s, or the seeds in the settings
-#: are outdated and are corrected within 3 s.
-FLEET_KNOWN_WITHOUT_LIST_S = 3.5
+#: The same if no other balancer has sent the list of agents, at the first
+#: start of the fleet: the seeds in the settings may be outdated and are
+#: corrected within 3 s. Later it is the idle time-out of flows, because an
+#: agent may start late while its upstream holds flows from before.
+FIRST_START_S = 3.5
 #: Time after the first message of a new agent in which more new agents are
 #: expected. An agent contacts all balancers within milliseconds of its
 #: start.
@@ -28,7 +29,7 @@
     LIST = 'list'
     #: All known hosts seem to have lost power, so no other agent has a flow.
     RESTARTED_HOSTS = 'restarted hosts'
-    #: The others have had the time to send a status.
+    #: The flows of agents that are not known are idle or do not exist.
     TIME = 'time'
 
 
@@ -37,37 +38,48 @@
 
     :param fleet: the agents and balancers that it knows.
     :param started_at: start of the process, in seconds.
+    :param is_first_start: whether the whole fleet starts for the first time.
     """
 
-    def __init__(self, fleet: Fleet, started_at: float):
+    def __init__(self, fleet: Fleet, started_at: float, is_first_start: bool):
         self._fleet = fleet
         self._started_at = started_at
+        self._is_first_start = is_first_start
 
-    def has_run_long_enough(self, now: float) -> bool:
-        """Return whether this process has run long enough to know all agents.
+    def evidence(self, now: float) -> Evidence | None:
+        """Return what shows that all agents are known.
 
         Processes that were killed together restart at different times. If
         all known hosts have just restarted, all have lost power: an agent
-        that has not restarted yet is not likely to have a flow, so the
-        shorter time is enough.
+        that has not restarted yet is not likely to have a flow.
+
+        :returns: ``None`` if there may be others.
         """
         since_start = now - self._started_at
-        if self.evidence is Evidence.TIME:
-            return since_start >= FLEET_KNOWN_WITHOUT_LIST_S
-        return since_start >= FLEET_KNOWN_S
-
-    @property
-    def evidence(self) -> Evidence:
-        """What shows that all agents are known, once the time has passed."""
+        if since_start < FLEET_KNOWN_S:
+            return None
         if self._fleet.has_agent_list:
             return Evidence.LIST
         if self._fleet.has_only_restarted_hosts():
             return Evidence.RESTARTED_HOSTS
-        return Evidence.TIME
+        limit_s = self._fleet.idle_timeout_s
+        if self._is_first_start:
+            limit_s = FIRST_START_S
+        return Evidence.TIME if since_start >= limit_s else None
 
     def is_complete(self, now: float) -> bool:
         """Return whether all agents are known and no new ones appear."""
-        are_agents_starting = (
-            now - self._fleet.last_new_agent_at < NEW_AGENTS_S
+        return self.evidence(now) is not None and not self._has_new(now)
+
+    def is_settled(self, now: float) -> bool:
+        """Return whether most agents are known and no new ones appear.
+
+        An agent that starts late may be unknown.
+        """
+        has_run_long_enough = now - self._started_at >= FIRST_START_S
+        return not self._has_new(now) and (
+            has_run_long_enough or self.evidence(now) is not None
         )
-        return self.has_run_long_enough(now) and not are_agents_starting
+
+    def _has_new(self, now: float) -> bool:
+        return now - self._fleet.last_new_agent_at < NEW_AGENTS_S
--- a/ibispitch/fleet/messages.py
+++ b/ibispitch/fleet/messages.py
@@ -26,6 +26,9 @@
 from ibispitch.routes.position import TablePosition
 
 IP_BYTES = 4
+#: Maximum number of balancers and of agents that a status lists, so that it
+#: fits into a datagram. In a larger fleet a list is a sample.
+MAX_LISTED_PROCESSES = 128
 
 
 class AgentState(enum.IntEnum):
@@ -122,6 +125,8 @@
     :param passes_on: whether it takes part in the reports between data
         centres, see :mod:`ibispitch.fleet.reports`, and answers other
         balancers' questions about owners of flows.
+    :param agent_count: number of agents that are alive or may return, if
+        ``agents`` lists them or a sample of them.
     """
 
     datacentre: DatacentreName
@@ -139,6 +144,7 @@
     era: Count = 0
     version: Count = 0
     passes_on: bool = False
+    agent_count: Count = 0
 
     @property
     def position(self) -> TablePosition:
--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -97,6 +97,7 @@
     :param rng: breaks ties between agents.
     :param now: start time of the process, in seconds.
     :param overload: settings of the decisions under overload.
+    :param is_first_start: whether the whole fleet starts for the first time.
     """
 
     def __init__(
@@ -110,6 +111,7 @@
         rng: random.Random,
         now: float,
         overload: OverloadSettings = ALL_OFF,
+        is_first_start: bool = False,
     ):
         self._datacentre = datacentre
         self._fleet = fleet
@@ -118,7 +120,7 @@
         self._log = log
         self._histograms = histograms
         self._rng = rng
-        self._known_fleet = KnownFleet(fleet, now)
+        self._known_fleet = KnownFleet(fleet, now, is_first_start)
         self._table = FlowTable()
         self._recognises_attempts = overload.retries.mode is not Mode.OFF
         #: Searches for the owners of flows that this process doesn't know.
@@ -144,6 +146,7 @@
     def set_routes(self, routes: RouteIndex) -> None:
         """Use these routes for new flows; open flows keep their upstream."""
         self.routes = routes
+        self._fleet.idle_timeout_s = routes.table.idle_timeout_s
         self._summaries.clear()
         self._near_load_by_service.clear()
 
@@ -558,11 +561,11 @@
         return route.service_for(flow) if route else None
 
     def knows_fleet(self, now: float) -> bool:
-        """Return whether this process has run long enough to know all agents.
+        """Return whether this process knows all agents.
 
         See :class:`KnownFleet`.
         """
-        return self._known_fleet.has_run_long_enough(now)
+        return self._known_fleet.evidence(now) is not None
 
     def _count_refusal(self, flow: FlowKey, reason: str) -> dict[str, str]:
         """Count a refused opening.
--- a/ibispitch/forwarding/searches.py
+++ b/ibispitch/forwarding/searches.py
@@ -102,7 +102,7 @@
     def tick(self, now: float) -> None:
         """Continue overdue searches."""
         self._execute_steps(self._locator.expire(now), now)
-        if self._unknown_since_by_flow and self._known_fleet.is_complete(now):
+        if self._unknown_since_by_flow and self._known_fleet.is_settled(now):
             self._expire_unknown_flows(now)
 
     def receive_denial(self, ip: str, packet: Packet, now: float) -> None:
@@ -115,7 +115,7 @@
     def search(self, packet: Packet, now: float) -> None:
         """Search for the owner of a packet's flow."""
         service = self._sink.service_of(packet.flow)
-        if self._known_fleet.is_complete(now):
+        if self._known_fleet.is_settled(now):
             self._execute_steps(
                 self._locator.search(packet, service, now), now
             )
@@ -216,7 +216,7 @@
             self._record_lost_request(packet, now)
             self._sink.reset(
                 packet, 'no agent has the flow', now, agents=denied,
-                known_by=self._known_fleet.evidence.value,
+                known_by=self._known_fleet.evidence(now).value,
             )  # fmt: skip
             return
         self._locator.search_later(
--- a/ibispitch/locating/core.py
+++ b/ibispitch/locating/core.py
@@ -41,7 +41,8 @@
 #: Maximum number of trials of one flow within ``TRIAL_WINDOW_S`` while its
 #: owner may be an agent that has not answered. Packets at three wrong
 #: upstreams would count as misrouting the flow. Trials at agents that answered
-#: ``RESTARTED`` are counted, but only ``MAX_TRIAL_BATCH`` limits them.
+#: ``RESTARTED`` are counted, but only ``MAX_TRIAL_BATCH`` limits them unless
+#: the owner may be an agent that was stopped as planned.
 MAX_TRIALS = 2
 #: Maximum number of agents tried at the same time, near and preferred ones
 #: first: they most often include the owner of a long flow. Once all agents
@@ -452,9 +453,9 @@
             return self._ask(search, ips, now)
         del self._search_by_flow[packet.flow]
         self._remember_denials(packet.flow, search, now)
-        missing = self._missing(search)
+        missing = self._missing(search, now)
         if search.unknown or search.restarted:
-            return self._try_agents(search, packet, not unasked, now)
+            return self._try_agents(search, packet, not unasked, missing, now)
         if missing or not search.asked:
             return self._schedule_retry(search, missing, now)
         return [NotFound(packet, len(search.denied))]
@@ -483,19 +484,25 @@
         tried = {ip for _, ip in self._trials_by_flow.get(flow, ())}
         return [ip for ip in ips if ip not in tried]
 
-    def _missing(self, search: _Search) -> tuple[str, ...]:
+    def _missing(self, search: _Search, now: float) -> tuple[str, ...]:
         """Return the agents whose answer a search needs and does not have.
 
         An agent without an upstream is asked as well, since it may have a new
         one. It often leaves with its host, and then holds nothing.
         """
         by_ip = self._fleet.agents_by_ip
-        return tuple(
+        unanswered = (
             ip
             for ip in search.unanswered
             if ip not in by_ip
             or by_ip[ip].status.state is not AgentState.ENDED
         )
+        absent = (
+            view.ip
+            for view in self._fleet.absent_agents(now)
+            if view.ip not in search.asked
+        )
+        return (*unanswered, *absent)
 
     def _schedule_retry(
         self, search: _Search, missing: tuple[str, ...], now: float
@@ -528,20 +535,27 @@
         search: _Search,
         packet: Packet,
         are_all_asked: bool,
+        missing: tuple[str, ...],
         now: float,
     ) -> list[Step]:
         trials = self._trials_by_flow.setdefault(packet.flow, [])
         recent = sum(now - at < TRIAL_WINDOW_S for at, _ in trials)
         is_complete = (
             are_all_asked
-            and not self._missing(search)
+            and not missing
             and not self._fleet.has_unheard_agents(now)
         )
         unknown = self._untried(packet.flow, search.unknown)
         # If all agents have answered and none has claimed the flow, the owner
         # is among those that do not know.
-        max_unknown = (
-            MAX_TRIAL_BATCH if is_complete else max(0, MAX_TRIALS - recent)
+        max_unsafe = max(0, MAX_TRIALS - recent)
+        max_unknown = MAX_TRIAL_BATCH if is_complete else max_unsafe
+        # The owner may be an agent that was stopped as planned, and packets
+        # at three wrong upstreams would count as misrouting the flow.
+        max_all = (
+            max_unsafe
+            if any(map(self._is_restarting, missing))
+            else MAX_TRIAL_BATCH
         )
         restarted = self._untried(packet.flow, search.restarted)
         # Placement has preferred the first ones, near ones before all.
@@ -549,7 +563,7 @@
         unknown = by_preference(packet.flow, unknown)
         chosen = sorted(
             restarted + unknown[:max_unknown], key=self._is_remote
-        )[:MAX_TRIAL_BATCH]
+        )[:max_all]
         if not chosen:
             missing = (*search.unknown, *search.restarted)
             return self._schedule_retry(search, missing, now)
@@ -560,6 +574,10 @@
         self._schedule_retry(search, (), now)
         return [TryAgent(ip, packet) for ip in chosen]
 
+    def _is_restarting(self, ip: str) -> bool:
+        view = self._fleet.agents_by_ip.get(ip)
+        return view is not None and view.status.state is AgentState.RESTARTING
+
     def _is_remote(self, ip: str) -> bool:
         view = self._fleet.agents_by_ip.get(ip)
         return view is None or view.status.datacentre != self._datacentre
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -28,6 +28,7 @@
 from ibispitch.platform.node import Node
 from ibispitch.platform.node import TICK_INTERVAL_S
 from ibispitch.platform.packets import PlatformPacketCodec
+from ibispitch.platform.probes import HostProber
 from ibispitch.platform.statuses import BalancerStatuses
 from ibispitch.rotation.core import BalancerLink
 from ibispitch.rotation.core import is_standby
@@ -74,7 +75,7 @@
         self._core = BalancerCore(
             node.settings.datacentre, node.fleet, self._codec, self,
             node.log, node.histograms, self._random, node.clock(),
-            node.overload,
+            node.overload, node.settings.is_first_start,
         )  # fmt: skip
         self._statuses = BalancerStatuses(
             node, self._core.knows_fleet, self._on_agent_status, self._random
@@ -104,6 +105,7 @@
             CHECK_INTERVAL_S,
             lambda: self._directory.check(self._readers()[0].ip),
         )
+        HostProber(node).start()
         node.every(TICK_INTERVAL_S, lambda: self._core.tick(node.clock()))
         await node.is_stopping.wait()
         await self._stop()
--- a/ibispitch/platform/statuses.py
+++ b/ibispitch/platform/statuses.py
@@ -11,6 +11,7 @@
 from ibispitch.fleet.messages import AgentStatus
 from ibispitch.fleet.messages import BalancerStatus
 from ibispitch.fleet.messages import DatacentreReport
+from ibispitch.fleet.messages import MAX_LISTED_PROCESSES
 from ibispitch.fleet.messages import pack_ips
 from ibispitch.fleet.messages import Status
 from ibispitch.fleet.messages import unpack_entries
@@ -34,9 +35,6 @@
 #: new processes and in answers. Each is up to 1 kB, and at the start of a
 #: large fleet all processes are new to each other.
 MAX_FULL_STATUSES = 24
-#: Maximum number of balancers and of agents that a status lists, so that it
-#: fits into a datagram.
-MAX_LISTED_PROCESSES = 128
 
 
 class BalancerStatuses:
@@ -163,6 +161,7 @@
     ) -> BalancerStatus:
         node = self._node
         now = node.clock()
+        agents = node.fleet.listed_agents(now) if lists_fleet else ()
         return BalancerStatus(
             datacentre=node.settings.datacentre,
             started_ms=node.started_ms,
@@ -177,14 +176,13 @@
                 for view in node.fleet.heard_balancers(now)
                 if lists_fleet
             ),
-            agents=self._pack_sample(
-                node.fleet.recent_agents(now) if lists_fleet else ()
-            ),
+            agents=self._pack_sample(agents),
             interval_s=rounds * STATUS_INTERVAL_S,
             wants_answer=wants_answer,
             era=node.routes.position.era,
             version=node.routes.version,
             passes_on=True,
+            agent_count=len(agents),
         )
 
     def _pack_sample(self, ips: Iterable[str]) -> bytes:
--- a/ibispitch/platform/transport.py
+++ b/ibispitch/platform/transport.py
@@ -4,7 +4,10 @@
 deployments run in simulated time.
 """
 
+import asyncio
 from collections.abc import Callable
+import enum
+import errno
 import random
 import time
 from typing import Protocol
@@ -24,6 +27,21 @@
 #: Size of the kernel buffers of a datagram socket. Bytes in them count as
 #: memory of the process.
 BUFFER_BYTES = 1 << 20
+#: Errors of a connection to a host that does not answer. Others, such as a
+#: lack of descriptors, say nothing about it.
+UNREACHABLE_ERRORS = frozenset(
+    (errno.EHOSTUNREACH, errno.ENETUNREACH, errno.EHOSTDOWN, errno.ETIMEDOUT)
+)
+
+
+class ProbeResult(enum.Enum):
+    """Answer of a host to an attempt to connect."""
+
+    ACCEPTED = 'accepted'
+    #: The host runs, and no process listens at the address.
+    REFUSED = 'refused'
+    #: The host does not run or cannot be reached.
+    NO_ANSWER = 'no answer'
 
 
 class Closable(Protocol):
@@ -80,6 +98,12 @@
     def http_client(self, address: Address) -> HttpClient:
         """Return a client of an HTTP server."""
 
+    async def probe(self, address: Address, timeout_s: float) -> ProbeResult:
+        """Try to connect to an address.
+
+        :raises OSError: if this host cannot make the attempt.
+        """
+
 
 class HostTransport:
     """Sockets and clocks of the real host, see :class:`Transport`."""
@@ -131,3 +155,22 @@
     def http_client(self, address: Address) -> HttpClient:
         """Return a client of an HTTP server."""
         return HttpClient(address)
+
+    async def probe(self, address: Address, timeout_s: float) -> ProbeResult:
+        """Try to connect to an address.
+
+        :raises OSError: if this host cannot make the attempt.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                _, writer = await asyncio.open_connection(*address)
+        except (ConnectionRefusedError, ConnectionResetError):
+            return ProbeResult.REFUSED
+        except TimeoutError:
+            return ProbeResult.NO_ANSWER
+        except OSError as error:
+            if error.errno in UNREACHABLE_ERRORS:
+                return ProbeResult.NO_ANSWER
+            raise
+        writer.transport.abort()
+        return ProbeResult.ACCEPTED
--- a/testbed/flow_network.py
+++ b/testbed/flow_network.py
@@ -22,6 +22,7 @@
 from ibispitch.platform.http import Response
 from ibispitch.platform.node import Node
 from ibispitch.platform.settings import parse_settings
+from ibispitch.platform.transport import ProbeResult
 from ibispitch.settings.overload import OverloadSettings
 from testbed.flow_callers import FlowCaller
 from testbed.flow_callers import Outcome
@@ -157,6 +158,31 @@
         """Return a client of the store."""
         return MemoryStoreClient(self.network.store, self.name)
 
+    async def probe(self, address: Address, timeout_s: float) -> ProbeResult:
+        """Try to connect to an address."""
+        if address.ip == self.ip and address.port == UPSTREAM_PORT:
+            if self.upstream is not None and self.upstream.is_alive:
+                return ProbeResult.ACCEPTED
+            return ProbeResult.REFUSED
+        other = self.network.host_by_ip.get(address.ip)
+        if (
+            other is None
+            or not other.has_power
+            or not self.network.reaches(self, other)
+        ):
+            await asyncio.sleep(timeout_s)
+            return ProbeResult.NO_ANSWER
+        await asyncio.sleep(2 * self.network.delay_s(self, other))
+        return ProbeResult.REFUSED
+
+    @property
+    def has_power(self) -> bool:
+        """Whether its process or its upstream runs."""
+        is_upstream_alive = self.upstream is not None and (
+            self.upstream.is_alive
+        )
+        return bool(self.sockets) or is_upstream_alive
+
     def http_client(self, address: Address) -> _HttpClient:
         """Return an HTTP client for health checks of the local upstream."""
         return _HttpClient(self, address)
--- a/testbed/version_samples.py
+++ b/testbed/version_samples.py
@@ -122,7 +122,8 @@
     if kind == 'message':
         message = decode_message(data)
         if isinstance(message, DatacentreReport):
-            return [repr(message), repr(unpack_entries(message.entries))]
+            head = msgspec.structs.replace(message, entries=b'')
+            return [repr(head), repr(unpack_entries(message.entries))]
         return repr(message)
     if kind == 'frame':
         return repr(frames.decode_frame(data))
--- a/tests/fleet/test_reports.py
+++ b/tests/fleet/test_reports.py
@@ -8,6 +8,7 @@
 from ibispitch.fleet.core import Fleet
 from ibispitch.fleet.core import FORGET_AFTER_S
 from ibispitch.fleet.core import LOST_S
+from ibispitch.fleet.core import MIN_UNANSWERED_PROBES
 from ibispitch.fleet.core import SUSPECT_INTERVALS
 from ibispitch.fleet.messages import AgentState
 from ibispitch.fleet.messages import encode_message
@@ -229,6 +230,8 @@
     assert not far_fleet.has_recent_status(view, 9.7)
     others = [far_fleet.agents_by_ip[ip] for ip in centre.agent_ips[1:]]
     assert all(far_fleet.has_recent_status(other, 9.7) for other in others)
+    for _ in range(MIN_UNANSWERED_PROBES):
+        far_fleet.record_probe(gone, is_answered=False)
     assert not far_fleet.find_loss(gone, 1000, 1.2 + LOST_S - 0.1)
     assert far_fleet.find_loss(gone, 1000, 1.2 + LOST_S + 0.1)
     far_fleet.record_agent_status(gone, agent(9, interval_s=30.0), 9.8)
--- a/tests/locating/test_locator.py
+++ b/tests/locating/test_locator.py
@@ -7,6 +7,7 @@
 import pytest
 
 from ibispitch.fleet.core import Fleet
+from ibispitch.fleet.core import LOST_S
 from ibispitch.fleet.messages import AgentState
 from ibispitch.forwarding.frames import Answer
 from ibispitch.forwarding.frames import ip_number
@@ -116,6 +117,36 @@
     assert result == Unanswered(FLOW, (SERVICE_AGENTS[0],))
 
 
+def test_absent_agent_prevents_a_result(fleet, locator):
+    """A flow must not count as lost while an agent is away for long.
+
+    It is not asked, since no answer is expected.
+    """
+    now = LOST_S + 0.1
+    for ip in (*SERVICE_AGENTS[1:], *OTHER_AGENTS):
+        service = 'counter' if ip in SERVICE_AGENTS else 'intake'
+        fleet.record_agent_status(ip, agent(2, service=service), now)
+    (asked,) = locator.search(PACKET, 'counter', now)
+    assert sorted(asked.ips) == SERVICE_AGENTS[1:]
+    send_answers(locator, SERVICE_AGENTS[1:], Verdict.NOT_OWNED, now)
+    (result,) = send_answers(locator, OTHER_AGENTS, Verdict.NOT_OWNED, now)
+    assert result == Unanswered(FLOW, (SERVICE_AGENTS[0],))
+
+
+def test_few_trials_while_an_agent_restarts_as_planned(fleet, locator):
+    """Guards against packets at three wrong upstreams during planned work."""
+    stopped = agent(2, state=AgentState.RESTARTING)
+    fleet.record_agent_status(SERVICE_AGENTS[0], stopped, 0.0)
+    locator.search(PACKET, 'counter', 0.0)
+    send_answers(locator, SERVICE_AGENTS[1:], Verdict.RESTARTED)
+    tried = locator.expire(ANSWER_TIMEOUT_S)
+    assert [type(step) for step in tried] == MAX_TRIALS * [TryAgent]
+    assert locator.search(PACKET, 'counter', 1.0) != []
+    send_answers(locator, SERVICE_AGENTS[1:], Verdict.RESTARTED, 1.0)
+    steps = locator.expire(1.0 + ANSWER_TIMEOUT_S)
+    assert not any(isinstance(step, TryAgent) for step in steps)
+
+
 def test_agents_that_denied_are_not_asked_again(locator):
     """Agents that denied a flow are not asked again for repeated packets.
 
