Keep the flows of a deregistered upstream until it has exited

Callers saw flows reset between the DELETE of an upstream and its exit. The agent took the announcement for the end: it forgot all flows and told the balancers that the upstream had ended.

After a DELETE the upstream gets no new flows, as while it drains, and its flows go on. The agent tries to connect to it (after 20 ms, then at growing intervals up to 6.4 s); a refused connection is what a live upstream can't cause, and ends its flows at once. An agent that is stopped checks the same before it says that it will be back, so that callers of a removed host are told at once. A late DELETE of a former upstream with the same id no longer resets flows (open row of docs/design/identity.md).

Ruled out: a fixed delay (the interval has no bound), waiting for the next packet to come back (an exited upstream hands nothing back).

--- a/ibispitch/forwarding/agent.py
+++ b/ibispitch/forwarding/agent.py
@@ -176,28 +176,36 @@
         if self.gate.did_turn_cold_after(self._started_at, self.routes):
             self.gate.rule_out_predecessor()
 
-    def record_upstream_end(self, upstream_id: str, now: float) -> bool:
+    def record_leaving(self, upstream_id: str, now: float) -> bool:
         """Record that the upstream has announced its end.
 
+        It runs until it refuses connections, see :meth:`record_no_upstream`.
+
         :returns: whether it is the current upstream of this agent.
         """
-        if not self.gate.record_upstream_end(upstream_id):
+        if not self.gate.record_leaving(upstream_id):
             return False
         self._log.change('upstream.left', now, upstream=upstream_id)
-        self._forget_all_flows(now)
         self.flows.is_changed = True
         return True
 
-    def record_no_upstream(self, now: float) -> None:
-        """Record that no upstream runs on the host of this agent.
+    def record_no_upstream(self, incarnation: int, now: float) -> bool:
+        """Record that nothing listens at the upstream's address.
 
         An upstream that starts later holds no flow that this process has not
         seen, so that searches need not wait for it.
+
+        :param incarnation: the upstream when the connection was attempted, 0
+            for none. A later one may have started since.
+        :returns: whether it is still the current upstream.
         """
-        if self.gate.heartbeat is None:
-            self.gate.record_no_upstream()
-            self._restored_incarnation = 0
-            self._forget_all_flows(now)
+        if self.gate.incarnation != incarnation:
+            return False
+        self.gate.record_no_upstream()
+        self._restored_incarnation = 0
+        self._forget_all_flows(now)
+        self.flows.is_changed = True
+        return True
 
     def _unconfirm_flows(self, now: float) -> None:
         """Let the upstream decide on each flow whether it holds it.
--- a/ibispitch/gate/core.py
+++ b/ibispitch/gate/core.py
@@ -108,6 +108,7 @@
         self._continuation = Continuation()
         self._cold_until = 0.0
         self._has_ended = False
+        self._is_leaving = False
         self._is_datacentre_out = False
         self._is_stopping = False
         self._presumed_until = 0.0
@@ -149,7 +150,7 @@
         self._continuation.end()
         self.heartbeat = heartbeat
         self._heartbeat_at = now
-        self._has_ended = False
+        self._has_ended = self._is_leaving = False
         # An upstream that has just started is cold. A warm one in the place
         # of another may be a late heartbeat while the present one is cold.
         self._is_suspect = (
@@ -163,14 +164,16 @@
             self._cold_until = now
         return True
 
-    def record_upstream_end(self, upstream_id: str) -> bool:
+    def record_leaving(self, upstream_id: str) -> bool:
         """Record that an upstream has announced its end.
 
+        It gets no new flows, and serves its open ones until it ends.
+
         :returns: whether it is the current upstream.
         """
         if self.heartbeat is None or self.heartbeat.upstream_id != upstream_id:
             return False
-        self._has_ended = True
+        self._is_leaving = True
         return True
 
     def record_no_upstream(self) -> None:
@@ -236,7 +239,9 @@
             return AgentState.ENDED
         if self._is_stopping:
             return AgentState.RESTARTING
-        if self.heartbeat.state is UpstreamState.DRAINING:
+        if self._is_leaving or (
+            self.heartbeat.state is UpstreamState.DRAINING
+        ):
             return AgentState.DRAINING
         if now - self._heartbeat_at > self._silent_after_s:
             return AgentState.SILENT
--- a/ibispitch/platform/agent.py
+++ b/ibispitch/platform/agent.py
@@ -23,6 +23,7 @@
 from ibispitch.platform.metrics import Counts
 from ibispitch.platform.node import Node
 from ibispitch.platform.packets import PlatformPacketCodec
+from ibispitch.platform.transport import ProbeResult
 from ibispitch.platform.upstreams import decode_heartbeat
 from ibispitch.platform.upstreams import upstream_id
 from ibispitch.platform.upstreams import UpstreamIdentity
@@ -51,6 +52,11 @@
 HEALTHY_STATUS = 200
 #: Time that a stopping agent waits for its last messages to be sent.
 LAST_SEND_S = 0.02
+#: Times after the announced end of an upstream at which it is checked whether
+#: it still runs. Most exit within milliseconds.
+EXIT_CHECKS_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
+#: Time-out of an attempt to connect to the upstream, on the same host.
+CONNECT_TIMEOUT_S = 0.2
 
 
 class Agent:
@@ -107,6 +113,8 @@
         node.every(SWEEP_INTERVAL_S, lambda: self._core.sweep(node.clock()))
         node.every(GATE_CHECK_INTERVAL_S, self._check_gate)
         await node.is_stopping.wait()
+        # The process is also stopped after its upstream has ended for good.
+        await self._check_exit()
         self._save_flows()
         await asyncio.sleep(LAST_SEND_S)
         await node.link.drain()
@@ -228,7 +236,7 @@
         except ConnectionRefusedError as error:
             # Nothing listens at the upstream's address.
             result = repr(error)
-            self._core.record_no_upstream(node.clock())
+            self._core.record_no_upstream(0, node.clock())
             self._send_status_to_all()
         except (OSError, TimeoutError) as error:
             result = repr(error)
@@ -241,6 +249,41 @@
             self._send_status_to_all()
         node.log.change('upstream.checked', now, result=result)
 
+    async def _await_exit(self) -> None:
+        """Wait until the upstream that has announced its end has exited."""
+        incarnation = self._core.gate.incarnation
+        waited_s = 0.0
+        for at_s in EXIT_CHECKS_S:
+            await asyncio.sleep(at_s - waited_s)
+            waited_s = at_s
+            if (
+                self._core.gate.incarnation != incarnation
+                or await self._check_exit()
+            ):
+                return
+
+    async def _check_exit(self) -> bool:
+        """Check whether the upstream has exited.
+
+        :returns: whether nothing listens at its address.
+        """
+        node = self._node
+        incarnation = self._core.gate.incarnation
+        try:
+            result = await node.transport.probe(
+                self._upstream_address, CONNECT_TIMEOUT_S
+            )
+        except OSError as error:
+            node.log.change(
+                'upstream.not_probed', node.clock(), error=repr(error)
+            )
+            return False
+        if result is not ProbeResult.REFUSED:
+            return False
+        if self._core.record_no_upstream(incarnation, node.clock()):
+            self._send_status_to_all()
+        return True
+
     def _gauges(self) -> dict[str, float]:
         core = self._core
         return {
@@ -336,8 +379,9 @@
             return Response(404)
         now = node.clock()
         if request.method == 'DELETE':
-            if self._core.record_upstream_end(name, now):
+            if self._core.record_leaving(name, now):
                 self._send_status_to_all()
+                node.start(self._await_exit())
             return Response(200, b'{}')
         if request.method != 'PUT':
             return Response(405)
--- a/tests/forwarding/test_agent_core.py
+++ b/tests/forwarding/test_agent_core.py
@@ -8,6 +8,7 @@
 from ibispitch.checkpoint.messages import CheckpointPart
 from ibispitch.checkpoint.messages import PartialCheckpointPart
 from ibispitch.decisionlog import DecisionLog
+from ibispitch.fleet.messages import AgentState
 from ibispitch.forwarding import frames
 from ibispitch.forwarding.agent import AgentCore
 from ibispitch.forwarding.agent import IDLE_MARGIN_S
@@ -673,17 +674,38 @@
     core = make_core(outbox, knows_all_flows=False)
     question = frames.Question(FLOW_OF_CALLER, 7)
     core.answer_questions(BALANCER, frames.OwnershipQuestions((question,)), 0)
-    core.record_no_upstream(0.1)
+    core.record_no_upstream(0, 0.1)
     core.answer_questions(BALANCER, frames.OwnershipQuestions((question,)), 1)
     verdicts = [frame.answers[0].verdict for _, frame in outbox.frames]
     assert verdicts == [Verdict.RESTARTED, Verdict.NOT_OWNED]
 
 
+def test_leaving_upstream_keeps_its_flows(core, outbox):
+    """Guards against flows that are lost before their upstream has exited."""
+    open_flow(core, 0.0)
+    assert core.record_leaving('i-1', 1.0)
+    assert core.gate.state(1.0) is AgentState.DRAINING
+    core.receive(BALANCER, forward(data(), Purpose.OWNED), 1.1)
+    assert outbox.to_upstreams[-1] == data()
+    assert core.record_no_upstream(1000, 1.2)
+    assert core.gate.state(1.2) is AgentState.ENDED
+    core.receive(BALANCER, forward(data(), Purpose.OWNED), 1.3)
+    assert outbox.frames[-1][1].reason is Reason.NOT_OWNED
+
+
+def test_refused_connection_of_a_former_upstream(core):
+    """Guards against a check that ends after the next upstream has started."""
+    open_flow(core, 0.0)
+    core.receive_heartbeat(heartbeat()._replace(started_ms=2000), 1.0)
+    assert not core.record_no_upstream(1000, 1.1)
+    assert core.gate.state(1.1) is AgentState.READY
+
+
 def test_upstream_that_speaks_is_there(outbox):
     """Guards against open flows denied after a check of a former upstream."""
     core = make_core(outbox, knows_all_flows=False)
     core.receive_heartbeat(heartbeat(), 0.0)
-    core.record_no_upstream(0.1)
+    core.record_no_upstream(0, 0.1)
     question = frames.Question(FLOW_OF_CALLER, 7)
     core.answer_questions(BALANCER, frames.OwnershipQuestions((question,)), 1)
     assert outbox.frames[-1][1].answers[0].verdict is not Verdict.NOT_OWNED
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -137,7 +137,9 @@
 def test_same_name_after_a_restart(gate):
     """A restarted upstream of the same name is a new incarnation."""
     gate.receive_heartbeat(HEARTBEAT._replace(sequence=50), 0.0)
-    gate.record_upstream_end('i-1')
+    assert gate.record_leaving('i-1')
+    assert gate.state(0.1) is AgentState.DRAINING
+    gate.record_no_upstream()
     assert gate.state(0.1) is AgentState.ENDED
     assert gate.receive_heartbeat(
         HEARTBEAT._replace(started_ms=5000, sequence=1), 0.2
