Try one agent while the owner of a flow may be stopped as planned

While an agent that announced its restart is away, or one that has been listed for 2 s is not known, one agent is tried.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -450,13 +450,18 @@
             self._unheard_agents
         ) + len(self._views_with_upstream())
 
-    def has_unheard_agents(self, now: float) -> bool:
+    def has_unheard_agents(self, now: float, for_s: float = 0.0) -> bool:
         """Return whether others list agents that have sent no status here.
 
         The flows of such an agent cannot be distinguished from lost flows.
         It counts until the idle time-out, unless its host is unreachable.
+
+        :param for_s: least time in seconds since the first mention.
         """
-        return any(self._open_unheard(now))
+        return any(
+            now - self._unheard_agents[ip].since >= for_s
+            for ip in self._open_unheard(now)
+        )
 
     def _open_unheard(self, now: float) -> Iterator[str]:
         """Return unheard agents whose upstream may hold flows."""
--- a/ibispitch/locating/core.py
+++ b/ibispitch/locating/core.py
@@ -41,9 +41,14 @@
 #: Maximum number of trials of one flow within ``TRIAL_WINDOW_S`` while its
 #: owner may be an agent that has not answered. Packets at three wrong
 #: upstreams would count as misrouting the flow. Trials at agents that answered
-#: ``RESTARTED`` are counted, but only ``MAX_TRIAL_BATCH`` limits them unless
-#: the owner may be an agent that was stopped as planned.
+#: ``RESTARTED`` are counted, but only ``MAX_TRIAL_BATCH`` limits them.
 MAX_TRIALS = 2
+#: The same while the owner may be an agent that was stopped as planned. The
+#: flow's packets may reach two balancers in this time, which try it both.
+MAX_PLANNED_TRIALS = 1
+#: Time after the first mention of an agent from which it is not about to send
+#: its first status, so that it may have been stopped as planned.
+MAX_UNHEARD_S = 2.0
 #: Maximum number of agents tried at the same time, near and preferred ones
 #: first: they most often include the owner of a long flow. Once all agents
 #: have answered, it applies instead of ``MAX_TRIALS``, because the owner is
@@ -550,13 +555,11 @@
         # is among those that do not know.
         max_unsafe = max(0, MAX_TRIALS - recent)
         max_unknown = MAX_TRIAL_BATCH if is_complete else max_unsafe
-        # The owner may be an agent that was stopped as planned, and packets
-        # at three wrong upstreams would count as misrouting the flow.
-        max_all = (
-            max_unsafe
-            if any(map(self._is_restarting, missing))
-            else MAX_TRIAL_BATCH
-        )
+        max_all = MAX_TRIAL_BATCH
+        if any(
+            map(self._is_restarting, missing)
+        ) or self._fleet.has_unheard_agents(now, MAX_UNHEARD_S):
+            max_all = max(0, MAX_PLANNED_TRIALS - recent)
         restarted = self._untried(packet.flow, search.restarted)
         # Placement has preferred the first ones, near ones before all.
         restarted = by_preference(packet.flow, restarted)
--- a/testbed/flow_processes.py
+++ b/testbed/flow_processes.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Callable
 from collections.abc import Iterable
 from contextlib import AsyncExitStack
@@ -16,6 +17,7 @@
 import random
 import signal
 import sys
+from typing import Any
 
 from ibispitch.datagrams import DatagramSocket
 from ibispitch.ids import Address
@@ -23,6 +25,7 @@
 from ibispitch.platform.http import Request
 from ibispitch.platform.http import Response
 from ibispitch.platform.http import serve
+from testbed import flow_packets as packets
 from testbed.flow_callers import FlowCaller
 from testbed.flow_platform import heartbeat_of
 from testbed.flow_platform import HEARTBEAT_PORT
@@ -120,6 +123,10 @@
         self.rng = random.Random(seed)
         self.upstreams: list[tuple[ProcessHost, FlowUpstream]] = []
         self.callers: list[FlowCaller] = []
+        #: Balancer and time of each packet, by the caller's end of its flow.
+        self.taken_by_caller: dict[Address, list[tuple[Any, float]]] = (
+            defaultdict(list)
+        )
         #: Share of the callers' packets that are lost or duplicated.
         self.loss = 0.0
         self.duplication = 0.0
@@ -361,6 +368,8 @@
         if self.rng.random() < self.loss:
             return
         host = self.choose_balancer(datacentre, raw)
+        source = packets.parse(raw).source
+        self.taken_by_caller[source].append((host, self._loop.time()))
         send: Callable = socket.send
         for _ in range(2 if self.rng.random() < self.duplication else 1):
             if self.delay_s:
--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -21,6 +21,7 @@
 import click
 
 from ibispitch.ids import Address
+from ibispitch.locating.core import RETRY_PERIOD_S
 from testbed.flow_callers import FlowCaller
 from testbed.flow_callers import Outcome
 from testbed.flow_platform import RequestKind
@@ -298,8 +299,8 @@
     def _check_paths(self) -> None:
         """Check that the packets of open flows reached their own upstream.
 
-        Packets at other upstreams are allowed while the agent of its own one
-        is away or was lately, unless it was stopped as planned.
+        They are not counted if the host of its own one or the balancer that
+        took the packets has lately had an unplanned fault.
         """
         upstreams = self.deployment.upstreams
         for host, own in upstreams:
@@ -322,7 +323,7 @@
                 and last < window[1] < until
                 and not any(at <= own < window[1] for own in held.received_at)
                 and not any(
-                    other is host
+                    other in (host, *self._balancers_of(caller, window))
                     and begin < window[1]
                     and at < end + STABILITY_S
                     for other, begin, end in self.disturbances
@@ -333,6 +334,18 @@
                 )
                 return
 
+    def _balancers_of(self, caller, window) -> list[ProcessHost]:
+        """Return the balancers that took a flow's packets in a window.
+
+        A packet waits at most a retry period for its search.
+        """
+        begin, end = window
+        return [
+            host
+            for host, at in self.deployment.taken_by_caller[caller]
+            if begin - RETRY_PERIOD_S <= at < end
+        ]
+
     def _check_upstream(self, host: ProcessHost, upstream) -> None:
         if upstream.damaged_packets:
             self._record_broken('packets arrive whole', host.name)
