Do not start two faults of the soak on one host

kill_all_processes chooses its hosts and begins a task for each, and a stop in turn may begin on one of them in between. The host is looked at again when the fault begins.

--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -149,8 +149,11 @@
         return self.rng.choice(free) if len(free) > 1 else None
 
     async def apply_to(self, host: ProcessHost | None, action) -> None:
-        """Apply an action to a host and keep other faults away from it."""
-        if host is not None:
+        """Apply an action to a host and keep other faults away from it.
+
+        Does nothing if another fault has come first since it was chosen.
+        """
+        if host is not None and not self.has_fault(host):
             self._faulty_hosts.add(host.name)
             try:
                 await action(host)
