Do not count the suspension of a balancer as silence of the agents

A balancer that stood still, or whose event loop was held up, finds the last status of every agent long ago when it goes on. The statuses wait in its socket and are read one after the other: once those of most agents are read, the others count as lost, or are left out of a search, for a moment. Time in which the balancer did nothing for 0.5 s or more is now left out of the silence, and probes from before are dropped.

test_suspension_of_this_process_is_no_silence and test_suspension_is_noticed fail without it.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -43,7 +43,7 @@
 #: Time after which an unknown agent is asked again: its answer takes some
 #: milliseconds, and a lost one costs this time.
 ASK_AGAIN_S = 0.1
-#: Time for which a mention of a process in a status of another one is valid,
+#: Time for which a mention of a balancer in a status of another one is valid,
 #: and for which a new balancer may be unknown to some processes.
 MENTION_VALID_S = SUSPECT_INTERVALS * STATUS_INTERVAL_S * FAR_ROUNDS
 #: Time without a status after which the flows of an agent whose host does not
@@ -144,6 +144,7 @@
         'report_interval_s',
         'silent_since',
         'status',
+        'unobserved_s',
     )
 
     def __init__(self, ip: str, status: AgentStatus, now: float):
@@ -169,6 +170,8 @@
         self.has_restarted = False
         #: Probes of its host since its last status.
         self.probes = HostProbes()
+        #: Time since its last status in which this process was suspended.
+        self.unobserved_s = 0.0
 
     @property
     def load(self) -> float:
@@ -299,6 +302,7 @@
         view.is_unresponsive = False
         view.silent_since = None
         view.probes.unanswered = 0
+        view.unobserved_s = 0.0
         self._mark_reported(view, is_reported)
         if not is_reported and (
             status.interval_s < view.report_interval_s
@@ -577,6 +581,16 @@
         probes.unanswered = 0 if is_answered else probes.unanswered + 1
         return probes.is_unreachable is not was_unreachable
 
+    def record_suspension(self, for_s: float) -> None:
+        """Record that this process did nothing for some time.
+
+        Meanwhile it got no statuses, so that no agent was silent. Those that
+        wait in its socket may be read one after the other.
+        """
+        for view in self.agents_by_ip.values():
+            view.unobserved_s += for_s
+            view.probes.unanswered = 0
+
     def recent_agents(self, now: float) -> list[str]:
         """Return the agents that are alive or may return.
 
@@ -739,7 +753,8 @@
             return None
         if view.probes.is_unreachable:
             return Loss.HOST_UNREACHABLE
-        if now - view.heard_at > self.idle_timeout_s:
+        silence_s = now - view.heard_at - view.unobserved_s
+        if silence_s > self.idle_timeout_s:
             return Loss.AGENT_SILENT
         return None
 
@@ -756,7 +771,7 @@
         An agent that its data centre reports as silent may be lost soon
         afterwards, however long the interval of its statuses.
         """
-        lost_at = view.heard_at + self.lost_after_s(view)
+        lost_at = view.heard_at + view.unobserved_s + self.lost_after_s(view)
         if view.silent_since is None:
             return lost_at
         return min(lost_at, view.silent_since + _min_silence_s(view))
--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -53,6 +53,10 @@
 #: to it, a copy of the opening goes to another agent.
 AGENT_RESPONSE_S = 0.15
 
+#: Time without a timer or a packet from which this process was suspended, or
+#: its event loop was held up; its timers are due every 20 ms.
+MIN_SUSPENSION_S = 0.5
+
 #: Age of a request from which the agent is told it before the opening.
 MIN_TOLD_AGE_S = 0.02
 
@@ -128,6 +132,7 @@
             fleet, self._known_fleet, self._table, datacentre, outbox, self,
             log, self._recognises_attempts,
         )  # fmt: skip
+        self._ran_at = now
         self._queue = OpeningQueue(self._recognises_attempts)
         self._ended_attempts = EndedAttempts()
         #: Openings recognised as a further attempt, by service.
@@ -152,6 +157,7 @@
 
     def receive(self, packet: Packet, now: float) -> None:
         """Handle a packet from a caller."""
+        self._check_suspension(now)
         if packet.is_opening:
             self.searches.forget(packet.flow)
             self._handle_opening(packet, (), now)
@@ -170,6 +176,7 @@
         self, ip: str, returned: frames.Return, now: float
     ) -> None:
         """Handle a packet that an agent handed back."""
+        self._check_suspension(now)
         packet = self._codec.from_caller(returned.raw)
         if packet is None:
             return
@@ -207,6 +214,7 @@
 
     def tick(self, now: float) -> None:
         """Continue overdue searches, place waiting openings, expire flows."""
+        self._check_suspension(now)
         self.searches.tick(now)
         self._ended_attempts.expire(now)
         if self._queue:
@@ -214,6 +222,16 @@
         if self.routes is not None:
             self._table.expire(self.routes.table.idle_timeout_s, now)
 
+    def _check_suspension(self, now: float) -> None:
+        """Check whether this process has run lately."""
+        paused_s = now - self._ran_at
+        self._ran_at = now
+        if paused_s >= MIN_SUSPENSION_S:
+            self._fleet.record_suspension(paused_s)
+            self._log.change(
+                'process.suspended', now, for_ms=round(1000 * paused_s)
+            )
+
     def place_waiting(self, now: float) -> None:
         """Place waiting openings, because the state of agents has changed."""
         if self._queue:
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -152,6 +152,23 @@
     assert '10.0.1.1' not in fleet.recent_agents(15.1)
 
 
+def test_suspension_of_this_process_is_no_silence(fleet):
+    """Guards against resets after a balancer was suspended.
+
+    The statuses wait in its socket, and those of most agents may be read
+    before that of one.
+    """
+    fleet.idle_timeout_s = 15.0
+    record_unanswered_probes(fleet)
+    fleet.record_suspension(20.0)
+    record_other_agents(fleet, 20.1)
+    assert fleet.find_loss('10.0.1.1', 1000, 20.1) is None
+    assert [v.ip for v in fleet.absent_agents(20.1)] == ['10.0.1.1']
+    record_unanswered_probes(fleet)
+    record_other_agents(fleet, 20.1 + LOST_S)
+    assert fleet.find_loss('10.0.1.1', 1000, 20.1 + LOST_S)
+
+
 def test_one_unanswered_probe_is_not_enough(fleet):
     """Guards against resets after one lost packet."""
     now = LOST_S + 0.1
--- a/tests/forwarding/test_balancer_core.py
+++ b/tests/forwarding/test_balancer_core.py
@@ -265,3 +265,14 @@
     assert waiting.packet == COPY
     assert waiting.work_s == 0.03
     assert waiting.sent_at == 0.0
+
+
+def test_suspension_is_noticed(core, fleet):
+    """Guards against agents that seem silent after a balancer stood still."""
+    view = fleet.agents_by_ip[FIRST]
+    core.tick(0.02)
+    core.receive(CODEC.from_caller(opening()), 20.02)
+    core.tick(20.04)
+    assert view.unobserved_s == pytest.approx(20.0)
+    fleet.record_agent_status(FIRST, agent(number=9), 20.05)
+    assert view.unobserved_s == 0.0
