Exit at once if a program is stopped during its imports

The handler of SIGTERM during the imports raised SystemExit in the import that happened to run; the initialisation of msgspec swallowed it and went on without datetime.

The handler now ends the process itself: it serves nothing yet and has nothing to write. The soak runs the programs with PYTHONFAULTHANDLER=1.

--- a/ibispitch/platform/__main__.py
+++ b/ibispitch/platform/__main__.py
@@ -1,5 +1,6 @@
 """Command line of the platform: ``python -m ibispitch.platform ROLE``."""
 
+import os
 import signal
 import sys
 
@@ -12,8 +13,12 @@
 
 
 def _exit(_number, _frame) -> None:
-    """Exit if the process is stopped while it starts and serves nothing."""
-    raise SystemExit(0)
+    """Exit if the process is stopped while it starts and serves nothing.
+
+    An exception here would be raised in whatever import runs. Initialisation
+    of an extension module may swallow it and go on half initialised.
+    """
+    os._exit(0)
 
 
 def _fail(text: str) -> None:
--- a/testbed/flow_processes.py
+++ b/testbed/flow_processes.py
@@ -191,7 +191,8 @@
         with host.log_path.open('ab') as log:
             host.process = await asyncio.create_subprocess_exec(
                 sys.executable, '-m', 'ibispitch.platform', host.role,
-                env=os.environ | {'IBISPITCH_BOOT': str(path)},
+                env=os.environ
+                | {'IBISPITCH_BOOT': str(path), 'PYTHONFAULTHANDLER': '1'},
                 cwd=host.packages, stdout=log, stderr=log,
             )  # fmt: skip
 
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -91,3 +91,37 @@
     process.terminate()
     async with asyncio.timeout(STOP_S):
         assert await process.wait() == 0
+
+
+#: Runs the program with an import that is stopped and swallows exceptions.
+SWALLOWING_START = """
+import os, runpy, signal, sys, time
+
+class Swallowing:
+    def find_spec(self, name, path=None, target=None):
+        if name == 'ibispitch.platform.agent':
+            try:
+                os.kill(os.getpid(), signal.SIGTERM)
+                time.sleep(30)
+            except BaseException:
+                print('swallowed', flush=True)
+
+sys.meta_path.insert(0, Swallowing())
+sys.argv = ['-', 'agent']
+runpy.run_module('ibispitch.platform', run_name='__main__')
+"""
+
+
+async def test_stop_during_an_import_that_swallows_exceptions():
+    """Guards against a program that goes on half initialised.
+
+    A balancer ended with SIGSEGV in msgspec, whose import had swallowed the
+    exception of the signal handler (seed 2016 of the soak with absences).
+    """
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, '-c', SWALLOWING_START, stdout=asyncio.subprocess.PIPE
+    )
+    async with asyncio.timeout(STOP_S):
+        output, _ = await process.communicate()
+    assert output == b''
+    assert process.returncode == 0
