Assume a loss of all power from three hosts on, and try one agent a balancer

The first agent that a balancer knew had a replaced, cold upstream, which counted as all hosts after a loss of power; the balancer said that it knows the fleet, and two balancers confirmed each other's list of one agent. The conclusion needs three hosts now. After a real loss of all power the failed requests are as before (test_all_power_lost).

Each balancer now tries one in 2.5 s while an answer is missing.

Ruled out for the first: to trust no list of a balancer that concludes it from a loss of power.

test_few_cold_hosts_are_no_loss_of_power and test_two_balancers_try_few_agents fail on the code before.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -67,6 +67,10 @@
 MAX_YOUNG_NUMBER = 64
 #: More agents than any fleet has.
 MAX_FLEET_AGENTS = 1 << 32
+#: Known hosts of upstreams from which on a loss of all power is assumed if
+#: all seem to have restarted. Fewer may be those whose upstream was replaced
+#: when all processes were killed.
+MIN_RESTARTED_HOSTS = 3
 #: Maximum number of destinations whose flow length is remembered.
 MAX_DESTINATIONS = 4096
 #: Maximum number of new or silent processes that get a message at once.
@@ -489,7 +493,9 @@
         upstream, or whose upstream has ended, don't count.
         """
         views = self._views_with_upstream()
-        return bool(views) and all(view.has_restarted for view in views)
+        return len(views) >= MIN_RESTARTED_HOSTS and all(
+            view.has_restarted for view in views
+        )
 
     def _views_with_upstream(self) -> list[AgentView]:
         return [
@@ -516,8 +522,10 @@
             return False
         views = self._views_with_upstream()
         known = [other for other in views if other.status.incarnation]
-        return 2 * len(known) > len(views) and all(
-            map(self._seems_restarted, known)
+        return (
+            len(known) >= MIN_RESTARTED_HOSTS
+            and 2 * len(known) > len(views)
+            and all(map(self._seems_restarted, known))
         )
 
     def is_changing(self, now: float) -> bool:
--- a/ibispitch/locating/core.py
+++ b/ibispitch/locating/core.py
@@ -40,12 +40,11 @@
 MAX_SEARCHES = 4096
 #: Maximum number of trials of one flow within ``TRIAL_WINDOW_S`` while its
 #: owner may be an agent that has not answered. Packets at three wrong
-#: upstreams would count as misrouting the flow. Trials at agents that answered
-#: ``RESTARTED`` are counted, but only ``MAX_TRIAL_BATCH`` limits them.
-MAX_TRIALS = 2
-#: The same while the owner may be an agent that was stopped as planned. The
-#: flow's packets may reach two balancers in this time, which try it both.
-MAX_PLANNED_TRIALS = 1
+#: upstreams would count as misrouting the flow, and its packets may reach two
+#: balancers in this time. Trials at agents that answered ``RESTARTED`` are
+#: counted, but only ``MAX_TRIAL_BATCH`` limits them unless the owner may be an
+#: agent that was stopped as planned.
+MAX_TRIALS = 1
 #: Time after the first mention of an agent from which it is not about to send
 #: its first status, so that it may have been stopped as planned.
 MAX_UNHEARD_S = 2.0
@@ -559,7 +558,7 @@
         if any(
             map(self._is_restarting, missing)
         ) or self._fleet.has_unheard_agents(now, MAX_UNHEARD_S):
-            max_all = max(0, MAX_PLANNED_TRIALS - recent)
+            max_all = max_unsafe
         restarted = self._untried(packet.flow, search.restarted)
         # Placement has preferred the first ones, near ones before all.
         restarted = by_preference(packet.flow, restarted)
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -7,6 +7,7 @@
 from ibispitch.fleet.core import Loss
 from ibispitch.fleet.core import LOST_S
 from ibispitch.fleet.core import MAX_PROBED_AT_ONCE
+from ibispitch.fleet.core import MIN_RESTARTED_HOSTS
 from ibispitch.fleet.core import MIN_UNANSWERED_PROBES
 from ibispitch.fleet.core import PROBE_INTERVAL_S
 from ibispitch.fleet.core import RESTART_TIMEOUT_S
@@ -359,3 +360,19 @@
     old = agent(500, cold_left_s=1.5)
     fleet.record_agent_status('10.0.1.6', old, 0.1)
     assert not fleet.has_lost_power('10.0.1.1')
+
+
+def test_few_cold_hosts_are_no_loss_of_power():
+    """Guards against resets after a kill of all processes.
+
+    The first agent that was back had an upstream that had been replaced. The
+    balancers took it for all agents, and told each other so.
+    """
+    fleet = Fleet('10.0.0.1')
+    cold = agent(cold_left_s=1.5, cold_openings=5)
+    for number in range(1, MIN_RESTARTED_HOSTS + 1):
+        assert not fleet.has_only_restarted_hosts()
+        fleet.record_agent_status(f'10.0.1.{number}', cold, 0.0)
+    assert fleet.has_only_restarted_hosts()
+    fleet.record_agent_status('10.0.1.9', agent(), 0.1)
+    assert not fleet.has_only_restarted_hosts()
--- a/tests/locating/test_locator.py
+++ b/tests/locating/test_locator.py
@@ -149,6 +149,22 @@
     assert not any(isinstance(step, TryAgent) for step in steps)
 
 
+def test_two_balancers_try_few_agents(locator):
+    """Guards against three trials of a flow that moves to another balancer.
+
+    Its owner was stopped as planned, and each balancer tried two others.
+    """
+    tried = []
+    for searching in (locator, Locator(make_fleet(), 'accra')):
+        searching.search(PACKET, 'counter', 0.0)
+        send_answers(searching, SERVICE_AGENTS[1:], Verdict.UNKNOWN)
+        searching.expire(ANSWER_TIMEOUT_S)
+        send_answers(searching, OTHER_AGENTS, Verdict.UNKNOWN, 0.05)
+        steps = searching.expire(3 * ANSWER_TIMEOUT_S)
+        tried += [step for step in steps if isinstance(step, TryAgent)]
+    assert 1 <= len(tried) <= 2
+
+
 def test_few_trials_while_an_agent_is_only_listed(fleet, locator):
     """Guards against three trials by a balancer that has just started.
 
