Share the unplanned faults of the soak, and look at the time first

Four faults of the soak recorded their time in nested functions of the same shape; Soak.disturb does it. The tests of absences disturb one agent, so that their loops over it and an unused type go. KnownFleet looked at all agents for each status that a balancer sends, also long after its start: the time since the start is looked at first, so that known_by in the log is 'time' from then on and decisions are the same.

Tests of fleet, locating, forwarding and docs, the absences with real processes and the checks of the soak pass; the short soaks were not run again.

--- a/ibispitch/fleet/known.py
+++ b/ibispitch/fleet/known.py
@@ -58,14 +58,17 @@
         since_start = now - self._started_at
         if since_start < FLEET_KNOWN_S:
             return None
+        limit_s = self._fleet.idle_timeout_s
+        if self._is_first_start:
+            limit_s = FIRST_START_S
+        # First, because the others look at all agents.
+        if since_start >= limit_s:
+            return Evidence.TIME
         if self._fleet.has_agent_list:
             return Evidence.LIST
         if self._fleet.has_only_restarted_hosts():
             return Evidence.RESTARTED_HOSTS
-        limit_s = self._fleet.idle_timeout_s
-        if self._is_first_start:
-            limit_s = FIRST_START_S
-        return Evidence.TIME if since_start >= limit_s else None
+        return None
 
     def is_complete(self, now: float) -> bool:
         """Return whether all agents are known and no new ones appear."""
--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -11,7 +11,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-from contextlib import contextmanager
+from functools import partial
 import math
 from pathlib import Path
 import random
@@ -72,16 +72,15 @@
 absences: dict[str, FaultAction] = {}
 
 
-def fault(action: FaultAction) -> FaultAction:
+def fault(
+    action: FaultAction, registry: dict[str, FaultAction] = faults
+) -> FaultAction:
     """Register a fault under the name of its function."""
-    faults[action.__name__] = action
+    registry[action.__name__] = action
     return action
 
 
-def absence(action: FaultAction) -> FaultAction:
-    """Register a fault of runs with absences, as :func:`fault` does."""
-    absences[action.__name__] = action
-    return action
+absence = partial(fault, registry=absences)
 
 
 class BrokenPromise(NamedTuple):
@@ -115,7 +114,7 @@
     ):
         self.rng = random.Random(seed)
         self._has_absences = has_absences
-        #: Host, begin and end of each unplanned fault of an agent.
+        #: Host, begin and end of each unplanned fault of a process.
         self.disturbances: list[tuple[ProcessHost, float, float]] = []
         self.deployment = FlowProcesses(
             folder, network, BALANCERS, AGENTS, seed
@@ -160,6 +159,18 @@
             finally:
                 self._faulty_hosts.discard(host.name)
 
+    async def disturb(self, host: ProcessHost | None, action) -> None:
+        """Apply an unplanned fault to a host, and record its time."""
+
+        async def apply(host: ProcessHost) -> None:
+            begin = self._loop.time()
+            try:
+                await action(host)
+            finally:
+                self.disturbances.append((host, begin, self._loop.time()))
+
+        await self.apply_to(host, apply)
+
     # The run.
 
     async def run(self) -> list[BrokenPromise]:
@@ -395,13 +406,8 @@
 @fault
 async def kill_a_process(soak: Soak) -> None:
     """A crash."""
-
-    async def kill(host: ProcessHost) -> None:
-        with _disturbed(soak, host):
-            await soak.deployment.kill(host)
-
     host = soak.choose_host(soak.rng.choice(_host_groups(soak)))
-    await soak.apply_to(host, kill)
+    await soak.disturb(host, soak.deployment.kill)
 
 
 @fault
@@ -409,12 +415,7 @@
     """A process that stands still and goes on."""
     host = soak.choose_host(soak.rng.choice(_host_groups(soak)))
     for_s = soak.rng.uniform(0.2, 3.0)
-
-    async def pause(host: ProcessHost) -> None:
-        with _disturbed(soak, host):
-            await soak.deployment.pause(host, for_s)
-
-    await soak.apply_to(host, pause)
+    await soak.disturb(host, lambda host: soak.deployment.pause(host, for_s))
 
 
 @fault
@@ -519,17 +520,6 @@
     )
 
 
-@contextmanager
-def _disturbed(soak: Soak, *hosts: ProcessHost):
-    """Record an unplanned fault of hosts."""
-    begin = asyncio.get_running_loop().time()
-    try:
-        yield
-    finally:
-        end = asyncio.get_running_loop().time()
-        soak.disturbances += [(host, begin, end) for host in hosts]
-
-
 def _absence_s(soak: Soak) -> float:
     return soak.rng.uniform(2.0, MAX_ABSENCE_S)
 
@@ -538,12 +528,10 @@
 async def kill_an_agent_for_long(soak: Soak) -> None:
     """A crash of an agent that starts late."""
     for_s = _absence_s(soak)
-
-    async def kill(host: ProcessHost) -> None:
-        with _disturbed(soak, host):
-            await soak.deployment.kill(host, for_s)
-
-    await soak.apply_to(soak.choose_host(soak.deployment.agents[:4]), kill)
+    await soak.disturb(
+        soak.choose_host(soak.deployment.agents[:4]),
+        lambda host: soak.deployment.kill(host, for_s),
+    )
 
 
 @absence
@@ -560,13 +548,8 @@
 async def suspend_a_process_for_long(soak: Soak) -> None:
     """A process that stands still for seconds and goes on."""
     for_s = _absence_s(soak)
-
-    async def suspend(host: ProcessHost) -> None:
-        with _disturbed(soak, host):
-            await soak.deployment.pause(host, for_s)
-
     host = soak.choose_host(soak.rng.choice(_host_groups(soak)))
-    await soak.apply_to(host, suspend)
+    await soak.disturb(host, lambda host: soak.deployment.pause(host, for_s))
 
 
 @absence
@@ -575,11 +558,10 @@
     longest_s = _absence_s(soak)
 
     async def kill(host: ProcessHost) -> None:
-        with _disturbed(soak, host):
-            await soak.deployment.kill(host, soak.rng.uniform(0.2, longest_s))
+        await soak.deployment.kill(host, soak.rng.uniform(0.2, longest_s))
 
     free = [h for h in soak.deployment.hosts if not soak.has_fault(h)]
-    await asyncio.gather(*(soak.apply_to(host, kill) for host in free))
+    await asyncio.gather(*(soak.disturb(host, kill) for host in free))
 
 
 @absence
--- a/tests/platform/test_process_absences.py
+++ b/tests/platform/test_process_absences.py
@@ -5,8 +5,6 @@
 """
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 import signal
 
 import pytest
@@ -27,8 +25,6 @@
 ABSENCE_S = 5.0
 RESTART_ABSENCE_S = 10.0
 
-Fault = Callable[['Flows'], Awaitable[None]]
-
 
 class Flows:
     """A deployment with idle flows at all upstreams."""
@@ -76,37 +72,31 @@
         ]
 
     @property
-    def victims(self) -> list[ProcessHost]:
-        """Agents that are disturbed; the others stay in touch."""
-        return self.deployment.agents[:1]
+    def victim(self) -> ProcessHost:
+        """The agent that is disturbed."""
+        return self.deployment.agents[0]
 
 
 async def _kill(flows: Flows) -> None:
-    for host in flows.victims:
-        host.process.kill()
-        await host.process.wait()
+    flows.victim.process.kill()
+    await flows.victim.process.wait()
     await asyncio.sleep(ABSENCE_S)
 
 
 async def _suspend(flows: Flows) -> None:
-    for host in flows.victims:
-        host.process.send_signal(signal.SIGSTOP)
+    flows.victim.process.send_signal(signal.SIGSTOP)
     await asyncio.sleep(ABSENCE_S)
 
 
 async def _stop(flows: Flows) -> None:
-    for host in flows.victims:
-        host.process.terminate()
-        await host.process.wait()
+    flows.victim.process.terminate()
+    await flows.victim.process.wait()
     await asyncio.sleep(RESTART_ABSENCE_S)
 
 
 async def _kill_and_restart_balancers(flows: Flows) -> None:
     """New balancers learn of the absent agent from each other only."""
-    for host in flows.victims:
-        host.process.kill()
-        await host.process.wait()
-    await asyncio.sleep(ABSENCE_S)
+    await _kill(flows)
     for host in flows.deployment.balancers:
         await flows.deployment.kill(host)
         await asyncio.sleep(2.0)
@@ -118,7 +108,7 @@
         host.process.kill()
         await host.process.wait()
     for host in flows.deployment.hosts:
-        if host not in flows.victims:
+        if host is not flows.victim:
             await flows.deployment._start(host)
     await asyncio.sleep(ABSENCE_S)
 
@@ -138,11 +128,11 @@
         await disturb(flows)
         asking = asyncio.ensure_future(flows.use(PATIENT_FEED.deadline_s))
         await asyncio.sleep(1.5)
-        for host in flows.victims:
-            if host.process.returncode is None:
-                host.process.send_signal(signal.SIGCONT)
-            else:
-                await flows.deployment._start(host)
+        host = flows.victim
+        if host.process.returncode is None:
+            host.process.send_signal(signal.SIGCONT)
+        else:
+            await flows.deployment._start(host)
         await asking
         assert flows.wrongly_reset() == []
         assert all(c.requests[-1].answered_at for c in flows.callers)
@@ -158,7 +148,7 @@
     flows = Flows(tmp_path)
     try:
         await flows.open()
-        host = flows.victims[0]
+        host = flows.victim
         exiting = asyncio.ensure_future(
             flows.deployment.drain_upstream(host, 0.5, exit_s=1.5)
         )
