Ask preferred far agents first, and none while agents are still starting

Cause, from a trace of each question: after planned stops of balancers, nobody nearby names the owner of a few flows, and each costs a question to each of 24 far agents (9 flows, 216 of 259 questions). After a kill, a search that had asked the few agents nearby that were back asked the far ones, at each retry and at each denial, up to 13 times for a flow; once all nearby had denied, a retry began with all far agents.

Now a search asks the four far agents that placement prefers for the flow first, then the others, and none as long as new agents appear in the first 3.5 s of a balancer. A retry begins nearby too. A search that leaves agents unasked is retried and never reported as not found.

Ruled out: remembering denials for longer (agents that have restarted must be asked again).

Three tests of the locator expected one question to all far agents; they check both steps now, the second with all others.

--- a/ibispitch/fleet/known.py
+++ b/ibispitch/fleet/known.py
@@ -84,5 +84,13 @@
             has_run_long_enough or self.evidence(now) is not None
         )
 
+    def is_gathering(self, now: float) -> bool:
+        """Return whether agents are becoming known after the start.
+
+        Until then a search that has asked all known agents nearby may have
+        missed the owner there.
+        """
+        return now - self._started_at < FIRST_START_S and self._has_new(now)
+
     def _has_new(self, now: float) -> bool:
         return now - self._fleet.last_new_agent_at < NEW_AGENTS_S
--- a/ibispitch/forwarding/searches.py
+++ b/ibispitch/forwarding/searches.py
@@ -90,7 +90,7 @@
         self._sink = sink
         self._log = log
         self._recognises_attempts = recognises_attempts
-        self._locator = Locator(fleet, datacentre)
+        self._locator = Locator(fleet, known_fleet, datacentre)
         #: Time of the first packet of flows whose owner is not yet searched,
         #: because few agents are known.
         self._unknown_since_by_flow: dict[FlowKey, float] = {}
--- a/ibispitch/locating/core.py
+++ b/ibispitch/locating/core.py
@@ -9,7 +9,8 @@
 started after its upstream does not know which flows the upstream holds, so it
 may hand one packet to its upstream, which hands it back if it does not hold
 the flow. Agents near the balancer are tried before those far away are asked:
-they hold most of its flows.
+they hold most of its flows. Of those far away the few that placement prefers
+for the flow are asked first.
 """
 
 from collections.abc import Iterable
@@ -17,6 +18,7 @@
 
 from ibispitch.fleet.core import AgentView
 from ibispitch.fleet.core import Fleet
+from ibispitch.fleet.known import KnownFleet
 from ibispitch.fleet.messages import AgentState
 from ibispitch.forwarding.frames import Answer
 from ibispitch.forwarding.frames import KnownOwners
@@ -71,6 +73,9 @@
 #: Maximum number of other balancers that are asked for the owner of a flow.
 #: In a larger data centre the flow may come from one that is not asked.
 MAX_ASKED_BALANCERS = 16
+#: Number of agents in other data centres that are asked before all others
+#: there. Placement prefers them, so most of the flows there are theirs.
+MAX_PREFERRED = 4
 #: Maximum number of packets that are kept for scheduled searches, 5 MB.
 MAX_SCHEDULED_PACKETS = 4096
 
@@ -149,6 +154,7 @@
         'asked',
         'balancers',
         'deadline',
+        'has_asked_preferred',
         'named',
         'packets',
         'restarted',
@@ -180,6 +186,8 @@
         self.balancers: set[str] = set()
         #: Agents that balancers named as the owner and that are not asked.
         self.named: set[str] = set()
+        #: Whether the preferred agents elsewhere have been asked.
+        self.has_asked_preferred = False
         self.deadline = 0.0
 
     @property
@@ -199,11 +207,18 @@
     """Runs the searches of a balancer.
 
     :param fleet: the agents that can be asked.
+    :param known_fleet: tells whether agents are still becoming known.
     :param datacentre: the data centre of the balancer.
     """
 
-    def __init__(self, fleet: Fleet, datacentre: DatacentreName):
+    def __init__(
+        self,
+        fleet: Fleet,
+        known_fleet: KnownFleet,
+        datacentre: DatacentreName,
+    ):
         self._fleet = fleet
+        self._known_fleet = known_fleet
         self._datacentre = datacentre
         self._search_by_flow: dict[FlowKey, _Search] = {}
         self._trials_by_flow: dict[FlowKey, list[tuple[float, str]]] = {}
@@ -257,16 +272,17 @@
         denials = self._denials_by_flow.pop(flow, None)
         if denials is not None and now - denials.denied_at < TRIAL_WINDOW_S:
             search.asked.update(denials.ips)
-        views = [
-            view
+        # Most flows are held by an upstream in their caller's data centre.
+        near = [
+            view.ip
             for view in self._fleet.agents_of(service)
-            if self._may_answer(view, now) and view.ip not in search.asked
+            if view.status.datacentre == self._datacentre
+            and self._may_answer(view, now)
+            and view.ip not in search.asked
         ]
-        # Most flows are held by an upstream in their caller's data centre.
-        near = [v for v in views if v.status.datacentre == self._datacentre]
         if until is None:
             search.balancers.update(self._balancers_to_ask(now))
-        return self._ask(search, [view.ip for view in near or views], now)
+        return self._ask(search, near, now)
 
     def _balancers_to_ask(self, now: float) -> list[str]:
         views = self._fleet.near_balancers(self._datacentre, now)
@@ -451,19 +467,39 @@
             if view.ip not in search.asked and self._may_answer(view, now)
         ]
         packet = search.packets[-1]
-        if unasked and not self._is_likely_near(search, now):
-            first = [v for v in unasked if v.status.service == search.service]
-            ips = [view.ip for view in first or unasked]
+        ips = self._next_agents(search, unasked, now)
+        if ips:
             return self._ask(search, ips, now)
         del self._search_by_flow[packet.flow]
         self._remember_denials(packet.flow, search, now)
         missing = self._missing(search, now)
         if search.unknown or search.restarted:
             return self._try_agents(search, packet, not unasked, missing, now)
-        if missing or not search.asked:
+        if missing or unasked or not search.asked:
             return self._schedule_retry(search, missing, now)
         return [NotFound(packet, len(search.denied))]
 
+    def _next_agents(
+        self, search: _Search, unasked: list[AgentView], now: float
+    ) -> list[str]:
+        """Return the agents that a search asks next, nearby ones first.
+
+        :param unasked: the agents that it has not asked.
+        :returns: empty if those elsewhere are not to be asked yet.
+        """
+        if not unasked or self._is_likely_near(search, now):
+            return []
+        views = [v for v in unasked if v.status.service == search.service]
+        views = views or unasked
+        near = [v.ip for v in views if v.status.datacentre == self._datacentre]
+        if near or self._known_fleet.is_gathering(now):
+            return near
+        ips = [view.ip for view in views]
+        if search.has_asked_preferred:
+            return ips
+        search.has_asked_preferred = True
+        return by_preference(search.packets[0].flow, ips)[:MAX_PREFERRED]
+
     def _is_likely_near(self, search: _Search, now: float) -> bool:
         """Return whether the owner is likely one of the asked agents.
 
--- a/tests/locating/test_locator.py
+++ b/tests/locating/test_locator.py
@@ -8,6 +8,8 @@
 
 from ibispitch.fleet.core import Fleet
 from ibispitch.fleet.core import LOST_S
+from ibispitch.fleet.known import KnownFleet
+from ibispitch.fleet.known import NEW_AGENTS_S
 from ibispitch.fleet.messages import AgentState
 from ibispitch.forwarding.frames import Answer
 from ibispitch.forwarding.frames import ip_number
@@ -22,6 +24,7 @@
 from ibispitch.locating.core import AskOwner
 from ibispitch.locating.core import Found
 from ibispitch.locating.core import Locator
+from ibispitch.locating.core import MAX_PREFERRED
 from ibispitch.locating.core import MAX_SCHEDULED_PACKETS
 from ibispitch.locating.core import MAX_TRIAL_BATCH
 from ibispitch.locating.core import MAX_TRIALS
@@ -61,9 +64,15 @@
     return fleet
 
 
+def make_locator(fleet: Fleet, started_at: float = -60.0) -> Locator:
+    """Return the locator of a balancer that has run for a minute."""
+    known_fleet = KnownFleet(fleet, started_at, False)
+    return Locator(fleet, known_fleet, 'accra')
+
+
 @pytest.fixture
 def locator(fleet):
-    return Locator(fleet, 'accra')
+    return make_locator(fleet)
 
 
 def send_answers(locator, ips, verdict, now=0.01):
@@ -155,7 +164,7 @@
     Its owner was stopped as planned, and each balancer tried two others.
     """
     tried = []
-    for searching in (locator, Locator(make_fleet(), 'accra')):
+    for searching in (locator, make_locator(make_fleet())):
         searching.search(PACKET, 'counter', 0.0)
         send_answers(searching, SERVICE_AGENTS[1:], Verdict.UNKNOWN)
         searching.expire(ANSWER_TIMEOUT_S)
@@ -364,7 +373,7 @@
 
 def test_unknown_agents_that_others_know(fleet):
     """Trials must stay limited while an agent is expected that may own it."""
-    locator = Locator(fleet, 'accra')
+    locator = make_locator(fleet)
     fleet.record_balancer_status(
         '10.0.0.2', balancer(agents=('10.0.1.9',)), 0.0
     )
@@ -383,7 +392,7 @@
     it.
     """
     fleet = make_fleet()
-    locator = Locator(fleet, 'accra')
+    locator = make_locator(fleet)
     owner = data.draw(st.sampled_from(SERVICE_AGENTS))
     is_denying_by_ip = {
         ip: data.draw(st.booleans())
@@ -495,7 +504,7 @@
     fleet = Fleet('10.0.0.1')
     for ip in ips:
         fleet.record_agent_status(ip, agent(), 0.0)
-    locator = Locator(fleet, 'accra')
+    locator = make_locator(fleet)
     locator.search(PACKET, 'counter', 0.0)
     steps = send_answers(locator, ips, Verdict.RESTARTED)
     return locator, [step.ip for step in steps]
@@ -553,7 +562,21 @@
     fleet.record_balancer_status(
         '10.2.0.1', balancer(passes_on=True, datacentre='kumasi'), 0.0
     )
-    return Locator(fleet, 'accra')
+    return make_locator(fleet)
+
+
+def deny_by_preferred(locator, asked, unasked, now=0.01):
+    """Deny for the far agents that are asked first.
+
+    They must be the preferred ones of the unasked.
+
+    :returns: the step that asks the others.
+    """
+    preferred = by_preference(FLOW, unasked)[:MAX_PREFERRED]
+    assert {*asked.ips} == {*preferred}
+    (asked,) = send_answers(locator, asked.ips, Verdict.NOT_OWNED, now)
+    assert {*asked.ips} == {*unasked} - {*preferred}
+    return asked
 
 
 def send_owners(locator, ips, agent_ip, now=0.01):
@@ -587,8 +610,7 @@
     send_answers(locator, SERVICE_AGENTS, Verdict.NOT_OWNED)
     send_owners(locator, NEAR_BALANCERS, FAR_AGENTS[3])
     (asked,) = send_answers(locator, FAR_AGENTS[3:4], Verdict.NOT_OWNED)
-    rest = {*FAR_AGENTS, *OTHER_AGENTS} - {FAR_AGENTS[3]}
-    assert set(asked.ips) == rest - {*OTHER_AGENTS}
+    deny_by_preferred(locator, asked, {*FAR_AGENTS} - {FAR_AGENTS[3]})
 
 
 def test_silent_balancer_delays_a_search_shortly(wide_locator):
@@ -600,9 +622,9 @@
     locator.search(PACKET, 'counter', 0.0)
     send_answers(locator, SERVICE_AGENTS, Verdict.NOT_OWNED)
     (asked,) = locator.expire(ANSWER_TIMEOUT_S)
-    assert set(asked.ips) == {*FAR_AGENTS}
     now = 0.05
-    (asked,) = send_answers(locator, FAR_AGENTS, Verdict.NOT_OWNED, now)
+    asked = deny_by_preferred(locator, asked, FAR_AGENTS, now)
+    (asked,) = send_answers(locator, asked.ips, Verdict.NOT_OWNED, now)
     steps = send_answers(locator, asked.ips, Verdict.NOT_OWNED, now)
     assert steps == [NotFound(PACKET, ALL_AGENTS + len(FAR_AGENTS))]
 
@@ -613,4 +635,44 @@
     locator.search(PACKET, 'counter', 0.0)
     send_answers(locator, SERVICE_AGENTS, Verdict.NOT_OWNED)
     (asked,) = send_owners(locator, NEAR_BALANCERS, '192.0.2.1')
-    assert set(asked.ips) == {*FAR_AGENTS}
+    deny_by_preferred(locator, asked, FAR_AGENTS)
+
+
+def test_preferred_far_agent_is_found_with_few_questions(wide_locator):
+    """Guards against a question to each far agent for a flow that one holds.
+
+    After a planned stop of a balancer nobody nearby names the owner of some
+    flows, and each cost 24 questions of 24 far agents.
+    """
+    locator = wide_locator
+    locator.search(PACKET, 'counter', 0.0)
+    send_answers(locator, SERVICE_AGENTS, Verdict.NOT_OWNED)
+    (asked,) = send_owners(locator, NEAR_BALANCERS, None)
+    owner = by_preference(FLOW, FAR_AGENTS)[0]
+    assert len(asked.ips) <= MAX_PREFERRED
+    (found,) = send_answers(locator, [owner], Verdict.OWNED)
+    assert found.ip == owner
+
+
+def test_far_agents_are_not_asked_while_near_ones_appear(fleet):
+    """Guards against questions to all far agents after all were killed.
+
+    Each search asked the far agents that were back, although agents nearby
+    were still starting, and asked them again at each retry. Far agents are
+    asked once no new agent has appeared for a while.
+    """
+    for ip in FAR_AGENTS:
+        fleet.record_agent_status(ip, agent(datacentre='kumasi'), 0.0)
+    locator = make_locator(fleet, 0.0)
+    steps = locator.search(PACKET, 'counter', 0.0)
+    for number in range(10, 30):
+        now = RETRY_INTERVAL_S * (number - 9)
+        (asked,) = steps
+        assert {*asked.ips}.isdisjoint(FAR_AGENTS)
+        steps = send_answers(locator, asked.ips, Verdict.NOT_OWNED, now)
+        assert not any(isinstance(step, NotFound) for step in steps)
+        fleet.record_agent_status(f'10.0.1.{number}', agent(), now)
+        steps = locator.search(PACKET, 'counter', now)
+    now += NEW_AGENTS_S
+    (asked,) = send_answers(locator, steps[0].ips, Verdict.NOT_OWNED, now)
+    deny_by_preferred(locator, asked, FAR_AGENTS, now)
