Move the probes of hosts into a module of their own

The probes, the agents that are known by name only and the choice of the hosts that are due are in fleet/probes.py now.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -6,11 +6,8 @@
 status gets no new flows after :data:`SUSPECT_INTERVALS` and is forgotten after
 :data:`FORGET_AFTER_S`.
 
-A silent agent says nothing of its upstream: it may be suspended, or start late
-on a busy host. Balancers therefore probe its host. A host that answers, even
-by refusing the connection, runs, and its upstream may hold its flows until
-their idle time-out. Only if the host does not answer either, they count as
-lost earlier.
+The flows of a silent agent count as lost early only if its host answers no
+probe either, see :mod:`ibispitch.fleet.probes`.
 """
 
 from collections.abc import Iterable
@@ -28,6 +25,9 @@
 from ibispitch.fleet.messages import MAX_LISTED_PROCESSES
 from ibispitch.fleet.messages import unpack_ips
 from ibispitch.fleet.order import ProcessOrder
+from ibispitch.fleet.probes import HostProbes
+from ibispitch.fleet.probes import take_due
+from ibispitch.fleet.probes import UnheardAgent
 from ibispitch.fleet.rounds import FAR_ROUNDS
 from ibispitch.fleet.rounds import STATUS_INTERVAL_S
 from ibispitch.forwarding.packets import Destination
@@ -75,17 +75,10 @@
 MAX_DESTINATIONS = 4096
 #: Maximum number of new or silent processes that get a message at once.
 MAX_ADDRESSED_AT_ONCE = 64
-#: Interval of the probes of a silent host.
-PROBE_INTERVAL_S = 0.7
-#: Successive probes without an answer after which a host counts as
-#: unreachable: one may be lost.
-MIN_UNANSWERED_PROBES = 2
 #: Multiple of the idle time-out for which an agent that only others know is
 #: remembered. They forget it after one time-out, but learn of it from each
 #: other at different times.
 UNHEARD_KEPT_TIMES = 4
-#: Maximum number of hosts that are probed at once.
-MAX_PROBED_AT_ONCE = 16
 #: Idle time-out of flows while no routes are known.
 DEFAULT_IDLE_TIMEOUT_S = FORGET_AFTER_S
 
@@ -102,33 +95,6 @@
     AGENT_SILENT = 'agent silent'
 
 
-class HostProbes:
-    """Probes of a host whose agent is silent."""
-
-    __slots__ = ('probed_at', 'unanswered')
-
-    def __init__(self):
-        self.probed_at = -math.inf
-        #: Successive probes without an answer.
-        self.unanswered = 0
-
-    @property
-    def is_unreachable(self) -> bool:
-        """Whether the host has answered none of the last probes."""
-        return self.unanswered >= MIN_UNANSWERED_PROBES
-
-
-class UnheardAgent:
-    """An agent that balancers list but that has sent no status."""
-
-    __slots__ = ('probes', 'since')
-
-    def __init__(self, now: float):
-        #: Time of the first mention.
-        self.since = now
-        self.probes = HostProbes()
-
-
 class AgentView:
     """State of an agent, from its last status.
 
@@ -566,15 +532,7 @@
             for ip in self._open_unheard(now)
             if now - self._unheard_agents[ip].since > ASK_AGAIN_S
         }
-        due = [
-            ip
-            for ip, probes in probes_by_ip.items()
-            if now - probes.probed_at >= PROBE_INTERVAL_S
-        ]
-        due.sort(key=lambda ip: probes_by_ip[ip].probed_at)
-        for ip in due[:MAX_PROBED_AT_ONCE]:
-            probes_by_ip[ip].probed_at = now
-        return due[:MAX_PROBED_AT_ONCE]
+        return take_due(probes_by_ip, now)
 
     def record_probe(self, ip: str, is_answered: bool) -> bool:
         """Record the result of a probe of an agent's host.
@@ -584,10 +542,7 @@
         known = self.agents_by_ip.get(ip) or self._unheard_agents.get(ip)
         if known is None:
             return False
-        probes = known.probes
-        was_unreachable = probes.is_unreachable
-        probes.unanswered = 0 if is_answered else probes.unanswered + 1
-        return probes.is_unreachable is not was_unreachable
+        return known.probes.record(is_answered)
 
     def record_suspension(self, for_s: float) -> None:
         """Record that this process did nothing for some time.
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -6,10 +6,7 @@
 from ibispitch.fleet.core import FORGET_AFTER_S
 from ibispitch.fleet.core import Loss
 from ibispitch.fleet.core import LOST_S
-from ibispitch.fleet.core import MAX_PROBED_AT_ONCE
 from ibispitch.fleet.core import MIN_RESTARTED_HOSTS
-from ibispitch.fleet.core import MIN_UNANSWERED_PROBES
-from ibispitch.fleet.core import PROBE_INTERVAL_S
 from ibispitch.fleet.core import RESTART_TIMEOUT_S
 from ibispitch.fleet.core import SUSPECT_INTERVALS
 from ibispitch.fleet.messages import AgentState
@@ -18,6 +15,9 @@
 from ibispitch.fleet.messages import decode_message
 from ibispitch.fleet.messages import encode_message
 from ibispitch.fleet.messages import pack_ips
+from ibispitch.fleet.probes import MAX_PROBED_AT_ONCE
+from ibispitch.fleet.probes import MIN_UNANSWERED_PROBES
+from ibispitch.fleet.probes import PROBE_INTERVAL_S
 from ibispitch.fleet.rounds import RoundSchedule
 
 
--- a/tests/fleet/test_reports.py
+++ b/tests/fleet/test_reports.py
@@ -8,13 +8,13 @@
 from ibispitch.fleet.core import Fleet
 from ibispitch.fleet.core import FORGET_AFTER_S
 from ibispitch.fleet.core import LOST_S
-from ibispitch.fleet.core import MIN_UNANSWERED_PROBES
 from ibispitch.fleet.core import SUSPECT_INTERVALS
 from ibispitch.fleet.messages import AgentState
 from ibispitch.fleet.messages import encode_message
 from ibispitch.fleet.messages import MAX_ENTRIES_BYTES
 from ibispitch.fleet.messages import unpack_entries
 from ibispitch.fleet.messages import unpack_ips
+from ibispitch.fleet.probes import MIN_UNANSWERED_PROBES
 from ibispitch.fleet.reports import MAX_ENTRIES
 from ibispitch.fleet.reports import MAX_PROCESSES_IN_TURN
 from ibispitch.fleet.reports import Reporter
