Wait for the agents that the store lists before a loss of power is concluded

Callers saw open flows of a live upstream reset: all processes were killed, the upstreams of the agents that were back had just been replaced, and the agent of the remaining one started later. A balancer took the known hosts for all, since all looked as after a loss of all power (cold upstreams, young agents).

A balancer now keeps a list of agents and their upstreams in the store, written like the list of balancers: by the first reader, 8 s after a change. A balancer to which nobody lists the agents, or whose agents all seem to have restarted, reads it. Listed agents that are away count as agents that others list; their hosts are probed. One that has the upstream of the list shows that not all power was lost.

Lost flows are still reset once all listed agents are back (test_lost_flows_are_reset_once_all_listed_agents_are_back).

Tests changed: test_loss_of_all_power and test_few_cold_hosts_are_no_loss_of_power have an empty list read first, and the former also checks that nothing is concluded before; test_the_list_costs_few_calls counts both lists.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -12,6 +12,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
 import enum
 from itertools import islice
 import math
@@ -213,6 +214,9 @@
         self._ips_by_service: dict[ServiceName, dict[str, None]] = {}
         #: Agents that balancers list but that have sent no status.
         self._unheard_agents: dict[str, UnheardAgent] = {}
+        #: Incarnation of the upstream of each agent that the store lists,
+        #: ``None`` if the list has not been read.
+        self._stored_incarnation_by_ip: Mapping[str, int] | None = None
         #: Time at which unknown agents were asked for their status.
         self._asked_at_by_agent: dict[str, float] = {}
         self._added_balancers: list[str] = []
@@ -379,6 +383,30 @@
             self._last_new_balancer_at = now
         return is_new
 
+    def record_stored_agents(
+        self, incarnation_by_ip: Mapping[str, int], now: float
+    ) -> None:
+        """Record the agents that the store lists, see :mod:`.directory`.
+
+        The list may be old. An agent on it counts as one that others list,
+        so that it only ever delays conclusions.
+
+        :param incarnation_by_ip: the upstream of each agent; empty if the
+            store has no list.
+        """
+        self._stored_incarnation_by_ip = incarnation_by_ip
+        for ip in incarnation_by_ip:
+            if ip not in self.agents_by_ip:
+                self._unheard_agents.setdefault(ip, UnheardAgent(now))
+
+    def agents_to_store(self) -> dict[str, int]:
+        """Return the upstream of each agent that has one."""
+        return {
+            view.ip: view.status.incarnation
+            for view in self._views_with_upstream()
+            if view.status.incarnation
+        }
+
     def add_balancer(self, ip: str, now: float) -> None:
         """Add a balancer by its address, without a status."""
         if ip == self._own_ip:
@@ -450,19 +478,45 @@
         """Return the agents that a list for other processes contains."""
         return [*self.recent_agents(now), *self._open_unheard(now)]
 
-    def has_only_restarted_hosts(self) -> bool:
-        """Return whether all known hosts of upstreams seem to have restarted.
+    def has_only_restarted_hosts(self, now: float) -> bool:
+        """Return whether all hosts of upstreams seem to have restarted.
 
         Their upstreams were cold, and their agents had sent few statuses when
         the first one arrived here. Cold upstreams alone don't show it, since
         an upstream turns cold without a restart as well. Agents without an
-        upstream, or whose upstream has ended, don't count.
+        upstream, or whose upstream has ended, don't count. An agent that the
+        store lists must have another upstream now, or its host must be down.
+        """
+        return self.needs_stored_agents and not self._may_run_since_before(now)
+
+    @property
+    def needs_stored_agents(self) -> bool:
+        """Whether the list in the store may show a loss of all power.
+
+        It can if all known hosts of upstreams seem to have restarted.
         """
         views = self._views_with_upstream()
         return len(views) >= MIN_RESTARTED_HOSTS and all(
             view.has_restarted for view in views
         )
 
+    def _may_run_since_before(self, now: float) -> bool:
+        """Return whether an upstream may run since before this start.
+
+        That is so while the list in the store has not been read, an agent on
+        it may be back later, or has the upstream that it had.
+        """
+        stored = self._stored_incarnation_by_ip
+        return (
+            stored is None
+            or self.has_unheard_agents(now)
+            or any(
+                stored.get(view.ip) == view.status.incarnation
+                for view in self._views_with_upstream()
+                if view.status.incarnation
+            )
+        )
+
     def _views_with_upstream(self) -> list[AgentView]:
         return [
             view
@@ -477,7 +531,7 @@
             and view.first_number <= MAX_YOUNG_NUMBER
         )
 
-    def has_lost_power(self, ip: str) -> bool:
+    def has_lost_power(self, ip: str, now: float) -> bool:
         """Return whether the host of an agent seems to have lost power.
 
         All hosts must seem so whose upstream is known, and most must have a
@@ -492,6 +546,7 @@
             len(known) >= MIN_RESTARTED_HOSTS
             and 2 * len(known) > len(views)
             and all(map(self._seems_restarted, known))
+            and not self._may_run_since_before(now)
         )
 
     def is_changing(self, now: float) -> bool:
--- a/ibispitch/fleet/directory.py
+++ b/ibispitch/fleet/directory.py
@@ -1,21 +1,28 @@
-"""List of balancers that outlives all processes of the fleet.
+"""Lists of balancers and agents that outlive all processes of the fleet.
 
 Load pattern: all processes restart within some tenths of a second while
 callers wait. None knows another one, and the seeds in the settings may be the
 last to start, or be gone. One balancer therefore keeps a list of addresses in
 the store, and a process that gets no answer from its seeds reads it. The list
 is only a hint: a wrong address costs a datagram.
+
+The list of agents names the upstream of each. A balancer that starts while
+nobody knows the fleet waits for these agents before it concludes that a flow
+is lost.
 """
 
 from collections import defaultdict
 from collections.abc import Iterable
+from collections.abc import Mapping
 from itertools import chain
+from itertools import islice
 from typing import Any
 from typing import NamedTuple
 
 import msgspec
 
 from ibispitch.decoding import decode_json
+from ibispitch.decoding import is_count
 from ibispitch.ids import DatacentreName
 from ibispitch.ids import is_ip
 
@@ -25,8 +32,14 @@
 #: Maximum number of listed balancers of a data centre. Any one of them leads
 #: to the others.
 MAX_PER_DATACENTRE = 16
-#: Maximum number of balancers that are taken from a stored list.
+#: Maximum number of balancers or agents that are taken from a stored list.
 MAX_STORED = 1024
+#: Maximum number of listed agents, 15 KB. More of them are a sample.
+MAX_LISTED_AGENTS = 512
+
+
+#: Sorted agents with the incarnation of their upstream.
+ListedAgents = tuple[tuple[str, int], ...]
 
 
 class KnownBalancer(NamedTuple):
@@ -70,6 +83,45 @@
     return ips
 
 
+class _AgentDocument(msgspec.Struct):
+    agents: dict[str, Any]
+
+
+def encode_agents(agents: ListedAgents) -> bytes:
+    """Return the JSON document that lists agents.
+
+    >>> encode_agents((('10.1.1.4', 7),))
+    b'{"agents":{"10.1.1.4":7}}'
+    """
+    return msgspec.json.encode(_AgentDocument(dict(agents)))
+
+
+def decode_agents(data: bytes) -> dict[str, int]:
+    """Return the agents that a document lists, and their upstreams.
+
+    Entries that are no IPv4 address with an incarnation are left out.
+
+    :raises ValueError: if it is not such a document or has only such entries.
+
+    >>> decode_agents(b'{"agents":{"10.1.1.4":7,"10.1.1.5":"x","a":7}}')
+    {'10.1.1.4': 7}
+    """
+    listed = decode_json(data, _AgentDocument).agents
+    agents = {
+        ip: incarnation
+        for ip, incarnation in islice(listed.items(), MAX_STORED)
+        if is_ip(ip) and is_count(incarnation)
+    }
+    if listed and not agents:
+        raise ValueError('none of the listed agents has an IPv4 address')
+    return agents
+
+
+def choose_agents(incarnation_by_ip: Mapping[str, int]) -> ListedAgents:
+    """Return the agents to list."""
+    return tuple(sorted(incarnation_by_ip.items())[:MAX_LISTED_AGENTS])
+
+
 def choose_listed(balancers: Iterable[KnownBalancer]) -> tuple[str, ...]:
     """Return the balancers to list, some of each data centre."""
     ips_by_datacentre: dict[DatacentreName, list[str]] = defaultdict(list)
@@ -83,13 +135,13 @@
 
 
 class DirectoryWriter:
-    """Decides when the list is written again."""
+    """Decides when a list is written again."""
 
     def __init__(self):
-        self._stored: tuple[tuple[str, ...], int] | None = None
+        self._stored: tuple[tuple, int] | None = None
         self._differs_since: float | None = None
 
-    def record_stored(self, listed: tuple[str, ...], era: int) -> None:
+    def record_stored(self, listed: tuple, era: int) -> None:
         """Record the list that the store has.
 
         :param era: era of the store; the list may be lost when it changes.
@@ -97,7 +149,7 @@
         self._stored = listed, era
         self._differs_since = None
 
-    def is_due(self, listed: tuple[str, ...], era: int, now: float) -> bool:
+    def is_due(self, listed: tuple, era: int, now: float) -> bool:
         """Return whether a list should be written.
 
         After a call that returns true the next one does so only after
--- a/ibispitch/fleet/known.py
+++ b/ibispitch/fleet/known.py
@@ -66,7 +66,7 @@
             return Evidence.TIME
         if self._fleet.has_agent_list:
             return Evidence.LIST
-        if self._fleet.has_only_restarted_hosts():
+        if self._fleet.has_only_restarted_hosts(now):
             return Evidence.RESTARTED_HOSTS
         return None
 
--- a/ibispitch/locating/core.py
+++ b/ibispitch/locating/core.py
@@ -353,7 +353,7 @@
         # all power each flow would otherwise be tried everywhere.
         has_lost_power = any(
             answer.verdict is Verdict.RESTARTED for answer in message.answers
-        ) and self._fleet.has_lost_power(ip)
+        ) and self._fleet.has_lost_power(ip, now)
         return [
             step
             for answer in message.answers
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -22,6 +22,7 @@
 from ibispitch.platform.directory import add_stored_balancers
 from ibispitch.platform.directory import CHECK_INTERVAL_S
 from ibispitch.platform.directory import DirectoryKeeper
+from ibispitch.platform.directory import read_stored_agents
 from ibispitch.platform.http import Request
 from ibispitch.platform.http import Response
 from ibispitch.platform.metrics import Counts
@@ -71,12 +72,12 @@
         self._started_at = node.clock()
         self._near_ips: list[str] = []
         self._near_counted_at = -math.inf
-        self._directory = DirectoryKeeper(node)
         self._core = BalancerCore(
             node.settings.datacentre, node.fleet, self._codec, self,
             node.log, node.histograms, self._random, node.clock(),
             node.overload, node.settings.is_first_start,
         )  # fmt: skip
+        self._directory = DirectoryKeeper(node, self._core.knows_fleet)
         self._statuses = BalancerStatuses(
             node, self._core.knows_fleet, self._on_agent_status, self._random
         )
@@ -101,6 +102,7 @@
         node.start(following, is_essential=True)
         node.every_round(self._send_round)
         node.start(self._add_stored_balancers())
+        node.start(read_stored_agents(node))
         node.every(
             CHECK_INTERVAL_S,
             lambda: self._directory.check(self._readers()[0].ip),
--- a/ibispitch/platform/directory.py
+++ b/ibispitch/platform/directory.py
@@ -1,18 +1,25 @@
-"""The list of balancers in the platform's store."""
+"""The lists of balancers and agents in the platform's store."""
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
+from ibispitch.fleet.directory import choose_agents
 from ibispitch.fleet.directory import choose_listed
+from ibispitch.fleet.directory import decode_agents
 from ibispitch.fleet.directory import decode_directory
 from ibispitch.fleet.directory import DirectoryWriter
+from ibispitch.fleet.directory import encode_agents
 from ibispitch.fleet.directory import encode_directory
 from ibispitch.fleet.directory import KnownBalancer
+from ibispitch.fleet.directory import ListedAgents
+from ibispitch.fleet.known import FIRST_START_S
 from ibispitch.platform.node import Node
 from ibispitch.platform.store import MetadataStore
 from ibispitch.platform.store import StoreCallError
 
 KEY = 'fleet/balancers'
+AGENTS_KEY = 'fleet/agents'
 #: Time for which a process waits for its seeds before it reads the list.
 #: Seeds that are up answer within milliseconds.
 SEED_ANSWER_S = 0.05
@@ -69,35 +76,95 @@
     :raises StoreCallError: if the store did not answer.
     :raises ValueError: if there is no readable list.
     """
-    listing = await store.list(KEY, may_be_stale=True)
+    value, era = await _read_value(store, KEY)
+    return StoredDirectory(decode_directory(value), era)
+
+
+async def _read_value(store: MetadataStore, key: str) -> tuple[bytes, int]:
+    """Return a stored value, which may be seconds old, and the store's era.
+
+    :raises StoreCallError: if the store did not answer.
+    :raises ValueError: if it has no such key.
+    """
+    listing = await store.list(key, may_be_stale=True)
     for item in listing.items:
-        if item.key == KEY and item.value is not None:
-            return StoredDirectory(decode_directory(item.value), listing.era)
-    raise ValueError(f'the store has no {KEY}; a balancer writes it')
+        if item.key == key and item.value is not None:
+            return item.value, listing.era
+    raise ValueError(f'the store has no {key}; a balancer writes it')
+
+
+async def read_stored_agents(node: Node) -> None:
+    """Record the agents that the store lists, if they are needed.
+
+    They are not needed if a balancer that knows the fleet has listed its
+    agents, unless all of these seem to have restarted. A fleet that has just
+    started has no list, nor one of the version before.
+    """
+    if node.settings.is_first_start:
+        return
+    started_at = node.clock()
+    fleet = node.fleet
+    await asyncio.sleep(SEED_ANSWER_S)
+    while True:
+        if fleet.needs_stored_agents or not fleet.has_agent_list:
+            agents = await _read_agents(node)
+            if agents is not None:
+                fleet.record_stored_agents(agents, node.clock())
+                return
+        elif node.clock() - started_at >= FIRST_START_S:
+            return
+        await asyncio.sleep(READ_AGAIN_S)
+
+
+async def _read_agents(node: Node) -> dict[str, int] | None:
+    """Return the stored agents, ``None`` if the store did not answer.
+
+    :returns: empty if there is no readable list.
+    """
+    store = node.transport.store(node.settings.store_address)
+    agents: dict[str, int] = {}
+    try:
+        value, _ = await _read_value(store, AGENTS_KEY)
+        agents = decode_agents(value)
+    except StoreCallError as error:
+        node.log.change('agents.not_read', node.clock(), error=str(error))
+        return None
+    except ValueError as error:
+        node.log.change('agents.unusable', node.clock(), error=str(error))
+    else:
+        node.log.change('agents.read', node.clock(), agents=len(agents))
+    finally:
+        store.close()
+    return agents
 
 
 class DirectoryKeeper:
-    """Keeps the stored list up to date.
+    """Keeps the stored lists up to date.
 
     :param node: the process; only one balancer of a fleet writes.
+    :param knows_fleet: whether the process knows all agents.
     """
 
-    def __init__(self, node: Node):
+    def __init__(self, node: Node, knows_fleet: Callable[[float], bool]):
         self._node = node
+        self._knows_fleet = knows_fleet
         self._writer = DirectoryWriter()
+        self._agents_writer = DirectoryWriter()
 
     def record_stored(self, stored: StoredDirectory) -> None:
-        """Record the list that the store has."""
+        """Record the list of balancers that the store has."""
         self._writer.record_stored(stored.ips, stored.era)
 
     def check(self, writer_ip: str) -> None:
-        """Write the list if it is outdated and this process's to write.
+        """Write the lists that are outdated if this process is to write.
 
         :param writer_ip: the balancer that should write.
         """
         node = self._node
         if writer_ip != node.settings.ip:
             return
+        now = node.clock()
+        era = node.routes.position.era
         listed = choose_listed(
             (
                 KnownBalancer(node.settings.datacentre, writer_ip),
@@ -108,12 +175,32 @@
                 ),
             )
         )
-        era = node.routes.position.era
-        if self._writer.is_due(listed, era, node.clock()):
-            node.start(self._write(StoredDirectory(listed, era)))
+        if self._writer.is_due(listed, era, now):
+            node.start(self._write_balancers(listed, era))
+        if not self._knows_fleet(now):
+            return
+        agents = choose_agents(node.fleet.agents_to_store())
+        if self._agents_writer.is_due(agents, era, now):
+            node.start(self._write_agents(agents, era))
+
+    async def _write_balancers(
+        self, listed: tuple[str, ...], era: int
+    ) -> None:
+        if await self._put(KEY, encode_directory(listed)):
+            self._writer.record_stored(listed, era)
+            self._node.log.change(
+                'directory.written', self._node.clock(), balancers=len(listed)
+            )
 
-    async def _write(self, stored: StoredDirectory) -> None:
-        """Store a list without a condition.
+    async def _write_agents(self, agents: ListedAgents, era: int) -> None:
+        if await self._put(AGENTS_KEY, encode_agents(agents)):
+            self._agents_writer.record_stored(agents, era)
+            self._node.log.change(
+                'agents.written', self._node.clock(), agents=len(agents)
+            )
+
+    async def _put(self, key: str, value: bytes) -> bool:
+        """Store a list without a condition, and return whether it is stored.
 
         It is only a hint, so that two writers, or a write whose answer is
         lost, do no harm.
@@ -121,15 +208,12 @@
         node = self._node
         store = node.transport.store(node.settings.store_address)
         try:
-            await store.put(KEY, encode_directory(stored.ips))
+            await store.put(key, value)
         except StoreCallError as error:
             node.log.change(
                 'directory.not_written', node.clock(), error=str(error)
             )
-        else:
-            self.record_stored(stored)
-            node.log.change(
-                'directory.written', node.clock(), balancers=len(stored.ips)
-            )
+            return False
         finally:
             store.close()
+        return True
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -354,12 +354,59 @@
         fleet.record_agent_status(f'10.0.1.{number}', cold, 0.0)
     starting = agent(1, incarnation=0, state=AgentState.PRESUMED)
     fleet.record_agent_status('10.0.1.5', starting, 0.0)
-    assert fleet.has_lost_power('10.0.1.1')
-    assert not fleet.has_lost_power('10.0.1.5')
-    assert not fleet.has_lost_power('10.0.1.9')
+    assert not fleet.has_lost_power('10.0.1.1', 0.0)
+    fleet.record_stored_agents({}, 0.0)
+    assert fleet.has_lost_power('10.0.1.1', 0.0)
+    assert not fleet.has_lost_power('10.0.1.5', 0.0)
+    assert not fleet.has_lost_power('10.0.1.9', 0.0)
     old = agent(500, cold_left_s=1.5)
     fleet.record_agent_status('10.0.1.6', old, 0.1)
-    assert not fleet.has_lost_power('10.0.1.1')
+    assert not fleet.has_lost_power('10.0.1.1', 0.1)
+
+
+def cold_fleet(stored: dict[str, int]) -> Fleet:
+    """Return what a balancer knows whose hosts all seem to have restarted."""
+    fleet = Fleet('10.0.0.1')
+    cold = agent(incarnation=7, cold_left_s=1.5, cold_openings=5)
+    for number in range(1, MIN_RESTARTED_HOSTS + 1):
+        fleet.record_agent_status(f'10.0.1.{number}', cold, 0.0)
+    assert not fleet.has_only_restarted_hosts(0.0)
+    fleet.record_stored_agents(stored, 0.0)
+    return fleet
+
+
+def test_stored_agent_that_is_not_back_prevents_a_loss_of_power():
+    """Guards against resets of flows of an agent that starts late.
+
+    All processes were killed, the agents that were back had upstreams that
+    had just been replaced, and a balancer took them for all.
+    """
+    fleet = cold_fleet({'10.0.1.1': 3, '10.0.1.9': 4})
+    assert not fleet.has_only_restarted_hosts(0.0)
+    assert not fleet.has_lost_power('10.0.1.1', 0.0)
+    assert '10.0.1.9' in fleet.hosts_to_probe(0.2)
+    assert '10.0.1.9' in fleet.listed_agents(0.2)
+    cold = agent(incarnation=5, cold_left_s=1.5, cold_openings=5)
+    fleet.record_agent_status('10.0.1.9', cold, 0.3)
+    assert fleet.has_only_restarted_hosts(0.3)
+    assert fleet.has_lost_power('10.0.1.1', 0.3)
+
+
+def test_stored_agent_whose_host_is_down_delays_no_conclusion():
+    """Guards against lost flows that are kept for a host that is gone."""
+    fleet = cold_fleet({'10.0.1.9': 4})
+    for _ in range(MIN_UNANSWERED_PROBES):
+        assert not fleet.has_only_restarted_hosts(0.3)
+        fleet.record_probe('10.0.1.9', is_answered=False)
+    assert fleet.has_only_restarted_hosts(0.3)
+    assert fleet.has_lost_power('10.0.1.1', 0.3)
+
+
+def test_upstream_that_the_store_lists_has_lost_no_power():
+    """Guards against resets if upstreams turn cold without a restart."""
+    fleet = cold_fleet({'10.0.1.2': 7})
+    assert not fleet.has_only_restarted_hosts(0.0)
+    assert not fleet.has_lost_power('10.0.1.1', 0.0)
 
 
 def test_few_cold_hosts_are_no_loss_of_power():
@@ -369,10 +416,11 @@
     balancers took it for all agents, and told each other so.
     """
     fleet = Fleet('10.0.0.1')
+    fleet.record_stored_agents({}, 0.0)
     cold = agent(cold_left_s=1.5, cold_openings=5)
     for number in range(1, MIN_RESTARTED_HOSTS + 1):
-        assert not fleet.has_only_restarted_hosts()
+        assert not fleet.has_only_restarted_hosts(0.1)
         fleet.record_agent_status(f'10.0.1.{number}', cold, 0.0)
-    assert fleet.has_only_restarted_hosts()
+    assert fleet.has_only_restarted_hosts(0.1)
     fleet.record_agent_status('10.0.1.9', agent(), 0.1)
-    assert not fleet.has_only_restarted_hosts()
+    assert not fleet.has_only_restarted_hosts(0.1)
--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -12,6 +12,8 @@
 from testbed.memory_store import Fault
 from testbed.simulated_loop import simulate
 
+#: Its requests may wait for an agent that starts late.
+PATIENT = FEED._replace(objective_s=1.0, deadline_s=10.0)
 DATACENTRES = {'khomas-a': 8, 'khomas-b': 8, 'khomas-c': 8}
 AGENTS = [(name, 'counter') for name in DATACENTRES for _ in range(17)]
 #: The processes are down, then most start within this time, and the seeds
@@ -110,10 +112,74 @@
         line
         for host in network.balancers
         for line in host.log_lines
-        if line['event'] == 'directory.written'
+        if line['event'] in ('directory.written', 'agents.written')
     ]
-    assert len(written) == 1
+    assert len(written) == 2
     assert written[0]['balancers'] == sum(DATACENTRES.values())
+    assert written[1]['agents'] == len(AGENTS)
+
+
+def restart_with_a_late_agent(late_s, is_replaced=False) -> FlowNetwork:
+    """Kill all processes while upstreams are replaced.
+
+    :param late_s: time until the last agent is back.
+    :param is_replaced: whether its upstream is replaced as well.
+    """
+
+    async def scenario(loop):
+        network = FlowNetwork(
+            loop, {'khomas-a': 4}, [('khomas-a', 'counter')] * 8
+        )
+        network.configure(1, (PATIENT,))
+        await network.start()
+        callers = [
+            network.add_caller('khomas-a', PATIENT, is_long=True)
+            for _ in range(32)
+        ]
+        load = loop.create_task(network.send_requests(callers, 40, 24))
+        await asyncio.sleep(SETTLE_S + 6.0)
+        late, *others = network.agents
+        for host in (*network.balancers, *others):
+            network.kill(host, 0.5)
+        network.kill(late, late_s)
+        for host in network.agents if is_replaced else others:
+            host.upstream.crash()
+            loop.call_later(0.4, network.start_upstream, host, 5.0)
+        await load
+        await asyncio.sleep(PATIENT.deadline_s)
+        return network
+
+    return simulate(scenario)
+
+
+def reset_evidence(network: FlowNetwork) -> list[str]:
+    """Return from what balancers concluded that they knew all agents."""
+    return [
+        line['known_by']
+        for host in network.balancers
+        for line in host.log_lines
+        if line['event'] == 'flow.reset' and 'known_by' in line
+    ]
+
+
+def test_flows_of_an_agent_that_starts_late_live_on():
+    """Guards against a loss of all power concluded from the known agents.
+
+    All processes were killed, and the upstreams of the agents that were back
+    had just been replaced. The agent of the remaining one started later.
+    """
+    network = restart_with_a_late_agent(4.0)
+    assert network.wrongly_reset_flows() == []
+    # Not for lack of resets: the flows of the others were lost.
+    assert reset_evidence(network)
+
+
+def test_lost_flows_are_reset_once_all_listed_agents_are_back():
+    """Guards against callers that wait for the idle time-out of lost flows."""
+    network = restart_with_a_late_agent(0.6, is_replaced=True)
+    evidence = reset_evidence(network)
+    assert evidence
+    assert set(evidence) <= {'restarted hosts', 'list'}
 
 
 def test_a_restarted_process_on_a_slow_link_gets_routes_from_others():
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -18,6 +18,7 @@
 from ibispitch.checkpoint.messages import CheckpointPart
 from ibispitch.decoding import decode_json
 from ibispitch.decoding import decode_msgpack
+from ibispitch.fleet.directory import decode_agents
 from ibispitch.fleet.directory import decode_directory
 from ibispitch.fleet.messages import BalancerStatus
 from ibispitch.fleet.messages import decode_message
@@ -175,6 +176,21 @@
         assert decode_directory(data) == ('10.1.0.4',)
 
 
+@pytest.mark.parametrize(
+    ('ip', 'incarnation'),
+    [('10.1.0.5:80', 7), ('x', 7), *(('10.1.0.5', odd) for odd in ODD)],
+    ids=str,
+)
+def test_odd_entry_of_the_stored_agents(ip, incarnation):
+    """Guards against processes that end by one odd entry of the list."""
+    data = encode({'agents': {ip: incarnation, '10.1.0.4': 7}})
+    if incarnation is DEEP:
+        with pytest.raises(ValueError, match='document'):
+            decode_agents(data)
+    else:
+        assert decode_agents(data) == {'10.1.0.4': 7}
+
+
 class Answers:
     """An HTTP client that gives prepared answers."""
 
