Try one upstream while a listed agent is away rather than new

An agent that runs answers one of two requests for its status within 0.25 s, so that a listed one that has not is away. One that the store lists has run before and is away at once. Meanwhile a search tries one upstream.

Ruled out: the limit while any agent is restarting for whatever reason, since flows of killed agents would be found later.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -44,6 +44,8 @@
 #: Time after which an unknown agent is asked again: its answer takes some
 #: milliseconds, and a lost one costs this time.
 ASK_AGAIN_S = 0.1
+#: Time in which an agent that runs answers one of two requests.
+MAX_ANSWER_S = 0.25
 #: Time for which a mention of a balancer in a status of another one is valid,
 #: and for which a new balancer may be unknown to some processes.
 MENTION_VALID_S = SUSPECT_INTERVALS * STATUS_INTERVAL_S * FAR_ROUNDS
@@ -397,7 +399,10 @@
         self._stored_incarnation_by_ip = incarnation_by_ip
         for ip in incarnation_by_ip:
             if ip not in self.agents_by_ip:
-                self._unheard_agents.setdefault(ip, UnheardAgent(now))
+                unheard = self._unheard_agents.setdefault(
+                    ip, UnheardAgent(now)
+                )
+                unheard.is_stored = True
 
     def agents_to_store(self) -> dict[str, int]:
         """Return the upstream of each agent that has one."""
@@ -452,17 +457,25 @@
             self._unheard_agents
         ) + len(self._views_with_upstream())
 
-    def has_unheard_agents(self, now: float, for_s: float = 0.0) -> bool:
-        """Return whether others list agents that have sent no status here.
+    def has_unheard_agents(self, now: float) -> bool:
+        """Return whether agents are listed that have sent no status here.
 
         The flows of such an agent cannot be distinguished from lost flows.
         It counts until the idle time-out, unless its host is unreachable.
+        """
+        return any(self._open_unheard(now))
+
+    def has_absent_listed_agents(self, now: float) -> bool:
+        """Return whether a listed agent is away rather than new.
 
-        :param for_s: least time in seconds since the first mention.
+        The store lists it, so that it has run before, or it has not answered
+        requests for its status.
         """
         return any(
-            now - self._unheard_agents[ip].since >= for_s
-            for ip in self._open_unheard(now)
+            unheard.is_stored or now - unheard.since >= MAX_ANSWER_S
+            for unheard in map(
+                self._unheard_agents.get, self._open_unheard(now)
+            )
         )
 
     def _open_unheard(self, now: float) -> Iterator[str]:
--- a/ibispitch/fleet/probes.py
+++ b/ibispitch/fleet/probes.py
@@ -45,13 +45,15 @@
 
 
 class UnheardAgent:
-    """An agent that balancers list but that has sent no status."""
+    """An agent that is listed but has sent no status."""
 
-    __slots__ = ('probes', 'since')
+    __slots__ = ('is_stored', 'probes', 'since')
 
     def __init__(self, now: float):
         #: Time of the first mention.
         self.since = now
+        #: Whether the store lists it, so that it has run before.
+        self.is_stored = False
         self.probes = HostProbes()
 
 
--- a/ibispitch/locating/core.py
+++ b/ibispitch/locating/core.py
@@ -47,9 +47,6 @@
 #: counted, but only ``MAX_TRIAL_BATCH`` limits them unless the owner may be an
 #: agent that was stopped as planned.
 MAX_TRIALS = 1
-#: Time after the first mention of an agent from which it is not about to send
-#: its first status, so that it may have been stopped as planned.
-MAX_UNHEARD_S = 2.0
 #: Maximum number of agents tried at the same time, near and preferred ones
 #: first: they most often include the owner of a long flow. Once all agents
 #: have answered, it applies instead of ``MAX_TRIALS``, because the owner is
@@ -593,7 +590,7 @@
         max_all = MAX_TRIAL_BATCH
         if any(
             map(self._is_restarting, missing)
-        ) or self._fleet.has_unheard_agents(now, MAX_UNHEARD_S):
+        ) or self._fleet.has_absent_listed_agents(now):
             max_all = max_unsafe
         restarted = self._untried(packet.flow, search.restarted)
         # Placement has preferred the first ones, near ones before all.
--- a/tests/locating/test_locator.py
+++ b/tests/locating/test_locator.py
@@ -8,6 +8,7 @@
 
 from ibispitch.fleet.core import Fleet
 from ibispitch.fleet.core import LOST_S
+from ibispitch.fleet.core import MAX_ANSWER_S
 from ibispitch.fleet.known import KnownFleet
 from ibispitch.fleet.known import NEW_AGENTS_S
 from ibispitch.fleet.messages import AgentState
@@ -28,7 +29,6 @@
 from ibispitch.locating.core import MAX_SCHEDULED_PACKETS
 from ibispitch.locating.core import MAX_TRIAL_BATCH
 from ibispitch.locating.core import MAX_TRIALS
-from ibispitch.locating.core import MAX_UNHEARD_S
 from ibispitch.locating.core import NotFound
 from ibispitch.locating.core import RETRY_INTERVAL_S
 from ibispitch.locating.core import RETRY_PERIOD_S
@@ -174,13 +174,25 @@
     assert 1 <= len(tried) <= 2
 
 
+def test_few_trials_while_a_stored_agent_is_away(fleet, locator):
+    """Guards against three trials after all balancers were killed.
+
+    Nobody knows that the owner's agent was stopped, but the store lists it.
+    """
+    fleet.record_stored_agents(dict.fromkeys(LISTED, 7), 0.0)
+    locator.search(PACKET, 'counter', 0.05)
+    steps = send_answers(locator, SERVICE_AGENTS, Verdict.RESTARTED, 0.05)
+    assert len(steps) == 1
+    assert isinstance(steps[0], TryAgent)
+
+
 def test_few_trials_while_an_agent_is_only_listed(fleet, locator):
     """Guards against three trials by a balancer that has just started.
 
     It does not know the state of an agent that was stopped before.
     """
     fleet.record_balancer_status('10.0.0.2', balancer(agents=LISTED), 0.0)
-    for now, tried in ((0.1, 5), (MAX_UNHEARD_S + 5.0, 1)):
+    for now, tried in ((0.1, 5), (MAX_ANSWER_S + 5.0, 1)):
         for ip in (*SERVICE_AGENTS, *OTHER_AGENTS):
             service = 'counter' if ip in SERVICE_AGENTS else 'intake'
             fleet.record_agent_status(
