Choose the listed agents of a large fleet from all data centres

They are chosen by a hash of the address now, so that they also stay the same while agents join and leave. Lists of smaller fleets are as before.

--- a/ibispitch/fleet/directory.py
+++ b/ibispitch/fleet/directory.py
@@ -14,12 +14,14 @@
 from collections import defaultdict
 from collections.abc import Iterable
 from collections.abc import Mapping
+import heapq
 from itertools import chain
 from itertools import islice
 from typing import Any
 from typing import NamedTuple
 
 import msgspec
+from xxhash import xxh3_64_intdigest
 
 from ibispitch.decoding import decode_json
 from ibispitch.decoding import is_count
@@ -118,8 +120,17 @@
 
 
 def choose_agents(incarnation_by_ip: Mapping[str, int]) -> ListedAgents:
-    """Return the agents to list."""
-    return tuple(sorted(incarnation_by_ip.items())[:MAX_LISTED_AGENTS])
+    """Return the agents to list.
+
+    Those of a large fleet are chosen by a hash of their address, so that they
+    are of all data centres and remain the same.
+    """
+    chosen = heapq.nsmallest(
+        MAX_LISTED_AGENTS,
+        incarnation_by_ip,
+        key=lambda ip: xxh3_64_intdigest(ip.encode()),
+    )
+    return tuple((ip, incarnation_by_ip[ip]) for ip in sorted(chosen))
 
 
 def choose_listed(balancers: Iterable[KnownBalancer]) -> tuple[str, ...]:
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -3,11 +3,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ibispitch.fleet.directory import choose_agents
 from ibispitch.fleet.directory import choose_listed
+from ibispitch.fleet.directory import decode_agents
 from ibispitch.fleet.directory import decode_directory
 from ibispitch.fleet.directory import DirectoryWriter
+from ibispitch.fleet.directory import encode_agents
 from ibispitch.fleet.directory import encode_directory
 from ibispitch.fleet.directory import KnownBalancer
+from ibispitch.fleet.directory import MAX_LISTED_AGENTS
 from ibispitch.fleet.directory import MAX_PER_DATACENTRE
 from ibispitch.fleet.directory import SETTLE_S
 from ibispitch.ids import DatacentreName
@@ -54,6 +58,21 @@
     assert len(due) == 40 // SETTLE_S
 
 
+def test_listed_agents_of_a_large_fleet_are_of_all_datacentres():
+    """Guards against a list that shows one data centre only."""
+    agents = {
+        f'10.{datacentre}.{n // 250}.{n % 250}': n + 1
+        for datacentre in range(3)
+        for n in range(2000)
+    }
+    listed = choose_agents(agents)
+    assert len(listed) == MAX_LISTED_AGENTS
+    assert decode_agents(encode_agents(listed)).items() <= agents.items()
+    assert {ip.split('.')[1] for ip, _ in listed} == {'0', '1', '2'}
+    del agents[listed[0][0]]
+    assert {*listed[1:]} < {*choose_agents(agents)}
+
+
 @given(
     st.lists(
         st.builds(
