Start no query of the fleet after the deadline of all

Cause: at the deadline the workers are cancelled. If the time-out of a worker's query fires in the same moment, the HTTP client reports the time-out instead of the cancellation, and the worker goes on with the remaining queries, each of which takes a time-out. Beside load, the third time-out of 0.3 s falls on the deadline of 1 s. On a real fleet it would be the eighth of 1 s on 8 s.

--- a/ibispitch/admin/state.py
+++ b/ibispitch/admin/state.py
@@ -252,10 +252,15 @@
     ) -> list[tuple[Reply, msgspec.Struct | None]]:
         answers = [(Reply.NOT_ASKED, None)] * len(queries)
         remaining = iter(enumerate(queries))
+        is_over = False
 
         async def run_queries() -> None:
             for index, query in remaining:
                 answers[index] = await query()
+                # A time-out of the query at the moment of the cancellation
+                # hides the latter.
+                if is_over:
+                    return
 
         workers = [
             asyncio.create_task(run_queries())
@@ -265,6 +270,7 @@
             if workers:
                 await asyncio.wait(workers, timeout=self._deadline_s)
         finally:
+            is_over = True
             for worker in workers:
                 worker.cancel()
             await asyncio.gather(*workers, return_exceptions=True)
--- a/tests/admin/test_app.py
+++ b/tests/admin/test_app.py
@@ -1,6 +1,7 @@
 """Tests of requests that must fail, and of the state of the fleet."""
 
 import asyncio
+import contextlib
 from pathlib import Path
 import re
 
@@ -13,6 +14,8 @@
 from ibispitch.admin.errors import ApiFault
 from ibispitch.admin.errors import STATUS_BY_FAULT
 from ibispitch.admin.state import FAN_OUT
+from ibispitch.admin.state import FleetQuery
+from ibispitch.admin.state import Reply
 from ibispitch.catalogue.errors import EditFault
 from ibispitch.membership.records import MemberState
 from testbed.store import Faults
@@ -242,3 +245,37 @@
         _, answer = await call('GET', '/v1/state')
     assert {a['reply'] for a in answer['agents']} == {'silent', 'not_asked'}
     await runner.cleanup()
+
+
+class LateSession:
+    """An HTTP client whose requests time out when they are cancelled."""
+
+    def __init__(self):
+        self.requests = 0
+
+    @contextlib.asynccontextmanager
+    async def get(self, _, **__):
+        self.requests += 1
+        try:
+            await asyncio.sleep(5)
+        except asyncio.CancelledError:
+            raise TimeoutError from None
+        yield
+
+
+async def test_time_out_at_the_deadline_starts_no_other_query(provider):
+    """Guards against queries that go on after the deadline of all.
+
+    The client reports a time-out instead of the cancellation if both fall in
+    the same moment, and the worker went on with the remaining queries.
+    """
+    session = LateSession()
+    query = FleetQuery(session, fan_out=2, deadline_s=0.05)
+    provider.agent_records += [
+        agent_record(f'a{number}', '127.0.0.1:1') for number in range(20)
+    ]
+    async with asyncio.timeout(1):
+        state = await query.fleet(provider)
+    assert session.requests == 2
+    replies = [agent.reply for agent in state.agents]
+    assert replies == [Reply.SILENT] * 2 + [Reply.NOT_ASKED] * 18
