Count packets that a suspended balancer handles late as its own in the soak

Trace: balancer-accra-0 was suspended for 12 s (process.suspended at 95.013), read the packets that had waited in its socket, and tried them 0.2 s later; no other balancer tried the flow. The rule leaves out what a balancer does within 4 s of such a fault. The check looked for the balancers that had been sent packets of the flow lately, and these had been sent 12 s before.

Packets that come during a suspension now count for its end.

--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -349,7 +349,7 @@
                 return
 
     def _balancers_of(self, caller, window) -> list[ProcessHost]:
-        """Return the balancers that took a flow's packets in a window.
+        """Return the balancers that handled a flow's packets in a window.
 
         A packet waits at most a retry period for its search.
         """
@@ -357,9 +357,18 @@
         return [
             host
             for host, at in self.deployment.taken_by_caller[caller]
-            if begin - RETRY_PERIOD_S <= at < end
+            if begin - RETRY_PERIOD_S <= self._handled_at(host, at) < end
         ]
 
+    def _handled_at(self, host: ProcessHost, at: float) -> float:
+        """Return when a host handles a packet, after its suspension."""
+        ends = (
+            end
+            for other, begin, end in self.disturbances
+            if other is host and begin <= at < end
+        )
+        return max(ends, default=at)
+
     def _check_upstream(self, host: ProcessHost, upstream) -> None:
         if upstream.damaged_packets:
             self._record_broken('packets arrive whole', host.name)
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -65,6 +65,16 @@
     soak.deployment.taken_by_caller[caller] = [(balancer, 100.9)]
     soak._check_paths()
     assert soak.broken == []
+    # It was suspended when the packets came, and handled them afterwards.
+    soak.deployment.taken_by_caller[caller] = [(balancer, 91.0)]
+    soak.disturbances = [(balancer, 90.0, 100.9)]
+    soak._check_paths()
+    assert soak.broken == []
+    soak.disturbances = [(balancer, 90.0, 90.9)]
+    soak.deployment.taken_by_caller[caller] = [(balancer, 100.9)]
+    soak._check_paths()
+    assert len(soak.broken) == 1
+    soak.broken.clear()
     soak.disturbances = [(host, 90.0, 96.5), (balancer, 90.0, 96.5)]
     soak._check_paths()
     promises = [broken.promise for broken in soak.broken]
