--- a/testbed/flow_days.py
+++ b/testbed/flow_days.py
@@ -200,7 +200,8 @@
 @fault('agents stop, a balancer is cut off', IDENTITY_FAULTS)
 async def _stop_behind_cut(network, rng):
     balancer = rng.choice(network.balancers)
-    hosts = rng.sample(_running(network.agents), 3)
+    running = _running(network.agents)
+    hosts = rng.sample(running, min(3, len(running)))
     pairs = {
         frozenset((balancer.name, other.name))
         for other in network.host_by_ip.values()
