Return listed agents with their state, and derive known upstreams once

Found by reading the whole change: the agents that only others list were looked up again at three places after each search for them, and the comparison with the stored upstreams repeated agents_to_store(). Two docstrings named the module of before the split, or only one of the two lists in the store.

Behaviour and tests are as before. Ruled out for now: one form of both _write_* methods of DirectoryKeeper, which differ in key, encoding and log line.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -1,9 +1,9 @@
 """View that a process has of the balancers and agents of the fleet.
 
 It depends only on status messages that the processes send each other; the
-store has no more than a list of balancers, see
-:mod:`ibispitch.fleet.directory`. A process without a recent
-status gets no new flows after :data:`SUSPECT_INTERVALS` and is forgotten after
+store has no more than lists of balancers and agents, see
+:mod:`ibispitch.fleet.directory`. A process without a recent status gets no new
+flows after :data:`SUSPECT_INTERVALS` and is forgotten after
 :data:`FORGET_AFTER_S`.
 
 The flows of a silent agent count as lost early only if its host answers no
@@ -473,15 +473,13 @@
         """
         return any(
             unheard.is_stored or now - unheard.since >= MAX_ANSWER_S
-            for unheard in map(
-                self._unheard_agents.get, self._open_unheard(now)
-            )
+            for _, unheard in self._open_unheard(now)
         )
 
-    def _open_unheard(self, now: float) -> Iterator[str]:
+    def _open_unheard(self, now: float) -> Iterator[tuple[str, UnheardAgent]]:
         """Return unheard agents whose upstream may hold flows."""
         return (
-            ip
+            (ip, unheard)
             for ip, unheard in self._unheard_agents.items()
             if now - unheard.since < self.idle_timeout_s
             and not unheard.probes.is_unreachable
@@ -489,7 +487,8 @@
 
     def listed_agents(self, now: float) -> list[str]:
         """Return the agents that a list for other processes contains."""
-        return [*self.recent_agents(now), *self._open_unheard(now)]
+        unheard = (ip for ip, _ in self._open_unheard(now))
+        return [*self.recent_agents(now), *unheard]
 
     def has_only_restarted_hosts(self, now: float) -> bool:
         """Return whether all hosts of upstreams seem to have restarted.
@@ -524,9 +523,8 @@
             stored is None
             or self.has_unheard_agents(now)
             or any(
-                stored.get(view.ip) == view.status.incarnation
-                for view in self._views_with_upstream()
-                if view.status.incarnation
+                stored.get(ip) == incarnation
+                for ip, incarnation in self.agents_to_store().items()
             )
         )
 
@@ -596,9 +594,9 @@
             )
             and view.status.state is not AgentState.ENDED
         } | {
-            ip: self._unheard_agents[ip].probes
-            for ip in self._open_unheard(now)
-            if now - self._unheard_agents[ip].since > ASK_AGAIN_S
+            ip: unheard.probes
+            for ip, unheard in self._open_unheard(now)
+            if now - unheard.since > ASK_AGAIN_S
         }
         return take_due(probes_by_ip, now)
 
--- a/ibispitch/platform/probes.py
+++ b/ibispitch/platform/probes.py
@@ -1,4 +1,4 @@
-"""Probes of hosts whose agent is silent, see :mod:`ibispitch.fleet.core`."""
+"""Probes of hosts whose agent is silent, see :mod:`ibispitch.fleet.probes`."""
 
 from ibispitch.ids import Address
 from ibispitch.platform.node import Node
