Pass the stored agents on only when the fleet is known

Seen: with a list of agents in the store, some balancers did not know all agents 0.2 s after all processes had restarted, as test_processes_meet_before_the_seeds_are_back demands. The test killed the processes before the first list was stored, so that it did not show this.

Cause: a balancer added the agents that the store lists to the list that it sends to others. Who gets a list asks each unknown agent once in ASK_AGAIN_S. The stored agents were listed before they had started, so the question was lost and was not repeated when they were back.

Change: a balancer that does not know the fleet leaves agents that it knows only from the store out of its lists.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -485,9 +485,22 @@
             and not unheard.probes.is_unreachable
         )
 
-    def listed_agents(self, now: float) -> list[str]:
-        """Return the agents that a list for other processes contains."""
-        unheard = (ip for ip, _ in self._open_unheard(now))
+    def listed_agents(self, now: float, is_complete: bool) -> list[str]:
+        """Return the agents that a list for other processes contains.
+
+        Who gets the list asks each unknown agent once in
+        :data:`ASK_AGAIN_S`. The stored agents have not started yet when all
+        processes have just been killed, so that they would be asked too
+        early.
+
+        :param is_complete: whether this process knows all agents, so that the
+            list has the stored ones as well.
+        """
+        unheard = (
+            ip
+            for ip, agent in self._open_unheard(now)
+            if is_complete or not agent.is_stored
+        )
         return [*self.recent_agents(now), *unheard]
 
     def has_only_restarted_hosts(self, now: float) -> bool:
--- a/ibispitch/platform/statuses.py
+++ b/ibispitch/platform/statuses.py
@@ -161,7 +161,10 @@
     ) -> BalancerStatus:
         node = self._node
         now = node.clock()
-        agents = node.fleet.listed_agents(now) if lists_fleet else ()
+        knows_fleet = self._knows_fleet(now)
+        agents = (
+            node.fleet.listed_agents(now, knows_fleet) if lists_fleet else ()
+        )
         return BalancerStatus(
             datacentre=node.settings.datacentre,
             started_ms=node.started_ms,
@@ -170,7 +173,7 @@
             age_s=min(1e6, node.routes.age_s(now)),
             link_mbps=node.settings.link_mbps,
             is_leaving=self.is_leaving,
-            knows_fleet=self._knows_fleet(now),
+            knows_fleet=knows_fleet,
             balancers=self._pack_sample(
                 view.ip
                 for view in node.fleet.heard_balancers(now)
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -385,13 +385,25 @@
     assert not fleet.has_only_restarted_hosts(0.0)
     assert not fleet.has_lost_power('10.0.1.1', 0.0)
     assert '10.0.1.9' in fleet.hosts_to_probe(0.2)
-    assert '10.0.1.9' in fleet.listed_agents(0.2)
+    assert '10.0.1.9' in fleet.listed_agents(0.2, is_complete=True)
     cold = agent(incarnation=5, cold_left_s=1.5, cold_openings=5)
     fleet.record_agent_status('10.0.1.9', cold, 0.3)
     assert fleet.has_only_restarted_hosts(0.3)
     assert fleet.has_lost_power('10.0.1.1', 0.3)
 
 
+def test_stored_agent_is_listed_by_who_knows_the_fleet():
+    """Guards against agents that are asked for their status too early.
+
+    A balancer that gets a list asks each agent once in a while. All processes
+    had been killed, the store's list was passed on before the agents were
+    back, and they were not asked again when they were.
+    """
+    fleet = cold_fleet({'10.0.1.9': 4})
+    assert '10.0.1.9' not in fleet.listed_agents(0.2, is_complete=False)
+    assert '10.0.1.9' in fleet.listed_agents(0.2, is_complete=True)
+
+
 def test_stored_agent_whose_host_is_down_delays_no_conclusion():
     """Guards against lost flows that are kept for a host that is gone."""
     fleet = cold_fleet({'10.0.1.9': 4})
