Write the first list of agents as soon as most are known

Cause: the list was written after it had differed from the stored one for 8 s, which spares calls during rolling restarts, and after a kill only when all agents were known, which took until the idle time-out of flows. A fleet that was killed before had no list at all.

A partial list is better than none, since the list only delays conclusions. Later changes settle for 8 s as before.

Result: three new cases in tests/platform/test_directory.py failed before (4 flows of an agent that was back late were reset) and pass. test_the_list_costs_few_calls still counts two writes in 60 s; it took the list of balancers for the first of the two, and finds each by its event now.

--- a/ibispitch/fleet/directory.py
+++ b/ibispitch/fleet/directory.py
@@ -17,6 +17,7 @@
 import heapq
 from itertools import chain
 from itertools import islice
+import math
 from typing import Any
 from typing import NamedTuple
 
@@ -146,17 +147,31 @@
 
 
 class DirectoryWriter:
-    """Decides when a list is written again."""
+    """Decides when a list is written again.
+
+    :ivar is_missing: whether the store has no list.
+    """
 
     def __init__(self):
+        self.is_missing = False
         self._stored: tuple[tuple, int] | None = None
         self._differs_since: float | None = None
 
+    def record_missing(self) -> None:
+        """Record that the store has no list; the first is due at once.
+
+        All processes may be killed again before a list has settled, and a
+        list of some agents is better than none.
+        """
+        self.is_missing = True
+        self._differs_since = -math.inf
+
     def record_stored(self, listed: tuple, era: int) -> None:
         """Record the list that the store has.
 
         :param era: era of the store; the list may be lost when it changes.
         """
+        self.is_missing = False
         self._stored = listed, era
         self._differs_since = None
 
@@ -166,7 +181,9 @@
         After a call that returns true the next one does so only after
         :data:`SETTLE_S`, so that a failing store is not called each time.
         """
-        if not listed or self._stored == (listed, era):
+        if not listed:
+            return False
+        if self._stored == (listed, era):
             self._differs_since = None
             return False
         if self._differs_since is None:
--- a/ibispitch/forwarding/balancer.py
+++ b/ibispitch/forwarding/balancer.py
@@ -585,6 +585,13 @@
         """
         return self._known_fleet.evidence(now) is not None
 
+    def knows_most_agents(self, now: float) -> bool:
+        """Return whether an agent that starts late may be the only unknown.
+
+        See :meth:`KnownFleet.is_settled`.
+        """
+        return self._known_fleet.is_settled(now)
+
     def _count_refusal(self, flow: FlowKey, reason: str) -> dict[str, str]:
         """Count a refused opening.
 
--- a/ibispitch/platform/balancer.py
+++ b/ibispitch/platform/balancer.py
@@ -77,7 +77,9 @@
             node.log, node.histograms, self._random, node.clock(),
             node.overload, node.settings.is_first_start,
         )  # fmt: skip
-        self._directory = DirectoryKeeper(node, self._core.knows_fleet)
+        self._directory = DirectoryKeeper(
+            node, self._core.knows_fleet, self._core.knows_most_agents
+        )
         self._statuses = BalancerStatuses(
             node, self._core.knows_fleet, self._on_agent_status, self._random
         )
@@ -102,7 +104,7 @@
         node.start(following, is_essential=True)
         node.every_round(self._send_round)
         node.start(self._add_stored_balancers())
-        node.start(read_stored_agents(node))
+        node.start(self._read_stored_agents())
         node.every(
             CHECK_INTERVAL_S,
             lambda: self._directory.check(self._readers()[0].ip),
@@ -272,6 +274,10 @@
             self._directory.record_stored(stored)
             self._statuses.contact_added()
 
+    async def _read_stored_agents(self) -> None:
+        if await read_stored_agents(self._node) == {}:
+            self._directory.record_missing_agents()
+
     def _send_round(self) -> None:
         self._checkpoints.expire(self._node.clock())
         self._statuses.send_round()
--- a/ibispitch/platform/directory.py
+++ b/ibispitch/platform/directory.py
@@ -93,15 +93,18 @@
     raise ValueError(f'the store has no {key}; a balancer writes it')
 
 
-async def read_stored_agents(node: Node) -> None:
+async def read_stored_agents(node: Node) -> dict[str, int] | None:
     """Record the agents that the store lists, if they are needed.
 
     They are not needed if a balancer that knows the fleet has listed its
     agents, unless all of these seem to have restarted. A fleet that has just
     started has no list, nor one of the version before.
+
+    :returns: the upstream of each listed agent, empty if there is no readable
+        list, and ``None`` if it was not needed.
     """
     if node.settings.is_first_start:
-        return
+        return None
     started_at = node.clock()
     fleet = node.fleet
     await asyncio.sleep(SEED_ANSWER_S)
@@ -110,9 +113,9 @@
             agents = await _read_agents(node)
             if agents is not None:
                 fleet.record_stored_agents(agents, node.clock())
-                return
+                return agents
         elif node.clock() - started_at >= FIRST_START_S:
-            return
+            return None
         await asyncio.sleep(READ_AGAIN_S)
 
 
@@ -143,18 +146,32 @@
 
     :param node: the process; only one balancer of a fleet writes.
     :param knows_fleet: whether the process knows all agents.
+    :param knows_most_agents: whether it knows most of them, which suffices if
+        the store has no list.
     """
 
-    def __init__(self, node: Node, knows_fleet: Callable[[float], bool]):
+    def __init__(
+        self,
+        node: Node,
+        knows_fleet: Callable[[float], bool],
+        knows_most_agents: Callable[[float], bool],
+    ):
         self._node = node
         self._knows_fleet = knows_fleet
+        self._knows_most_agents = knows_most_agents
         self._writer = DirectoryWriter()
         self._agents_writer = DirectoryWriter()
+        if node.settings.is_first_start:
+            self.record_missing_agents()
 
     def record_stored(self, stored: StoredDirectory) -> None:
         """Record the list of balancers that the store has."""
         self._writer.record_stored(stored.ips, stored.era)
 
+    def record_missing_agents(self) -> None:
+        """Record that the store has no list of agents."""
+        self._agents_writer.record_missing()
+
     def check(self, writer_ip: str) -> None:
         """Write the lists that are outdated if this process is to write.
 
@@ -177,7 +194,12 @@
         )
         if self._writer.is_due(listed, era, now):
             node.start(self._write_balancers(listed, era))
-        if not self._knows_fleet(now):
+        is_known = (
+            self._knows_most_agents
+            if self._agents_writer.is_missing
+            else self._knows_fleet
+        )
+        if not is_known(now):
             return
         agents = choose_agents(node.fleet.agents_to_store())
         if self._agents_writer.is_due(agents, era, now):
--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ibispitch.fleet.directory import SETTLE_S
+from ibispitch.platform.directory import AGENTS_KEY
 from ibispitch.platform.directory import KEY
 from ibispitch.platform.exchange import PEER_ROUTES_WAIT_S
 from testbed.flow_network import FlowNetwork
@@ -114,16 +115,24 @@
         for line in host.log_lines
         if line['event'] in ('directory.written', 'agents.written')
     ]
-    assert len(written) == 2
-    assert written[0]['balancers'] == sum(DATACENTRES.values())
-    assert written[1]['agents'] == len(AGENTS)
+    listed = {line['event']: line for line in written}
+    assert len(written) == len(listed) == 2
+    assert listed['directory.written']['balancers'] == sum(
+        DATACENTRES.values()
+    )
+    assert listed['agents.written']['agents'] == len(AGENTS)
 
 
-def restart_with_a_late_agent(late_s, is_replaced=False) -> FlowNetwork:
+def restart_with_a_late_agent(
+    late_s, is_replaced=False, killed_s=(SETTLE_S + 6.0,), break_store=None
+) -> FlowNetwork:
     """Kill all processes while upstreams are replaced.
 
     :param late_s: time until the last agent is back.
     :param is_replaced: whether its upstream is replaced as well.
+    :param killed_s: when all processes are killed; the last time upstreams
+        are replaced.
+    :param break_store: called before the first kill.
     """
 
     async def scenario(loop):
@@ -132,13 +141,21 @@
         )
         network.configure(1, (PATIENT,))
         await network.start()
+        started_at = loop.time()
         callers = [
             network.add_caller('khomas-a', PATIENT, is_long=True)
             for _ in range(32)
         ]
         load = loop.create_task(network.send_requests(callers, 40, 24))
-        await asyncio.sleep(SETTLE_S + 6.0)
         late, *others = network.agents
+        *earlier_s, last_s = killed_s
+        for second in earlier_s:
+            await asyncio.sleep(second - loop.time() + started_at)
+            if break_store is not None:
+                break_store(network.store)
+            for host in (*network.balancers, *network.agents):
+                network.kill(host, 0.5)
+        await asyncio.sleep(last_s - loop.time() + started_at)
         for host in (*network.balancers, *others):
             network.kill(host, 0.5)
         network.kill(late, late_s)
@@ -174,6 +191,29 @@
     assert reset_evidence(network)
 
 
+@pytest.mark.parametrize('killed_s', [(5.0,), (5.0, 9.0)])
+def test_the_first_list_of_agents_is_written_at_once(killed_s):
+    """Guards against a fleet that is killed before it has a list of agents.
+
+    The list waited for 8 s without a change, so that a fleet whose processes
+    were killed again and again never had one.
+    """
+    network = restart_with_a_late_agent(4.0, killed_s=killed_s)
+    assert network.wrongly_reset_flows() == []
+    assert reset_evidence(network)
+
+
+def test_a_list_of_agents_that_the_store_lost_is_written_at_once():
+    """Guards against a second kill before a lost list is written again."""
+    network = restart_with_a_late_agent(
+        4.0,
+        killed_s=(6.0, 13.0),
+        break_store=lambda store: store.write(AGENTS_KEY, None),
+    )
+    assert network.wrongly_reset_flows() == []
+    assert reset_evidence(network)
+
+
 def test_lost_flows_are_reset_once_all_listed_agents_are_back():
     """Guards against callers that wait for the idle time-out of lost flows."""
     network = restart_with_a_late_agent(0.6, is_replaced=True)
