Replace hosts by another version in the soak

A message that a process can't read is a broken promise now, in all runs.

The packages of a commit are unpacked by testbed/former_version.py, which tests/platform/test_versions.py uses as well.

--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -27,6 +27,7 @@
 from testbed.flow_platform import RequestKind
 from testbed.flow_processes import FlowProcesses
 from testbed.flow_processes import ProcessHost
+from testbed.former_version import unpack_packages
 from testbed.memory_store import Fault
 from testbed.memory_store import LATENCY_S
 
@@ -65,6 +66,12 @@
 #: again (``stability_ms`` in the settings).
 STABILITY_S = 4.0
 
+#: Lines in the log of a process that show a broken promise.
+promise_by_event = {
+    'process.error': 'no errors',
+    'peer.unreadable': 'messages are read',
+}
+
 FaultAction = Callable[['Soak'], Awaitable[None]]
 faults: dict[str, FaultAction] = {}
 #: Faults of runs with absences: processes that are away or stand still for
@@ -100,6 +107,8 @@
     :param seconds: duration for which faults are started.
     :param has_absences: whether half of the faults are those of
         :data:`absences`, and some feeds pause.
+    :param former: folder with the packages of an earlier version. Hosts are
+        replaced one after the other, from this version or to it.
     :ivar broken: the broken promises.
     :ivar injected: time in seconds and name of each injected fault.
     """
@@ -111,9 +120,11 @@
         seed: int,
         seconds: float,
         has_absences: bool = False,
+        former: Path | None = None,
     ):
         self.rng = random.Random(seed)
         self._has_absences = has_absences
+        self._former = former
         #: Host, begin and end of each unplanned fault of a process.
         self.disturbances: list[tuple[ProcessHost, float, float]] = []
         self.deployment = FlowProcesses(
@@ -175,24 +186,32 @@
 
     async def run(self) -> list[BrokenPromise]:
         """Run load and faults; return the broken promises."""
+        # An update and its return are equally likely.
+        before, after = None, self._former
+        if after is not None and self.rng.random() < 0.5:
+            before, after = after, before
+        for host in self.deployment.hosts:
+            host.packages = before
         try:
             await self.deployment.start((FEED, QUOTE, SCAN))
-            await self._run()
+            await self._run(after)
         finally:
             await self.deployment.stop()
         for host in self.deployment.hosts:
             if host.exits:
                 self._record_broken('no exits', f'{host.name}: {host.exits}')
-            errors = [
-                line
-                for line in host.log_lines()
-                if line.get('event') == 'process.error'
-            ]
-            if errors:
-                self._record_broken('no errors', f'{host.name}: {errors[0]}')
+            for line in host.log_lines():
+                promise = promise_by_event.get(line['event'])
+                if promise is not None:
+                    self._record_broken(promise, f'{host.name}: {line}')
+                    break
         return self.broken
 
-    async def _run(self) -> None:
+    async def _run(self, packages: Path | None) -> None:
+        """Run load and faults.
+
+        :param packages: what all hosts run after they have been replaced.
+        """
         self._started_at = self._loop.time()
         background = [
             self._loop.create_task(self._load(kind, is_long))
@@ -205,7 +224,9 @@
                 for _ in range(PAUSING_CALLERS // 2)
             ]
         background.append(self._loop.create_task(self._check_repeatedly()))
-        await self._inject_faults()
+        await asyncio.gather(
+            self._inject_faults(), self._replace_hosts(packages)
+        )
         await asyncio.sleep(RECOVERY_S)
         stable_at = self._loop.time()
         await asyncio.sleep(STABLE_S)
@@ -237,6 +258,25 @@
             )
         await asyncio.gather(*running)
 
+    async def _replace_hosts(self, packages: Path | None) -> None:
+        """Stop each host as planned and start it with other packages."""
+
+        async def replace(host: ProcessHost) -> None:
+            host.packages = packages
+            try:
+                await self.deployment.restart(host)
+            except TimeoutError as error:
+                self._record_broken('planned stops end', f'{error!r}')
+
+        hosts = [h for h in self.deployment.hosts if h.packages != packages]
+        self.rng.shuffle(hosts)
+        for host in hosts:
+            await asyncio.sleep(self.seconds / len(hosts))
+            while self.has_fault(host):
+                await asyncio.sleep(CHECK_INTERVAL_S)
+            self.injected.append((round(self.now, 1), f'replace {host.name}'))
+            await self.apply_to(host, replace)
+
     def _choose_fault(self) -> str:
         if self._has_absences and self.rng.random() < 0.5:
             return self.rng.choice(sorted(absences))
@@ -596,9 +636,10 @@
     seed: int,
     seconds: float,
     has_absences: bool = False,
+    former: Path | None = None,
 ) -> Soak:
     """Run the soak with one seed and return it, with its broken promises."""
-    soak = Soak(folder, network, seed, seconds, has_absences)
+    soak = Soak(folder, network, seed, seconds, has_absences, former)
     await soak.run()
     return soak
 
@@ -609,15 +650,29 @@
 @click.option('--seconds', type=float, default=20.0, help='Time of faults.')
 @click.option('--network', type=int, default=60, help='Addresses 127.0.N.*.')
 @click.option('--absences', is_flag=True, help='Add long absences.')
+@click.option(
+    '--former',
+    metavar='COMMIT',
+    help='Replace hosts from or to the version of this commit.',
+)
 def main(
-    seed: int, seeds: int, seconds: float, network: int, absences: bool
+    seed: int,
+    seeds: int,
+    seconds: float,
+    network: int,
+    absences: bool,
+    former: str | None,
 ) -> None:
     """Run the soak; exits with 1 if a promise broke."""
     failed = []
+    packages = None
+    if former is not None:
+        packages = Path(tempfile.mkdtemp(prefix='ibispitch-former-'))
+        unpack_packages(former, packages)
     for number in range(seed, seed + seeds):
         folder = Path(tempfile.mkdtemp(prefix=f'ibispitch-soak-{number}-'))
         soak = asyncio.run(
-            soak_once(folder, network, number, seconds, absences)
+            soak_once(folder, network, number, seconds, absences, packages)
         )
         counts = {outcome.value: 0 for outcome in Outcome}
         for caller in soak.deployment.callers:
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -11,6 +11,7 @@
 from testbed.flow_upstream import FlowUpstream
 from testbed.flow_upstream import HeldFlow
 from testbed.flow_upstream import Opened
+from testbed.former_version import unpack_packages
 from testbed.soak import absences
 from testbed.soak import EVACUATE_S
 from testbed.soak import QUOTE
@@ -21,6 +22,10 @@
 SEED = 5
 ABSENCES_SEED = 2000
 SECONDS = 6.0
+#: The landing before this version.
+LAST_LANDING = '4fc3fa4'
+#: One seed updates the hosts, the other returns them.
+VERSIONS_SEED = 4001
 
 
 @pytest.mark.process
@@ -43,6 +48,19 @@
     assert {name for _, name in soak.injected} & absences.keys()
 
 
+@pytest.mark.process
+@pytest.mark.parametrize('seed', [VERSIONS_SEED, VERSIONS_SEED + 1])
+async def test_short_soak_with_two_versions(tmp_path, seed):
+    """Guards against faults while hosts are updated, or go back."""
+    former = tmp_path / 'former'
+    former.mkdir()
+    unpack_packages(LAST_LANDING, former)
+    soak = await soak_once(tmp_path, 43, seed, SECONDS, former=former)
+    assert soak.broken == []
+    replaced = [name for _, name in soak.injected if 'replace' in name]
+    assert len(replaced) == len(soak.deployment.hosts)
+
+
 async def test_packets_at_other_upstreams_are_noticed(soak):
     """Shows that the check of the paths of packets can fail."""
     host, own = soak.deployment.upstreams[0]
--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -5,12 +5,10 @@
 """
 
 import asyncio
-import io
 import json
 from pathlib import Path
 import subprocess
 import sys
-import tarfile
 
 import pytest
 
@@ -19,6 +17,7 @@
 from testbed.flow_platform import FEED
 from testbed.flow_platform import QUOTE
 from testbed.flow_processes import FlowProcesses
+from testbed.former_version import unpack_packages
 from testbed.version_samples import FLOW
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -37,12 +36,7 @@
 def last_release(tmp_path_factory) -> Path:
     """Return a folder with the packages of the last release."""
     folder = tmp_path_factory.mktemp('release')
-    archive = subprocess.run(
-        ['git', 'archive', LAST_RELEASE, 'ibispitch'],
-        cwd=ROOT, check=True, capture_output=True,
-    ).stdout  # fmt: skip
-    with tarfile.open(fileobj=io.BytesIO(archive)) as packed:
-        packed.extractall(folder, filter='data')
+    unpack_packages(LAST_RELEASE, folder)
     (folder / 'testbed').mkdir()
     (folder / 'testbed/__init__.py').touch()
     samples = (ROOT / 'testbed/version_samples.py').read_text(encoding='utf-8')
