--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -66,7 +66,7 @@
 #: again (``stability_ms`` in the settings).
 STABILITY_S = 4.0
 
-#: Lines in the log of a process that show a broken promise.
+#: Events in the log of a process that show a broken promise.
 promise_by_event = {
     'process.error': 'no errors',
     'peer.unreadable': 'messages are read',
@@ -200,11 +200,7 @@
         for host in self.deployment.hosts:
             if host.exits:
                 self._record_broken('no exits', f'{host.name}: {host.exits}')
-            for line in host.log_lines():
-                promise = promise_by_event.get(line['event'])
-                if promise is not None:
-                    self._record_broken(promise, f'{host.name}: {line}')
-                    break
+            self._check_log(host)
         return self.broken
 
     async def _run(self, packages: Path | None) -> None:
@@ -350,6 +346,16 @@
         for host, upstream in upstreams:
             self._check_upstream(host, upstream)
 
+    def _check_log(self, host: ProcessHost) -> None:
+        first_by_event: dict[str, dict] = {}
+        for line in host.log_lines():
+            first_by_event.setdefault(line['event'], line)
+        for event in promise_by_event.keys() & first_by_event.keys():
+            self._record_broken(
+                promise_by_event[event],
+                f'{host.name}: {first_by_event[event]}',
+            )
+
     def _check_paths(self) -> None:
         """Check that the packets of open flows reached their own upstream.
 
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -1,6 +1,7 @@
 """The soak test with faults: a short seeded run, and its checks."""
 
 import asyncio
+import json
 import time
 
 import pytest
@@ -165,6 +166,24 @@
     assert broken_promises(soak) == ['nothing new where taken out']
 
 
+async def test_an_unreadable_message_is_noticed(soak, tmp_path):
+    """Shows that the check of the logs can fail."""
+    host = soak.deployment.agents[0]
+    host.log_path = tmp_path / 'agent.log'
+    lines = [{'event': 'fleet.agent'}, {'event': 'process.error'}]
+    host.log_path.write_text('\n'.join(map(json.dumps, lines)))
+    soak._check_log(host)
+    assert [broken.promise for broken in soak.broken] == ['no errors']
+    lines += [{'event': 'peer.unreadable'}]
+    host.log_path.write_text('\n'.join(map(json.dumps, lines)))
+    soak.broken.clear()
+    soak._check_log(host)
+    assert {broken.promise for broken in soak.broken} == {
+        'no errors',
+        'messages are read',
+    }
+
+
 async def test_damaged_and_mixed_packets_are_noticed(soak):
     """Shows that the checks of packets can fail."""
     soak.deployment.upstreams[0][1].damaged_packets = 1
