Ask stored agents for their status until they answer

From 38 s on balancers wrote up to 1,000 lines flow.not_found a second, for flows that nobody held, and reset none of them.

Cause: the store listed an agent whose upstream had ended since. After the loss its agent was up again and had no upstream. No balancer lists such an agent, so it learnt of three balancers only, and the others waited for its status until the idle time-out of flows without asking for it. Its host answers probes. Since a stored agent that is not back prevents the conclusion that all power was lost, so that each lost flow was searched and tried again and again.

Ruled out: load of the machine.

Change: a balancer asks agents that are only listed for their status in each round, as it asks silent ones, at most MAX_ADDRESSED_AT_ONCE of them. The answer of one without an upstream ends the wait.

Result: the test failed before (nobody was asked) and passes.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -485,6 +485,14 @@
             and not unheard.probes.is_unreachable
         )
 
+    def _late_unheard(self, now: float) -> Iterator[str]:
+        """Return unheard agents that have not sent a status on their own."""
+        return (
+            ip
+            for ip, unheard in self._open_unheard(now)
+            if now - unheard.since > ASK_AGAIN_S
+        )
+
     def listed_agents(self, now: float, is_complete: bool) -> list[str]:
         """Return the agents that a list for other processes contains.
 
@@ -585,13 +593,20 @@
         )
 
     def silent_agents(self, now: float) -> list[str]:
-        """Return agents whose status is overdue, to ask them for it."""
+        """Return agents whose status is overdue, to ask them for it.
+
+        Also those that are only listed: an agent without an upstream is in no
+        list of a balancer, so that it may not know this one.
+        """
         silent = (
             view.ip
             for view in self.agents_by_ip.values()
             if now - view.heard_at > ASK_INTERVALS * view.status.interval_s
         )
-        return list(islice(silent, MAX_ADDRESSED_AT_ONCE))
+        return [
+            *islice(silent, MAX_ADDRESSED_AT_ONCE),
+            *islice(self._late_unheard(now), MAX_ADDRESSED_AT_ONCE),
+        ]
 
     def hosts_to_probe(self, now: float) -> list[str]:
         """Return silent agents whose host is to be probed now.
@@ -607,9 +622,8 @@
             )
             and view.status.state is not AgentState.ENDED
         } | {
-            ip: unheard.probes
-            for ip, unheard in self._open_unheard(now)
-            if now - unheard.since > ASK_AGAIN_S
+            ip: self._unheard_agents[ip].probes
+            for ip in self._late_unheard(now)
         }
         return take_due(probes_by_ip, now)
 
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -404,6 +404,22 @@
     assert '10.0.1.9' in fleet.listed_agents(0.2, is_complete=True)
 
 
+def test_stored_agent_without_upstream_is_asked_for_its_status():
+    """Guards against lost flows that are kept for an agent that holds none.
+
+    Its upstream had ended after the list was stored. No balancer lists such
+    an agent, so that it did not know all balancers, and those that it did not
+    know searched for each lost flow again and again.
+    """
+    fleet = cold_fleet({'10.0.1.9': 4})
+    assert fleet.silent_agents(0.05) == []
+    assert fleet.silent_agents(0.2) == ['10.0.1.9']
+    ended = agent(incarnation=0, state=AgentState.ENDED)
+    fleet.record_agent_status('10.0.1.9', ended, 0.3)
+    assert fleet.silent_agents(0.4) == []
+    assert fleet.has_only_restarted_hosts(0.4)
+
+
 def test_stored_agent_whose_host_is_down_delays_no_conclusion():
     """Guards against lost flows that are kept for a host that is gone."""
     fleet = cold_fleet({'10.0.1.9': 4})
