Keep a list of agents complete when an upstream ends

Cause: a balancer knows the fleet if it knows as many agents with an upstream as the last complete list had. When an upstream ended, it knew fewer, and no longer counted as one that knows the fleet: it wrote no list, and its lists to others did not count as complete. That lasted until another balancer sent a complete list, or the idle time-out.

Change: a list that was complete at some time stays so. An agent that starts later sends its status on its own, and one that is only listed is waited for as before.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -232,6 +232,8 @@
         #: Number of agents that a balancer which knows the whole fleet has
         #: listed last, ``None`` if there was no such list.
         self._listed_agents: int | None = None
+        #: Whether as many were known at some time.
+        self._has_agent_list = False
         #: Idle time-out of flows, from the routes.
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         #: Time of the last report of each other data centre.
@@ -452,10 +454,14 @@
         """Whether a balancer that knows the whole fleet has listed the agents.
 
         The lists of a large fleet are samples, so that several may be needed.
+        An agent that ends later does not make the list incomplete.
         """
-        return self._listed_agents is not None and self._listed_agents <= len(
-            self._unheard_agents
-        ) + len(self._views_with_upstream())
+        if not self._has_agent_list and self._listed_agents is not None:
+            known = len(self._unheard_agents) + len(
+                self._views_with_upstream()
+            )
+            self._has_agent_list = self._listed_agents <= known
+        return self._has_agent_list
 
     def has_unheard_agents(self, now: float) -> bool:
         """Return whether agents are listed that have sent no status here.
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -420,6 +420,22 @@
     assert fleet.has_only_restarted_hosts(0.4)
 
 
+def test_list_of_agents_stays_complete_when_an_upstream_ends(fleet):
+    """Guards against balancers that no longer know the fleet.
+
+    After a restart of all balancers in turn and the end of an upstream none
+    counted its list as complete, and the stored list was not updated.
+    """
+    fleet.record_agent_status('10.0.1.1', agent(number=1), 1.0)
+    listed = balancer(agents=('10.0.1.1', '10.0.1.2'), knows_fleet=True)
+    fleet.record_balancer_status('10.0.0.2', listed, 1.0)
+    fleet.record_agent_status('10.0.1.2', agent(number=1), 1.1)
+    assert fleet.has_agent_list
+    ended = agent(number=2, state=AgentState.ENDED)
+    fleet.record_agent_status('10.0.1.2', ended, 1.2)
+    assert fleet.has_agent_list
+
+
 def test_stored_agent_whose_host_is_down_delays_no_conclusion():
     """Guards against lost flows that are kept for a host that is gone."""
     fleet = cold_fleet({'10.0.1.9': 4})
