Test a start without both stored lists

test_the_seeds_are_used_without_a_list removed the list of balancers and required that processes then know nobody until their seeds are back. Since balancers ask the stored agents, which lead to the other balancers, so that all agents are known (share 1.0) without that list: the condition was wrong, and the test failed on. It removes both lists now and requires the same share of 0.0; a second test requires that the stored agents alone suffice.

--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -66,9 +66,20 @@
     assert share_known(network) == 1.0
 
 
-def test_the_seeds_are_used_without_a_list():
-    """Guards against a start that depends on the list in the store."""
+def test_stored_agents_lead_to_the_balancers():
+    """Guards against a fleet that waits for its seeds with one list lost."""
     network = restart_without_seeds(lambda store: store.write(KEY, None))
+    assert share_known(network) == 1.0
+
+
+def test_the_seeds_are_used_without_a_list():
+    """Guards against a start that depends on the lists in the store."""
+
+    def remove_lists(store):
+        store.write(KEY, None)
+        store.write(AGENTS_KEY, None)
+
+    network = restart_without_seeds(remove_lists)
     assert share_known(network) == 0.0
     assert not any(
         line['event'] == 'process.error'
