Take ended agents off the stored list within two seconds

Cause: hosts had been given back as planned up to 5 s before all power was lost at 34 s, one of them (10.4.0.27) for good at 33 s. The list is written after it has differed for 8 s, so it still had them.

Change: while the stored list has an agent whose upstream is known to have ended, a changed list is written after 2 s instead of 8 s. A restart of an agent does not end its upstream, so that rolling restarts cost no call.

A loss of all power within 2 s after a planned end, and an end that the writer has not seen, remain.

--- a/ibispitch/fleet/core.py
+++ b/ibispitch/fleet/core.py
@@ -414,6 +414,11 @@
             if view.status.incarnation
         }
 
+    def has_ended(self, ip: str) -> bool:
+        """Return whether the upstream of an agent is known to have ended."""
+        view = self.agents_by_ip.get(ip)
+        return view is not None and view.status.state is AgentState.ENDED
+
     def add_balancer(self, ip: str, now: float) -> None:
         """Add a balancer by its address, without a status."""
         if ip == self._own_ip:
--- a/ibispitch/fleet/directory.py
+++ b/ibispitch/fleet/directory.py
@@ -32,6 +32,9 @@
 #: Time for which the balancers must differ from the list before it is
 #: written again. Restarts end within this time, so that they cost no calls.
 SETTLE_S = 8.0
+#: The same if agents are listed whose upstream has ended. They may be gone for
+#: good, and lost flows are kept for as long as a listed agent may be back.
+ENDED_SETTLE_S = 2.0
 #: Maximum number of listed balancers of a data centre. Any one of them leads
 #: to the others.
 MAX_PER_DATACENTRE = 16
@@ -175,11 +178,20 @@
         self._stored = listed, era
         self._differs_since = None
 
-    def is_due(self, listed: tuple, era: int, now: float) -> bool:
+    @property
+    def stored(self) -> tuple:
+        """The list that the store has, empty if it is not known."""
+        return self._stored[0] if self._stored else ()
+
+    def is_due(
+        self, listed: tuple, era: int, now: float, settle_s: float = SETTLE_S
+    ) -> bool:
         """Return whether a list should be written.
 
-        After a call that returns true the next one does so only after
-        :data:`SETTLE_S`, so that a failing store is not called each time.
+        After a call that returns true the next one does so only after the
+        settling time, so that a failing store is not called each time.
+
+        :param settle_s: time in seconds for which it must have differed.
         """
         if not listed:
             return False
@@ -188,7 +200,7 @@
             return False
         if self._differs_since is None:
             self._differs_since = now
-        if now - self._differs_since < SETTLE_S:
+        if now - self._differs_since < settle_s:
             return False
         self._differs_since = now
         return True
--- a/ibispitch/platform/directory.py
+++ b/ibispitch/platform/directory.py
@@ -11,8 +11,10 @@
 from ibispitch.fleet.directory import DirectoryWriter
 from ibispitch.fleet.directory import encode_agents
 from ibispitch.fleet.directory import encode_directory
+from ibispitch.fleet.directory import ENDED_SETTLE_S
 from ibispitch.fleet.directory import KnownBalancer
 from ibispitch.fleet.directory import ListedAgents
+from ibispitch.fleet.directory import SETTLE_S
 from ibispitch.fleet.known import FIRST_START_S
 from ibispitch.platform.node import Node
 from ibispitch.platform.store import MetadataStore
@@ -202,7 +204,11 @@
         if not is_known(now):
             return
         agents = choose_agents(node.fleet.agents_to_store())
-        if self._agents_writer.is_due(agents, era, now):
+        lists_ended = any(
+            node.fleet.has_ended(ip) for ip, _ in self._agents_writer.stored
+        )
+        settle_s = ENDED_SETTLE_S if lists_ended else SETTLE_S
+        if self._agents_writer.is_due(agents, era, now, settle_s):
             node.start(self._write_agents(agents, era))
 
     async def _write_balancers(
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -10,6 +10,7 @@
 from ibispitch.fleet.directory import DirectoryWriter
 from ibispitch.fleet.directory import encode_agents
 from ibispitch.fleet.directory import encode_directory
+from ibispitch.fleet.directory import ENDED_SETTLE_S
 from ibispitch.fleet.directory import KnownBalancer
 from ibispitch.fleet.directory import MAX_LISTED_AGENTS
 from ibispitch.fleet.directory import MAX_PER_DATACENTRE
@@ -58,6 +59,21 @@
     assert len(due) == 40 // SETTLE_S
 
 
+def test_an_ended_agent_leaves_the_list_soon():
+    """Guards against lost flows that are kept for an agent that is gone.
+
+    All power was lost 5 s after hosts had been given back as planned, and
+    the list still had them.
+    """
+    writer = DirectoryWriter()
+    writer.record_stored(LISTED, ERA)
+    assert writer.stored == LISTED
+    assert not writer.is_due(LISTED[:1], ERA, 100.0, ENDED_SETTLE_S)
+    assert writer.is_due(
+        LISTED[:1], ERA, 100.0 + ENDED_SETTLE_S, ENDED_SETTLE_S
+    )
+
+
 def test_listed_agents_of_a_large_fleet_are_of_all_datacentres():
     """Guards against a list that shows one data centre only."""
     agents = {
--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ibispitch.fleet.directory import decode_agents
 from ibispitch.fleet.directory import SETTLE_S
 from ibispitch.platform.directory import AGENTS_KEY
 from ibispitch.platform.directory import KEY
@@ -225,6 +226,27 @@
     assert reset_evidence(network)
 
 
+def test_an_agent_whose_upstream_has_ended_is_listed_no_more():
+    """Guards against lost flows that are kept for an agent that is gone.
+
+    Five seconds after hosts had been given back all power was lost. The list
+    still had their agents, which were waited for.
+    """
+
+    async def scenario(loop):
+        network = FlowNetwork(loop, {'khomas-a': 4}, AGENTS[:8])
+        network.configure(1, (PATIENT,))
+        await network.start()
+        await asyncio.sleep(SETTLE_S + 6.0)
+        network.agents[0].upstream.crash()
+        network.kill(network.agents[0], 0.5)
+        await asyncio.sleep(5.0)
+        (item,) = network.store.items(AGENTS_KEY)
+        return decode_agents(item.value)
+
+    assert len(simulate(scenario)) == 7
+
+
 def test_lost_flows_are_reset_once_all_listed_agents_are_back():
     """Guards against callers that wait for the idle time-out of lost flows."""
     network = restart_with_a_late_agent(0.6, is_replaced=True)
