--- /dev/null
+++ b/review/7/case.py
@@ -0,0 +1,102 @@
+"""Flows that the client half closes before it has the whole answer.
+
+Forty clients open a flow each, send a request and then a FIN, and read the
+answer, which the server writes as it arises: 2,400 bytes every 37.5 ms, 480 KB
+in 7.5 s. No process, server or link is disturbed. With TROUBLE=0 the clients
+send their FIN after the answer.
+"""
+
+import asyncio
+from pathlib import Path
+import sys
+import time
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+import harness2 as h  # noqa: E402
+
+ZONE = 'east'
+SERVICE = 'menubook'
+MAIN = h.wire.Address('127.19.0.1', 8080)
+PARTS = 200
+PART = bytes(2400)
+PAUSE_S = 0.0375
+FLOWS = 40
+
+
+async def write_parts(_server, flow, request_id):
+    body = len(PART) * PARTS
+    flow.end.write(
+        f'HTTP/1.1 200 OK\r\nX-Ibispitch-Response-Stamp: {request_id}\r\n'
+        f'Content-Length: {body}\r\n\r\n'.encode()
+    )
+    for _ in range(PARTS):
+        await asyncio.sleep(PAUSE_S)
+        flow.end.write(PART)
+
+
+async def case(record):
+    d = h.Deployment({ZONE: 2}, [(ZONE, SERVICE)] * 3)
+    try:
+        return await play(d, record)
+    finally:
+        await d.stop()
+
+
+async def play(d, record):
+    routes = [
+        {
+            'name': 'r-main', 'ip': MAIN.ip, 'port': MAIN.port,
+            'service': SERVICE, 'type': 'download', 'timeout_ms': 8000,
+            'aim_ms': 8000,
+        }
+    ]  # fmt: skip
+    await d.start(
+        d.configuration(1, routes, [SERVICE]), slots=40, queue=40,
+        write_answer=write_parts,
+    )  # fmt: skip
+    client = d.add_client(ZONE)
+    results, took = [], []
+
+    async def download(number):
+        await asyncio.sleep(0.05 * number)
+        name = f'download-{number}'
+        flow = client.open(MAIN)
+        asked_at = time.monotonic()
+        answer = await flow.ask(name, fin=h.TROUBLE, timeout_s=12.0)
+        answered_at = time.monotonic()
+        flow.close()
+        results.append((name, flow, asked_at, answer))
+        took.append(answered_at - asked_at)
+
+    await asyncio.gather(*map(download, range(FLOWS)))
+    await asyncio.sleep(1.0)
+    broken = 0
+    for name, flow, asked_at, answer in results:
+        if flow.reset_at is not None and flow.was_open_at_reset:
+            broken += 1
+            record.add(
+                f'{name}: reset after {flow.reset_at - asked_at:.3f} s with '
+                f'{len(flow.buffer)} bytes of its answer'
+            )
+    whole = sum(
+        answer is not None and len(answer) == PARTS * len(PART)
+        for _, _, _, answer in results
+    )
+    resets = sum(
+        event['event'] == 'flow.reset'
+        for machine in d.balancers
+        for event in d.log_events(machine)
+    )
+    sent = sum(m.server.resets for m in d.agents)
+    record.add(f'flows {FLOWS}, whole answers {whole}, opened and reset '
+               f'{broken}, resets logged by the balancers {resets}, resets '
+               f'sent by servers {sent}')
+    record.add(f'longest answer {max(took):.3f} s')
+    record.add(f'FLOW broken: {bool(broken)}')
+    if not broken and whole < FLOWS:
+        return 2
+    return 1 if broken else 0
+
+
+h.main(Path(__file__).resolve().parent, case)
