--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,9 +1,12 @@
-"""Flows that the client half closes before it has the whole answer.
+"""Flows that one end has closed and the other has not.
 
-Forty clients open a flow each, send a request and then a FIN, and read the
-answer, which the server writes as it arises: 2,400 bytes every 37.5 ms, 480 KB
-in 7.5 s. No process, server or link is disturbed. With TROUBLE=0 the clients
-send their FIN after the answer.
+Part 1: forty clients open a flow each, send a request and then a FIN, and read
+the answer, which the server writes as it arises: 2,400 bytes every 37.5 ms,
+480 KB in 7.5 s. No process, server or link is disturbed. Part 2: a server is
+drained as planned and closes each flow after its next response; the clients
+close theirs when their pause of 6.5 s is over, while the server still runs.
+With TROUBLE=0 the clients of part 1 send their FIN after the answer, and no
+server is drained in part 2.
 """
 
 import asyncio
@@ -22,9 +25,13 @@
 PART = bytes(2400)
 PAUSE_S = 0.0375
 FLOWS = 40
+PAUSE_OF_CLIENTS_S = 6.5
 
 
 async def write_parts(_server, flow, request_id):
+    if not request_id.startswith('download'):
+        flow.end.write(h.answer_of(request_id, b'ok'))
+        return
     body = len(PART) * PARTS
     flow.end.write(
         f'HTTP/1.1 200 OK\r\nX-Ibispitch-Response-Stamp: {request_id}\r\n'
@@ -93,10 +100,43 @@
                f'{broken}, resets logged by the balancers {resets}, resets '
                f'sent by servers {sent}')
     record.add(f'longest answer {max(took):.3f} s')
-    record.add(f'FLOW broken: {bool(broken)}')
+    kept = await drain(d, record, client)
+    record.add(f'FLOW broken: part 1 {bool(broken)}, part 2 {bool(kept)}')
     if not broken and whole < FLOWS:
         return 2
-    return 1 if broken else 0
+    return 1 if broken or kept else 0
+
+
+async def drain(d, record, client):
+    """Play part 2; return the number of flows that the system reset."""
+    flows = []
+
+    async def use(number):
+        flow = client.open(MAIN)
+        flows.append(flow)
+        await flow.ask(f'first-{number}')
+        await asyncio.sleep(2.0)
+        await flow.ask(f'second-{number}')
+        await asyncio.sleep(PAUSE_OF_CLIENTS_S)
+        flow.close()
+
+    uses = [asyncio.ensure_future(use(number)) for number in range(FLOWS)]
+    await asyncio.sleep(1.0)
+    server = d.agents[0].server
+    if h.TROUBLE:
+        server.state = 'draining'
+        acknowledged = await server.beat()
+        record.add(f'{server.name} drains, acknowledged: {acknowledged}')
+    await asyncio.gather(*uses)
+    await asyncio.sleep(1.0)
+    reset = sum(
+        flow.reset_at is not None and flow.was_open_at_reset for flow in flows
+    )
+    closed = sum(flow.end.got_fin for flow in flows)
+    record.add(f'part 2: flows {len(flows)}, closed by their server '
+               f'{closed}, reset at the FIN of the client {reset}; the server '
+               f'runs: {server.is_alive}')
+    return reset
 
 
 h.main(Path(__file__).resolve().parent, case)
