--- a/review/7/case.py
+++ b/review/7/case.py
@@ -16,7 +16,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-import harness2 as h  # noqa: E402
+import harness2 as h
 
 ZONE = 'east'
 SERVICE = 'menubook'
@@ -29,6 +29,7 @@
 
 
 async def write_parts(_server, flow, request_id):
+    """Write an answer: a download in parts, others at once."""
     if not request_id.startswith('download'):
         flow.end.write(h.answer_of(request_id, b'ok'))
         return
@@ -43,6 +44,7 @@
 
 
 async def case(record):
+    """Start the deployment, play the case and end all processes."""
     d = h.Deployment({ZONE: 2}, [(ZONE, SERVICE)] * 3)
     try:
         return await play(d, record)
@@ -51,6 +53,7 @@
 
 
 async def play(d, record):
+    """Play both parts and return the exit code."""
     routes = [
         {
             'name': 'r-main', 'ip': MAIN.ip, 'port': MAIN.port,
@@ -79,7 +82,7 @@
     await asyncio.gather(*map(download, range(FLOWS)))
     await asyncio.sleep(1.0)
     broken = 0
-    for name, flow, asked_at, answer in results:
+    for name, flow, asked_at, _ in results:
         if flow.reset_at is not None and flow.was_open_at_reset:
             broken += 1
             record.add(
@@ -96,9 +99,11 @@
         for event in d.log_events(machine)
     )
     sent = sum(m.server.resets for m in d.agents)
-    record.add(f'flows {FLOWS}, whole answers {whole}, opened and reset '
-               f'{broken}, resets logged by the balancers {resets}, resets '
-               f'sent by servers {sent}')
+    record.add(
+        f'flows {FLOWS}, whole answers {whole}, opened and reset '
+        f'{broken}, resets logged by the balancers {resets}, resets '
+        f'sent by servers {sent}'
+    )
     record.add(f'longest answer {max(took):.3f} s')
     kept = await drain(d, record, client)
     record.add(f'FLOW broken: part 1 {bool(broken)}, part 2 {bool(kept)}')
@@ -133,9 +138,11 @@
         flow.reset_at is not None and flow.was_open_at_reset for flow in flows
     )
     closed = sum(flow.end.got_fin for flow in flows)
-    record.add(f'part 2: flows {len(flows)}, closed by their server '
-               f'{closed}, reset at the FIN of the client {reset}; the server '
-               f'runs: {server.is_alive}')
+    record.add(
+        f'part 2: flows {len(flows)}, closed by their server '
+        f'{closed}, reset at the FIN of the client {reset}; the server '
+        f'runs: {server.is_alive}'
+    )
     return reset
 
 
--- a/review/harness2.py
+++ b/review/harness2.py
@@ -72,12 +72,15 @@
         ]
 
     def add(self, text):
+        """Add a line with the time since the start."""
         self.lines.append(f'{self.now():8.3f} {text}')
 
     def now(self):
+        """Return the seconds since the start."""
         return time.monotonic() - self.started_at
 
     def write(self):
+        """Write the file."""
         self.path.write_text('\n'.join(self.lines) + '\n')
 
 
@@ -98,6 +101,7 @@
 
 
 def render(status, body=b''):
+    """Return the bytes of an HTTP response."""
     return (
         f'HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n'
         f'Content-Length: {len(body)}\r\n\r\n'
@@ -187,6 +191,8 @@
         return self.revision
 
     def answer_for(self, name):
+        """Return the handler of the calls of one process."""
+
         async def answer(method, path, body):
             self.calls += 1
             await asyncio.sleep(0.004)
@@ -285,11 +291,13 @@
         self.is_dead = False
 
     def write(self, data, fin=False):
+        """Queue data for the other end, and a FIN behind it."""
         self.pending += data
         self.wants_fin |= fin
         self.pump()
 
     def pump(self):
+        """Send what the window allows."""
         if self.is_dead:
             return
         while self.pending and len(self.in_flight) < WINDOW_PACKETS:
@@ -325,6 +333,7 @@
         self._start_timer()
 
     def receive(self, segment):
+        """Take a packet of the other end."""
         if self.is_dead:
             return
         if segment.flags & ACK:
@@ -387,6 +396,7 @@
             self.ack_timer = None
 
     def kill(self):
+        """Stop all timers; the flow is over."""
         self.is_dead = True
         for timer in (self.timer, self.ack_timer):
             if timer is not None:
@@ -413,18 +423,21 @@
             return
 
     def send(self, raw, ip, port):
+        """Send a datagram; it may be lost."""
         try:
             self.socket.sendto(raw, (ip, port))
         except OSError:
             pass
 
     def close(self):
+        """Close the socket."""
         if self.socket.fileno() >= 0:
             self.loop.remove_reader(self.socket.fileno())
             self.socket.close()
 
 
 def header_of(data, name):
+    """Return the value of an HTTP header, None if it is missing."""
     for line in data.split(b'\r\n'):
         key, _, value = line.partition(b':')
         if key.lower() == name.lower().encode():
@@ -447,6 +460,7 @@
         self.end = None
 
     def transmit(self, flags, sequence, acknowledged, data=b''):
+        """Send a packet to the client."""
         self.server.send(
             wire.build(
                 self.route, self.client, flags, sequence, acknowledged, data
@@ -454,6 +468,7 @@
         )
 
     def answer_opening(self):
+        """Answer a SYN."""
         self.transmit(SYN | ACK, self.sequence, self.client_sequence)
 
     def receive(self, segment):
@@ -503,8 +518,15 @@
 
     _ids = itertools.count(1)
 
-    def __init__(self, deployment, machine, slots=2, queue=8, work_s=0.02,
-                 write_answer=None):
+    def __init__(
+        self,
+        deployment,
+        machine,
+        slots=2,
+        queue=8,
+        work_s=0.02,
+        write_answer=None,
+    ):
         self.deployment = deployment
         self.machine = machine
         self.loop = asyncio.get_running_loop()
@@ -532,6 +554,7 @@
         self.loses = lambda raw: False
 
     async def start(self, beats_at_once=True):
+        """Listen, and begin to send heartbeats."""
         machine = self.machine
         self.sock = Sock(machine.ip, self.deployment.ports['app'], self._read)
         self.http = await serve_http(
@@ -589,6 +612,7 @@
         self.sock.close()
 
     def send(self, raw):
+        """Send a packet to the outbound address of the machine."""
         if self.is_alive and not self.loses(raw):
             self.sock.send(
                 raw, self.machine.ip, self.deployment.ports['outbound']
@@ -632,17 +656,21 @@
         )  # fmt: skip
 
     def forget(self, flow):
+        """Discard a flow."""
         self.flows.pop((flow.client, flow.route), None)
 
     def finish(self, flow):
+        """Record that a flow has been closed by both ends."""
         self.ended[flow.client, flow.route] = flow.end.next, flow.end.expected
         flow.end.kill()
         self.forget(flow)
 
     def runs_of(self, flow):
+        """Return the requests of a flow that run or wait."""
         return self.running[flow] + sum(f is flow for f, _ in self.waiting)
 
     def offer(self, flow, request_id):
+        """Run a request, queue it, or reject it as not executed."""
         if sum(self.running.values()) < self.slots:
             self.loop.create_task(self._run(flow, request_id))
             self.running[flow] += 1
@@ -675,6 +703,7 @@
 
 
 def answer_of(request_id, body):
+    """Return an answer with the stamp of the server."""
     return (
         f'HTTP/1.1 200 OK\r\nX-Ibispitch-Response-Stamp: {request_id}\r\n'
         f'Content-Length: {len(body)}\r\n\r\n'
@@ -715,6 +744,7 @@
             self.fail()
 
     def fail(self):
+        """End the flow at this end."""
         self.has_failed = True
         for timer in self.timers:
             timer.cancel()
@@ -725,6 +755,7 @@
         self.arrived.set()
 
     def transmit(self, flags, sequence, acknowledged, data=b''):
+        """Send a packet through the routers."""
         self.client.transmit(
             self,
             wire.build(
@@ -733,6 +764,7 @@
         )
 
     def receive(self, segment):
+        """Take a packet for this flow."""
         if self.has_failed:
             return
         if segment.flags & RST:
@@ -796,6 +828,7 @@
         return None
 
     def close(self):
+        """Send a FIN."""
         if self.is_open and not self.has_failed:
             self.end.write(b'', fin=True)
 
@@ -815,11 +848,13 @@
         self.sock = Sock(ip, deployment.ports['datagram'], self._read)
 
     def open(self, route):
+        """Open a flow from a new port."""
         port = next(self.ports)
         flow = self.flows[port] = ClientFlow(self, port, route)
         return flow
 
     def transmit(self, flow, raw):
+        """Send a packet to the machine that the routers choose."""
         machine = self.deployment.choose(self.zone, raw)
         if machine is not None and not self.loses(raw):
             self.loop.call_later(
@@ -897,7 +932,9 @@
         #: One way, between clients and machines.
         self.client_delay_s = 0.003
         self.folder = Path(tempfile.mkdtemp(prefix='ibispitch-review-'))
-        self.prefix = f'127.{random.randrange(20, 250)}.{random.randrange(250)}'
+        self.prefix = (
+            f'127.{random.randrange(20, 250)}.{random.randrange(250)}'
+        )
         self.store = Store()
         self.clients = []
         self.is_first_start = True
@@ -909,14 +946,20 @@
         } | (bounds or {})  # fmt: skip
         numbers = itertools.count(1)
         self.balancers = [
-            Machine('balancer', f'front-{zone}-{n + 1}', self._ip(numbers),
-                    zone)
+            Machine(
+                'balancer', f'front-{zone}-{n + 1}', self._ip(numbers), zone
+            )
             for zone, count in zones.items()
             for n in range(count)
         ]
         self.agents = [
-            Machine('agent', f'side-{zone}-{n + 1}', self._ip(numbers), zone,
-                    service)
+            Machine(
+                'agent',
+                f'side-{zone}-{n + 1}',
+                self._ip(numbers),
+                zone,
+                service,
+            )
             for n, (zone, service) in enumerate(servers)
         ]
         self.numbers = numbers
@@ -936,6 +979,7 @@
 
     @property
     def machines(self):
+        """All machines of the system."""
         return [*self.balancers, *self.agents]
 
     def configuration(self, version, routes, services, idle_ms=15_000):
@@ -999,33 +1043,46 @@
         await asyncio.sleep(12.0)
 
     def settings(self, machine):
+        """Return the text of the settings file of a machine."""
         ports, ip = self.ports, machine.ip
         role = self.roles[machine.role]
         seeds = ','.join(
             f'{m.ip}:{ports["control"]}' for m in self.balancers[:3]
         )
         lines = {
-            'node_name': machine.name, 'role': machine.role,
-            'machine_class': role['on'], 'serves': ','.join(role['serves']),
-            'ip': ip, 'zone': machine.zone, 'region': 'r',
+            'node_name': machine.name,
+            'role': machine.role,
+            'machine_class': role['on'],
+            'serves': ','.join(role['serves']),
+            'ip': ip,
+            'zone': machine.zone,
+            'region': 'r',
             'listen.datagram_addr': f'{ip}:{ports["datagram"]}',
             'listen.ready': f'{ip}:{ports["ready"]}',
             'listen.control': f'{ip}:{ports["control"]}',
             'internal_ports': f'{ports["peer"]},{ports["peer"]}',
             'seeds': seeds,
             'bootstrap': 'true' if self.is_first_start else 'false',
-            'loss_counts': 'false', 'limits.cpu_share': 0.537,
-            'limits.cores': 2, 'limits.memory_mb': 300,
-            'limits.max_fds': 4100, 'limits.link_mbps': 1000.0,
-            'discovery': 'local', 'entry': 'announce',
+            'loss_counts': 'false',
+            'limits.cpu_share': 0.537,
+            'limits.cores': 2,
+            'limits.memory_mb': 300,
+            'limits.max_fds': 4100,
+            'limits.link_mbps': 1000.0,
+            'discovery': 'local',
+            'entry': 'announce',
             'heartbeat_ms': round(1000 * HEARTBEAT_S),
             'contracts': 'base,drain,config,cost,recover,flows,places,'
             'platform',
-            'hash': 'mod', 'deploy_mode': 'agent',
+            'hash': 'mod',
+            'deploy_mode': 'agent',
             'platform.address': f'{ip}:{ports["store"]}',
-            'platform.deploy_mode': 'kv', 'platform.writes_per_s': 400,
-            'platform.reads_per_s': 2000, 'platform.history_s': 20,
-            'platform.value_bytes': 1048576, 'platform.ttl_min_ms': 1000,
+            'platform.deploy_mode': 'kv',
+            'platform.writes_per_s': 400,
+            'platform.reads_per_s': 2000,
+            'platform.history_s': 20,
+            'platform.value_bytes': 1048576,
+            'platform.ttl_min_ms': 1000,
         } | {f'bounds.{key}': value for key, value in self.bounds.items()}
         if machine.role == 'agent':
             lines |= {
@@ -1035,6 +1092,7 @@
         return ''.join(f'{key}={value}\n' for key, value in lines.items())
 
     async def spawn(self, machine):
+        """Start the process of a machine with the command of its role."""
         path = self.folder / f'{machine.name}.conf'
         path.write_text(self.settings(machine))
         words = self.roles[machine.role]['run'].split()
@@ -1089,12 +1147,14 @@
         return ready[zlib.crc32(raw[14:26]) % len(ready)]
 
     def add_client(self, zone):
+        """Add a client machine in a zone."""
         ip = f'{self.prefix}.{100 + len(self.clients)}'
         client = Client(self, ip, zone)
         self.clients.append(client)
         return client
 
     def log_events(self, machine):
+        """Return the lines of the log of a machine, decoded."""
         text = (self.folder / f'{machine.name}.log').read_text()
         events = []
         for line in text.splitlines():
@@ -1105,6 +1165,7 @@
         return events
 
     async def stop(self):
+        """End all processes and stand-ins, and remove the folder."""
         for task in self.tasks:
             task.cancel()
         for machine in self.machines:
@@ -1140,5 +1201,5 @@
     code = asyncio.run(run())
     record.add(f'exit code {code}')
     record.write()
-    print('\n'.join(record.lines[-12:]))
+    sys.stdout.write('\n'.join(record.lines[-12:]) + '\n')
     sys.exit(code)
